--- /dev/null
+++ b/crates/control/src/control.rs
@@ -0,0 +1,682 @@
+//! The planner's core.
+
+use {
+    crate::{
+        config::ControlConfig,
+        demand::DemandBook,
+        event::{Action, Event, OpId, StoreAnswer},
+        group::Group,
+        pacing::Pacer,
+        slot::{Row, Slot},
+        status::{ControlStatus, EngineStatus, GroupStatus},
+    },
+    glade_engine::{EngineReport, Order, OrderKind, OrderOutcome},
+    glade_fleet::{EngineView, Fleet},
+    glade_lease::LeaseAction,
+    glade_ledger::{Ledger, Phase},
+    glade_placement::{EngineInput, Move, PlacementInput, plan},
+    glade_platform::{BackendKind, BackendRecord, Listing, Txn, VmRecord},
+    glade_table::Table,
+    glade_types::{BackendId, GroupId, ModelName, VmId, rendezvous_order},
+    glade_wire::{LoadDigest, Residency},
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Period of planning passes.
+const PLAN_EVERY: Duration = Duration::from_millis(500);
+/// How much longer each less preferred group waits before it covers a row without a residence.
+const COVER_RANK_DELAY: Duration = Duration::from_secs(3);
+/// Pause before a scan that failed is tried again.
+const SCAN_RETRY: Duration = Duration::from_secs(1);
+/// VMs of its data centre that watch an engine.
+const WATCHERS: usize = 2;
+
+/// What an operation on the table service was for.
+#[derive(Clone, Debug)]
+enum Purpose {
+    Lease(GroupId),
+    ScanGroup(GroupId, u64),
+    Slot(BackendId),
+}
+
+/// The planner's core. See the crate's documentation.
+#[derive(Debug)]
+pub struct Control {
+    config: ControlConfig,
+    rng: fastrand::Rng,
+    now: Instant,
+    table: Arc<Table>,
+    vms: Vec<VmRecord>,
+    live: BTreeSet<VmId>,
+    fleet: Fleet,
+    groups: BTreeMap<GroupId, Group>,
+    slots: BTreeMap<BackendId, Slot>,
+    demand: DemandBook,
+    /// Since when each row without a residence has had none.
+    uncovered_since: HashMap<ModelName, Instant>,
+    ops: HashMap<OpId, Purpose>,
+    next_op: u64,
+    moves: u64,
+    store_writes: u64,
+    store_reads: u64,
+}
+
+impl Control {
+    /// Returns a planner that knows nothing yet.
+    pub fn new(config: ControlConfig, now: Instant) -> Self {
+        Self {
+            rng: fastrand::Rng::with_seed(config.seed),
+            live: [config.vm.clone()].into(),
+            config,
+            now,
+            table: Arc::default(),
+            vms: Vec::new(),
+            fleet: Fleet::default(),
+            groups: BTreeMap::new(),
+            slots: BTreeMap::new(),
+            demand: DemandBook::default(),
+            uncovered_since: HashMap::new(),
+            ops: HashMap::new(),
+            next_op: 0,
+            moves: 0,
+            store_writes: 0,
+            store_reads: 0,
+        }
+    }
+
+    /// Takes `event` at clock reading `now` and appends the actions it calls for to `out`.
+    pub fn step(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::Tick => self.tick(out),
+            Event::Listing(listing) => self.on_listing(&listing),
+            Event::Table(table) => {
+                if table.version >= self.table.version {
+                    self.table = table;
+                }
+            }
+            Event::LivePlanners(live) => {
+                self.live = live;
+                self.live.insert(self.config.vm.clone());
+                self.rank_candidates();
+            }
+            Event::Report { engine, report } => self.on_report(engine, report),
+            Event::Load(digest) => self.fleet.load(now, digest),
+            Event::Residency(residency) => self.fleet.residency(now, residency),
+            Event::Leaving { engine, incarnation } => self.fleet.leaving(&engine, incarnation),
+            Event::Demands { from, data_centre, demands } => {
+                if data_centre == self.config.data_centre {
+                    self.demand.record(now, from, &demands);
+                }
+            }
+            Event::Missing { engine, incarnation, model } => {
+                self.fleet.missing(&engine, incarnation, &model);
+            }
+            Event::StoreAnswered { op, answer } => self.on_store(op, answer, out),
+            Event::OrderSettled { order, outcome } => {
+                if let Some(slot) = self.slots.get_mut(&order.engine) {
+                    slot.on_order(now, order, outcome);
+                }
+            }
+        }
+    }
+
+    /// Engines whose reports this planner should read: it is one of their watchers.
+    pub fn watched(&self) -> Vec<BackendRecord> {
+        let names: Vec<&VmRecord> = self
+            .vms
+            .iter()
+            .filter(|vm| vm.data_centre == self.config.data_centre)
+            .filter(|vm| !vm.leaving && self.live.contains(&vm.name))
+            .collect();
+        self.fleet
+            .iter()
+            .map(|view| &view.record)
+            .filter(|record| record.data_centre == self.config.data_centre)
+            .filter(|record| {
+                let vms = names.iter().map(|vm| vm.name.as_str());
+                rendezvous_order(record.id.as_str(), vms)
+                    .iter()
+                    .take(WATCHERS)
+                    .any(|name| *name == self.config.vm.as_str())
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// The state for operators and metrics.
+    pub fn status(&self) -> ControlStatus {
+        let groups = self.groups.values().map(|group| GroupStatus {
+            group: group.id.clone(),
+            holder: group.keeper.holder().cloned(),
+            epoch: group.keeper.epoch(self.now),
+            wanted_moves: group.moves.len(),
+        });
+        let held = self.slots.values().filter(|slot| self.epoch(&slot.group).is_some());
+        let engines = held.filter_map(|slot| slot.ledger()).map(|ledger| EngineStatus {
+            engine: ledger.engine.clone(),
+            capacity_bytes: ledger.capacity_bytes,
+            reserved_bytes: ledger.reserved_bytes(),
+            open_loads: ledger.open_loads(),
+        });
+        ControlStatus {
+            groups: groups.collect(),
+            engines: engines.collect(),
+            moves: self.moves,
+            store_writes: self.store_writes,
+            store_reads: self.store_reads,
+        }
+    }
+
+    fn epoch(&self, group: &GroupId) -> Option<u64> {
+        self.groups.get(group)?.keeper.epoch(self.now)
+    }
+
+    fn on_listing(&mut self, listing: &Listing) {
+        self.fleet.list(listing);
+        self.vms = listing.vms.clone();
+        for view in self.fleet.iter() {
+            let record = &view.record;
+            let id = self.config.group_of(&record.id, &record.data_centre);
+            self.groups.entry(id.clone()).or_insert_with(|| {
+                Group::new(id.clone(), record.data_centre.clone(), &self.config, self.now)
+            });
+            self.slots
+                .entry(record.id.clone())
+                .or_insert_with(|| Slot::new(record.id.clone(), id, self.now));
+        }
+        self.rank_candidates();
+        let count = u32::try_from(self.groups.len()).unwrap_or(u32::MAX);
+        for (rank, group) in (0..).zip(self.groups.values_mut()) {
+            let (rate, at_once) = (self.config.loads_per_s, self.config.loads_at_once);
+            group.pacer.reshare(Pacer::share(rate, at_once, count, rank));
+        }
+    }
+
+    fn rank_candidates(&mut self) {
+        for group in self.groups.values_mut() {
+            group.rank_candidates(&self.config.vm, &self.vms, &self.live);
+        }
+    }
+
+    fn on_report(&mut self, engine: BackendId, report: EngineReport) {
+        let load = LoadDigest {
+            engine: engine.clone(),
+            incarnation: report.incarnation,
+            running: report.running,
+            waiting: report.waiting,
+            slots: report.slots,
+            mean_request_ms: u32::try_from(report.mean_request.as_millis()).unwrap_or(u32::MAX),
+            leaving: report.leaving,
+        };
+        let resident = report.resident.into_iter().map(|r| (r.name, r.memory_bytes)).collect();
+        let residency = Residency {
+            engine,
+            incarnation: report.incarnation,
+            memory_bytes: report.memory_bytes,
+            accelerators: report.accelerators,
+            resident,
+        };
+        self.fleet.load(self.now, load);
+        self.fleet.residency(self.now, residency);
+    }
+
+    fn on_store(&mut self, op: OpId, answer: StoreAnswer, out: &mut Vec<Action>) {
+        let Some(purpose) = self.ops.remove(&op) else { return };
+        match (purpose, answer) {
+            (Purpose::Lease(group), answer) => self.on_lease(&group, answer),
+            (Purpose::ScanGroup(group, epoch), StoreAnswer::Scanned(rows)) => {
+                self.on_scanned(&group, epoch, rows.ok(), out);
+            }
+            (Purpose::Slot(engine), answer) => {
+                let Some(slot) = self.slots.get_mut(&engine) else { return };
+                let committed = match answer {
+                    StoreAnswer::Transacted(answer) => slot.on_written(self.now, op, answer),
+                    StoreAnswer::Read(answer) => slot.on_read(self.now, op, answer),
+                    StoreAnswer::Scanned(_) => None,
+                };
+                self.send_committed(&engine, committed, out);
+            }
+            (Purpose::ScanGroup(..), _) => {}
+        }
+    }
+
+    fn on_lease(&mut self, group: &GroupId, answer: StoreAnswer) {
+        let Some(group) = self.groups.get_mut(group) else { return };
+        match answer {
+            StoreAnswer::Read(answer) => {
+                group.keeper.on_read(self.now, answer.as_ref().map(Option::as_ref));
+            }
+            StoreAnswer::Transacted(answer) => group.keeper.on_write(self.now, answer.as_ref()),
+            StoreAnswer::Scanned(_) => {}
+        }
+    }
+
+    fn on_scanned(
+        &mut self,
+        id: &GroupId,
+        epoch: u64,
+        rows: Option<Vec<glade_platform::StoredRow>>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(group) = self.groups.get_mut(id) else { return };
+        group.scanning = false;
+        let Some(rows) = rows else {
+            group.scan_at = self.now + SCAN_RETRY;
+            return;
+        };
+        group.scanned_epoch = Some(epoch);
+        let engines: Vec<BackendId> = self
+            .slots
+            .values()
+            .filter(|slot| slot.group == *id && !slot.is_busy())
+            .map(|slot| slot.engine.clone())
+            .collect();
+        for engine in engines {
+            let Some(slot) = self.slots.get_mut(&engine) else { continue };
+            let key = slot.key();
+            let committed = slot.observe(self.now, rows.iter().find(|row| row.key == key));
+            self.send_committed(&engine, committed, out);
+        }
+    }
+
+    /// Sends an order whose reservation is committed, if the lease still allows it.
+    fn send_committed(&mut self, engine: &BackendId, order: Option<Order>, out: &mut Vec<Action>) {
+        let Some(order) = order else { return };
+        let Some(slot) = self.slots.get_mut(engine) else { return };
+        let lease = self.groups.get(&slot.group).and_then(|group| {
+            let epoch = group.keeper.epoch(self.now)?;
+            let send_before = group.keeper.valid_until()?;
+            let adopted = slot.ledger().is_some_and(|ledger| ledger.epoch == epoch);
+            adopted.then_some(send_before)
+        });
+        match lease {
+            Some(send_before) if slot.in_flight.is_none() => {
+                slot.in_flight = Some(order.clone());
+                self.moves += 1;
+                out.push(Action::Send { order, send_before });
+            }
+            _ => slot.on_order(self.now, order, OrderOutcome::NotSent),
+        }
+    }
+
+    fn tick(&mut self, out: &mut Vec<Action>) {
+        let ids: Vec<GroupId> = self.groups.keys().cloned().collect();
+        for id in &ids {
+            self.tick_lease(id, out);
+            self.tick_scan(id, out);
+        }
+        self.note_uncovered();
+        for id in &ids {
+            self.tick_plan(id);
+        }
+        let engines: Vec<BackendId> = self.slots.keys().cloned().collect();
+        for engine in engines {
+            self.tick_slot(&engine, out);
+        }
+    }
+
+    fn tick_lease(&mut self, id: &GroupId, out: &mut Vec<Action>) {
+        let write_id = self.rng.u64(1..);
+        let Some(group) = self.groups.get_mut(id) else { return };
+        if !group.candidate {
+            return;
+        }
+        let key = group.lease_key();
+        match group.keeper.tick(self.now, write_id) {
+            Some(LeaseAction::Read) => {
+                let op = self.begin_op(Purpose::Lease(id.clone()));
+                self.store_reads += 1;
+                out.push(Action::Read { op, key });
+            }
+            Some(LeaseAction::Write { expected, row }) => {
+                let value = serde_json::to_vec(&row).expect("plain structure");
+                let txn = Txn::compare_and_set(key, expected, value);
+                let op = self.begin_op(Purpose::Lease(id.clone()));
+                self.store_writes += 1;
+                out.push(Action::Transact { op, txn });
+            }
+            None => {}
+        }
+    }
+
+    /// Reads the ledgers of a group that was acquired lately.
+    fn tick_scan(&mut self, id: &GroupId, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(group) = self.groups.get_mut(id) else { return };
+        let Some(epoch) = group.keeper.epoch(now) else { return };
+        if group.scanning || group.scanned_epoch == Some(epoch) || now < group.scan_at {
+            return;
+        }
+        group.scanning = true;
+        group.moves.clear();
+        let prefix = group.ledger_prefix();
+        let op = self.begin_op(Purpose::ScanGroup(id.clone(), epoch));
+        self.store_reads += 1;
+        out.push(Action::Scan { op, prefix });
+    }
+
+    /// Keeps track of rows that no usable engine holds.
+    fn note_uncovered(&mut self) {
+        let (now, stale) = (self.now, self.config.report_stale);
+        let mut covered: HashSet<&ModelName> = HashSet::new();
+        for view in self.fleet.iter().filter(|view| view.is_usable(now, stale)) {
+            if let Some((residency, _)) = view.current_residency() {
+                covered.extend(residency.resident.iter().map(|(name, _)| name));
+            }
+        }
+        let table = Arc::clone(&self.table);
+        self.uncovered_since
+            .retain(|name, _| table.row(name.as_str()).is_some() && !covered.contains(name));
+        for row in table.loadable().filter(|row| !covered.contains(&row.name)) {
+            self.uncovered_since.entry(row.name.clone()).or_insert(now);
+        }
+    }
+
+    fn tick_plan(&mut self, id: &GroupId) {
+        let now = self.now;
+        let Some(group) = self.groups.get(id) else { return };
+        let ready = group.keeper.epoch(now).is_some_and(|e| group.scanned_epoch == Some(e));
+        let due = group.planned_at.is_none_or(|at| now >= at + PLAN_EVERY);
+        if !ready || !due {
+            return;
+        }
+        let demand = self.demand.levels(now).clone();
+        let moves = plan(&self.placement_input(id, demand));
+        if let Some(group) = self.groups.get_mut(id) {
+            group.moves = moves;
+            group.planned_at = Some(now);
+        }
+    }
+
+    fn placement_input<'a>(
+        &'a self,
+        id: &'a GroupId,
+        demand: HashMap<ModelName, glade_placement::ModelDemand>,
+    ) -> PlacementInput<'a> {
+        let (now, stale) = (self.now, self.config.report_stale);
+        let mut engines = Vec::new();
+        let mut elsewhere: HashMap<&ModelName, u32> = HashMap::new();
+        for view in self.fleet.iter() {
+            let usable = view.is_usable(now, stale);
+            let slot = self.slots.get(&view.record.id).filter(|slot| slot.group == *id);
+            match slot {
+                Some(slot) => engines.extend(slot.ledger().map(|ledger| EngineInput {
+                    ledger,
+                    usable: usable && ledger.incarnation == view.incarnation(),
+                    utilization: view.utilization(),
+                    slots: view.load.as_ref().map_or(1, |(load, _)| load.slots),
+                })),
+                None if usable => {
+                    let resident = view.current_residency().into_iter();
+                    for (name, _) in resident.flat_map(|(residency, _)| &residency.resident) {
+                        *elsewhere.entry(name).or_default() += 1;
+                    }
+                }
+                None => {}
+            }
+        }
+        PlacementInput {
+            table: &self.table,
+            engines,
+            owed: self.owed(id),
+            elsewhere,
+            demand,
+            policy: self.config.policy,
+        }
+    }
+
+    /// Rows without a residence that the group has to cover by now.
+    ///
+    /// Groups are ranked for each base model by rendezvous hash. The first covers at once; each
+    /// further one waits longer, so that a group without room is helped out without any message.
+    fn owed<'a>(&'a self, id: &GroupId) -> HashSet<&'a ModelName> {
+        let stale = self.config.report_stale;
+        let live_groups: BTreeSet<GroupId> = self
+            .fleet
+            .iter()
+            .filter(|view| view.is_usable(self.now, stale))
+            .map(|view| self.config.group_of(&view.record.id, &view.record.data_centre))
+            .collect();
+        let owed = |name: &ModelName, since: Instant| {
+            let row = self.table.row(name.as_str());
+            let anchor = row.and_then(|row| row.base()).unwrap_or(name);
+            let names = live_groups.iter().map(GroupId::as_str);
+            let order = rendezvous_order(anchor.as_str(), names);
+            let rank = order.iter().position(|group| *group == id.as_str());
+            // An adapter can only go where its base is, so every group with the base may cover it.
+            let rank = if row.is_some_and(|row| row.base().is_some()) { Some(0) } else { rank };
+            let rank = rank.and_then(|rank| u32::try_from(rank).ok());
+            rank.is_some_and(|rank| self.now >= since + COVER_RANK_DELAY * rank)
+        };
+        self.uncovered_since
+            .iter()
+            .filter(|(name, since)| owed(name, **since))
+            .map(|(name, _)| name)
+            .collect()
+    }
+
+    fn tick_slot(&mut self, engine: &BackendId, out: &mut Vec<Action>) {
+        let Some(slot) = self.slots.get(engine) else { return };
+        if slot.is_busy() {
+            return;
+        }
+        let group = slot.group.clone();
+        let epoch = self.epoch(&group);
+        let scanned = epoch.is_some()
+            && self.groups.get(&group).is_some_and(|group| group.scanned_epoch == epoch);
+        let concerned = scanned || slot.has_outcomes();
+        match &slot.row {
+            Row::Unread if concerned => self.read_slot(engine, out),
+            Row::Unread => {}
+            Row::Absent => {
+                if let Some(epoch) = epoch.filter(|_| scanned) {
+                    self.create_ledger(engine, epoch, out);
+                }
+            }
+            Row::Present { ledger, .. } => {
+                let draft = ledger.clone();
+                let epoch = epoch.filter(|epoch| scanned && *epoch >= draft.epoch);
+                self.advance_ledger(engine, draft, epoch, out);
+            }
+        }
+    }
+
+    fn read_slot(&mut self, engine: &BackendId, out: &mut Vec<Action>) {
+        let op = self.begin_op(Purpose::Slot(engine.clone()));
+        self.store_reads += 1;
+        let Some(slot) = self.slots.get_mut(engine) else { return };
+        slot.begin_read(op);
+        out.push(Action::Read { op, key: slot.key() });
+    }
+
+    /// Writes the first ledger of an engine.
+    fn create_ledger(&mut self, engine: &BackendId, epoch: u64, out: &mut Vec<Action>) {
+        let Some(view) = self.fleet.get(engine) else { return };
+        let Some(report) = view.report() else { return };
+        let enforces = view.record.kind == BackendKind::Engine { enforces_fencing: true };
+        let mut ledger = Ledger::first(engine, enforces, &report);
+        self.fill_bases(&mut ledger);
+        ledger.epoch = epoch;
+        self.write_slot(engine, ledger, None, out);
+    }
+
+    fn fill_bases(&self, ledger: &mut Ledger) {
+        ledger.set_bases(|name| self.table.row(name.as_str()).and_then(|row| row.base()).cloned());
+    }
+
+    /// Brings the ledger up to date and decides the next order to its engine. `epoch` is given only
+    /// if this planner may act for the group.
+    fn advance_ledger(
+        &mut self,
+        engine: &BackendId,
+        mut draft: Ledger,
+        epoch: Option<u64>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(slot) = self.slots.get(engine) else { return };
+        let mut changed = slot.settle_into(&mut draft);
+        let mut order = None;
+        if let Some(epoch) = epoch {
+            changed |= draft.epoch != epoch;
+            draft.epoch = epoch;
+            changed |= self.follow_engine(engine, &mut draft);
+            order = self.next_order(engine, &mut draft);
+            changed |= order.is_some();
+        }
+        if changed {
+            self.write_slot(engine, draft, order, out);
+        } else if let Some(slot) = self.slots.get_mut(engine) {
+            slot.drop_outcomes();
+        }
+    }
+
+    /// Takes a restart of the engine, and residents that the ledger lacks, into the draft.
+    fn follow_engine(&mut self, engine: &BackendId, draft: &mut Ledger) -> bool {
+        let Some(report) = self.fleet.get(engine).and_then(EngineView::report) else {
+            return false;
+        };
+        if report.incarnation > draft.incarnation {
+            draft.restart(&report);
+            self.fill_bases(draft);
+            if let Some(slot) = self.slots.get_mut(engine) {
+                slot.in_flight = None;
+                slot.retry_at = self.now;
+            }
+            return true;
+        }
+        if report.incarnation < draft.incarnation || !self.residency_is_settled(engine) {
+            return false;
+        }
+        let adopted = draft.adopt_foreign(&report);
+        if adopted {
+            self.fill_bases(draft);
+        }
+        adopted
+    }
+
+    /// True if the last residency was read long enough after the last change to show it.
+    fn residency_is_settled(&self, engine: &BackendId) -> bool {
+        let Some(slot) = self.slots.get(engine) else { return false };
+        let seen = self.fleet.get(engine).and_then(EngineView::current_residency);
+        slot.in_flight.is_none()
+            && seen.is_some_and(|(_, at)| *at > slot.changed_at + self.config.report_lag)
+    }
+
+    /// Decides the next order to the engine, if one is due, and reserves for it in the draft.
+    fn next_order(&mut self, engine: &BackendId, draft: &mut Ledger) -> Option<Order> {
+        let slot = self.slots.get(engine)?;
+        let view = self.fleet.get(engine)?;
+        let reachable = view.incarnation() == draft.incarnation
+            && !view.is_leaving()
+            && view.load.as_ref().is_some_and(|(_, at)| self.now < *at + self.config.report_stale);
+        if slot.in_flight.is_some() || self.now < slot.retry_at || !reachable {
+            return None;
+        }
+        let candidates = self.candidate_moves(engine);
+        candidates.into_iter().find_map(|step| self.try_move(&step, draft))
+    }
+
+    /// Moves for the engine in the order of their urgency: work that was left undone, models that
+    /// vanished from the engine, then the plan.
+    fn candidate_moves(&self, engine: &BackendId) -> Vec<Move> {
+        let (Some(slot), Some(view)) = (self.slots.get(engine), self.fleet.get(engine)) else {
+            return Vec::new();
+        };
+        let load = |model: &ModelName| Move::Load { engine: engine.clone(), model: model.clone() };
+        let unload =
+            |model: &ModelName| Move::Unload { engine: engine.clone(), model: model.clone() };
+        let mut moves = Vec::new();
+        for (model, phase) in slot.unattended() {
+            let listed = self.table.row(model.as_str()).is_some();
+            let wanted = phase == Phase::Loading && listed;
+            moves.push(if wanted { load(model) } else { unload(model) });
+        }
+        if self.residency_is_settled(engine) {
+            let entries = slot.ledger().into_iter().flat_map(|ledger| &ledger.entries);
+            let vanished = entries
+                .filter(|(name, entry)| entry.phase == Phase::Resident && !view.holds(name))
+                .filter(|(name, _)| self.table.row(name.as_str()).is_some());
+            moves.extend(vanished.map(|(name, _)| load(name)));
+        }
+        let planned = self.groups.get(&slot.group).into_iter().flat_map(|group| &group.moves);
+        moves.extend(planned.filter(|step| step.engine() == engine).cloned());
+        moves
+    }
+
+    /// Reserves for `step` in the draft, unless a rule forbids it now.
+    fn try_move(&mut self, step: &Move, draft: &mut Ledger) -> Option<Order> {
+        match step {
+            Move::Unload { model, .. } => {
+                let gone = !draft.entries.contains_key(model);
+                if gone { None } else { draft.begin_unload(model).ok() }
+            }
+            Move::Load { model, .. } => {
+                let table = Arc::clone(&self.table);
+                let row = table.row(model.as_str())?;
+                let resident = draft.entries.get(model).is_some_and(|entry| {
+                    entry.phase == Phase::Resident && self.reported_to_hold(&draft.engine, model)
+                });
+                if resident || (row.base().is_none() && !self.may_load_base(&draft.engine)) {
+                    return None;
+                }
+                let order = draft.begin_load(model, row.memory_bytes, row.base()).ok()?;
+                if matches!(order.kind, OrderKind::Load { base: None, .. }) {
+                    self.note_base_load(&draft.engine);
+                }
+                Some(order)
+            }
+        }
+    }
+
+    fn reported_to_hold(&self, engine: &BackendId, model: &ModelName) -> bool {
+        self.fleet.get(engine).is_some_and(|view| view.holds(model))
+            || !self.residency_is_settled(engine)
+    }
+
+    /// True if the group's share of the weight store allows another base model.
+    fn may_load_base(&self, engine: &BackendId) -> bool {
+        let Some(slot) = self.slots.get(engine) else { return false };
+        let under_way = self
+            .slots
+            .values()
+            .filter(|other| other.group == slot.group && other.is_loading_base())
+            .count();
+        let under_way = u32::try_from(under_way).unwrap_or(u32::MAX);
+        let group = self.groups.get(&slot.group);
+        group.is_some_and(|group| group.pacer.allows(self.now, under_way))
+    }
+
+    fn note_base_load(&mut self, engine: &BackendId) {
+        let Some(slot) = self.slots.get(engine) else { return };
+        if let Some(group) = self.groups.get_mut(&slot.group) {
+            group.pacer.started(self.now);
+        }
+    }
+
+    fn write_slot(
+        &mut self,
+        engine: &BackendId,
+        mut ledger: Ledger,
+        order: Option<Order>,
+        out: &mut Vec<Action>,
+    ) {
+        ledger.write_id = self.rng.u64(1..);
+        let op = self.begin_op(Purpose::Slot(engine.clone()));
+        let Some(slot) = self.slots.get_mut(engine) else { return };
+        let txn = slot.begin_write(op, ledger, order);
+        self.store_writes += 1;
+        out.push(Action::Transact { op, txn });
+    }
+
+    fn begin_op(&mut self, purpose: Purpose) -> OpId {
+        self.next_op += 1;
+        let op = OpId(self.next_op);
+        self.ops.insert(op, purpose);
+        op
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers.rs
@@ -0,0 +1,143 @@
+//! The shell around the membership core: sends its messages and does its reads.
+
+use {
+    crate::platform::Platform,
+    glade_membership::{Action, Event, Membership, MembershipConfig, load_table, read_head},
+    glade_settings::Settings,
+    glade_table::Table,
+    glade_types::{DataCentre, Incarnation},
+    glade_wire::{Envelope, Message, Outbox, PeerId, Role},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, mpsc::SyncSender},
+        time::Instant,
+    },
+    tokio::runtime::Handle,
+};
+
+/// Membership with its sockets. Used by the control thread alone.
+#[derive(Debug)]
+pub struct PeerShell<E> {
+    me: PeerId,
+    membership: Membership,
+    outbox: Outbox,
+    platform: Arc<Platform>,
+    runtime: Handle,
+    events: SyncSender<E>,
+    actions: Vec<Action>,
+}
+
+impl<E: From<Event> + Send + 'static> PeerShell<E> {
+    /// Returns a shell that knows no peer yet.
+    pub fn new(
+        settings: &Settings,
+        role: Role,
+        incarnation: Incarnation,
+        platform: &Arc<Platform>,
+        runtime: &Handle,
+        events: &SyncSender<E>,
+        now: Instant,
+    ) -> Self {
+        let me = PeerId { vm: settings.vm.name.clone(), role, incarnation };
+        let config = MembershipConfig {
+            me: me.clone(),
+            data_centre: settings.vm.data_centre.clone(),
+            peer_silent: settings.timing.peer_silent,
+            isolated_after: settings.timing.isolated_after,
+            head_poll: settings.timing.head_poll,
+        };
+        Self {
+            me,
+            membership: Membership::new(config, now),
+            outbox: Outbox::new(),
+            platform: Arc::clone(platform),
+            runtime: runtime.clone(),
+            events: events.clone(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// The core.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// This process.
+    pub fn me(&self) -> &PeerId {
+        &self.me
+    }
+
+    /// Messages dropped and bytes sent so far.
+    pub fn traffic(&self) -> (u64, u64) {
+        (self.outbox.dropped(), self.outbox.sent_bytes())
+    }
+
+    /// Takes an event and does what it calls for. Returns the table that came into force, if any.
+    pub fn step(&mut self, now: Instant, event: Event) -> Option<Arc<Table>> {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.membership.step(now, event, &mut actions);
+        let mut in_force = None;
+        for action in actions.drain(..) {
+            match action {
+                Action::Send(addr, message) => self.send(addr, message),
+                Action::Redial(addr) => {
+                    log::info!("peer {addr} is silent, dialling again");
+                    self.outbox.redial(addr);
+                }
+                Action::ReadHead => self.read_head(),
+                Action::FetchTable(head) => {
+                    let platform = Arc::clone(&self.platform);
+                    self.spawn(async move {
+                        let table = load_table(&platform.objects, &head).await;
+                        table.ok().map(|table| Event::Table(Arc::new(table)))
+                    });
+                }
+                Action::TableInForce(table) => in_force = Some(table),
+            }
+        }
+        self.actions = actions;
+        in_force
+    }
+
+    /// Sends `message` to the peer at `addr`; a message that can't be queued is dropped.
+    pub fn send(&mut self, addr: SocketAddr, message: Message) {
+        let envelope = Envelope { from: self.me.clone(), message };
+        if let Err(err) = self.outbox.send(addr, &envelope) {
+            log::debug!("{err}");
+        }
+    }
+
+    /// Sends `message` to all daemons of `role` in the data centres that `accept` accepts.
+    pub fn broadcast(
+        &mut self,
+        role: Role,
+        message: &Message,
+        accept: impl Fn(&DataCentre) -> bool,
+    ) {
+        let addrs: Vec<SocketAddr> = self
+            .membership
+            .addrs(role)
+            .filter(|(_, data_centre)| accept(data_centre))
+            .map(|(addr, _)| addr)
+            .collect();
+        for addr in addrs {
+            self.send(addr, message.clone());
+        }
+    }
+
+    fn read_head(&self) {
+        let platform = Arc::clone(&self.platform);
+        self.spawn(async move { read_head(&platform.store).await.ok().map(Event::HeadRead) });
+    }
+
+    fn spawn(&self, work: impl Future<Output = Option<Event>> + Send + 'static) {
+        let events = self.events.clone();
+        self.runtime.spawn(async move {
+            if let Some(event) = work.await
+                && events.try_send(event.into()).is_err()
+            {
+                log::warn!("control thread is behind; event dropped");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/chat.rs
@@ -0,0 +1,275 @@
+//! Requests for models and adapters.
+
+use {
+    crate::{
+        api_error::ApiError,
+        burn::Sample,
+        events::EntryEvent,
+        proxy::{Head, Upstream, is_crossed},
+        relay::{Holding, Relay},
+        request::{ModelRequest, read_body},
+        shared::{Counts, Serving, Shared},
+    },
+    glade_http::{BodyExt, Method},
+    glade_routing::{Decision, EngineEntry, Need, Permit, Refusal, decide},
+    glade_types::Priority,
+    poem::{
+        Body, Request, Response,
+        http::{HeaderMap, StatusCode},
+    },
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::{sleep, timeout},
+};
+
+/// Attempts at one request, the first included.
+const MAX_ATTEMPTS: u32 = 3;
+/// Longest wait for the head of a patient request's answer.
+const PATIENT_HEAD_TIMEOUT: Duration = Duration::from_secs(120);
+/// Wait for the head of an urgent request's answer, in multiples of its target.
+const URGENT_HEAD_FACTOR: u32 = 3;
+/// Time allowed for the body of an answer that isn't streamed.
+const WHOLE_BODY_TIMEOUT: Duration = Duration::from_secs(300);
+/// Advice to callers of a VM that takes no work.
+const ELSEWHERE_RETRY: Duration = Duration::from_secs(1);
+
+/// Serves one request.
+pub(crate) async fn serve(shared: &Arc<Shared>, serving: Serving, mut req: Request) -> Response {
+    let (path, body) = (req.uri().path().to_owned(), req.take_body());
+    match run(shared, serving, &path, req.headers(), body).await {
+        Ok(response) => response,
+        Err(err) => err.to_response(),
+    }
+}
+
+async fn run(
+    shared: &Arc<Shared>,
+    serving: Serving,
+    path: &str,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<Response, ApiError> {
+    let body = read_body(shared, body).await?;
+    let request = ModelRequest::parse(shared, path, headers, body)?;
+    let result = attempt_all(shared, serving, &request).await;
+    if let Err(err) = &result {
+        let refused = matches!(err, ApiError::NotRun { .. } | ApiError::RateLimited { .. });
+        if refused {
+            Counts::add(&shared.counts.refused);
+        }
+        let sample = Sample { refused, ..Sample::default() };
+        shared.burn.record(Instant::now(), &request.model, sample);
+        if let Some(limiter) = shared.routes.load().limiters.get(&request.model) {
+            limiter.missed();
+        }
+    }
+    result
+}
+
+/// Admits the request and tries engines until one answers.
+async fn attempt_all(
+    shared: &Arc<Shared>,
+    serving: Serving,
+    request: &ModelRequest,
+) -> Result<Response, ApiError> {
+    let started_at = Instant::now();
+    let permit = admit(shared, request)?;
+    shared.retries.earn();
+    let mut serving = Some((serving, permit));
+    let mut avoid = None;
+    let mut last = None;
+    for attempt in 0..MAX_ATTEMPTS {
+        if attempt > 0 {
+            if !shared.retries.spend() {
+                break;
+            }
+            Counts::add(&shared.counts.retries);
+            sleep(backoff(attempt)).await;
+        }
+        let engine = match choose(shared, request, started_at, avoid.as_ref()).await {
+            Ok(engine) => engine,
+            // A refusal is only true of the first attempt: an earlier one may have run.
+            Err(refusal) => return Err(last.unwrap_or(refusal)),
+        };
+        match attempt_one(shared, &mut serving, request, &engine, started_at).await {
+            Ok(response) => return Ok(response),
+            Err(err) => last = Some(err),
+        }
+        avoid = Some(engine);
+    }
+    Err(last.unwrap_or_else(|| ApiError::Failed { message: "no engine answered".to_owned() }))
+}
+
+fn admit(shared: &Arc<Shared>, request: &ModelRequest) -> Result<Permit, ApiError> {
+    let routes = shared.routes.load();
+    if !routes.takes_work {
+        return Err(ApiError::NotRun {
+            message: "this VM is cut off from the others; not run, use another".to_owned(),
+            retry_after: ELSEWHERE_RETRY,
+        });
+    }
+    let Some(limiter) = routes.limiters.get(&request.model) else {
+        return Err(ApiError::UnknownModel { model: request.model.to_string() });
+    };
+    limiter.admit(shared.uptime()).map_err(|retry_after| ApiError::RateLimited { retry_after })
+}
+
+/// Waits for the routing decision.
+async fn choose(
+    shared: &Arc<Shared>,
+    request: &ModelRequest,
+    started_at: Instant,
+    avoid: Option<&EngineEntry>,
+) -> Result<EngineEntry, ApiError> {
+    loop {
+        let waited = started_at.elapsed();
+        let pause = {
+            let routes = shared.routes.load();
+            let position = |engine: &EngineEntry| {
+                routes.engines.iter().position(|other| other.id == engine.id)
+            };
+            let need = Need {
+                model: &request.model,
+                priority: request.priority,
+                first_token_within: request.first_token_within.saturating_sub(waited),
+                prefix: request.prefix,
+                waited,
+                avoid: avoid.and_then(position),
+            };
+            let mut rng = fastrand::Rng::new();
+            let uptime = shared.uptime();
+            match decide(&routes, &shared.policy, &shared.prefixes, &need, uptime, &mut rng) {
+                Decision::Send { engine, .. } => return Ok(routes.engines[engine].clone()),
+                Decision::Wait(pause) => pause,
+                Decision::Refuse { reason, retry_after } => {
+                    return Err(refusal(reason, retry_after));
+                }
+            }
+        };
+        // Jitter keeps waiting requests from asking all at once.
+        sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
+    }
+}
+
+fn refusal(reason: Refusal, retry_after: Duration) -> ApiError {
+    let message = match reason {
+        Refusal::NotResident => "no engine holds this model at present; not run",
+        Refusal::Overloaded => "no engine can answer in time; not run",
+    };
+    ApiError::NotRun { message: message.to_owned(), retry_after }
+}
+
+fn backoff(attempt: u32) -> Duration {
+    let ceiling = Duration::from_millis(10) * 2_u32.pow(attempt.min(6));
+    ceiling.mul_f64(fastrand::f64())
+}
+
+/// One attempt at one engine.
+async fn attempt_one(
+    shared: &Arc<Shared>,
+    holding: &mut Option<(Serving, Permit)>,
+    request: &ModelRequest,
+    engine: &EngineEntry,
+    started_at: Instant,
+) -> Result<Response, ApiError> {
+    let under_way = engine.counters.begin();
+    let upstream = Upstream {
+        addr: engine.addr,
+        method: Method::POST,
+        path: &request.path,
+        id: &request.id,
+        priority: Some(request.priority),
+        content_type: Some("application/json"),
+        last_event: None,
+        body: request.body.clone(),
+    };
+    let within = match request.priority {
+        Priority::Urgent => request.first_token_within * URGENT_HEAD_FACTOR,
+        Priority::Patient => PATIENT_HEAD_TIMEOUT,
+    };
+    // An answer that isn't streamed takes as long as all its tokens.
+    let within = if request.stream { within } else { within.max(WHOLE_BODY_TIMEOUT) };
+    let head = upstream.send(shared, false, within).await.map_err(|err| {
+        engine.counters.failed(shared.uptime());
+        ApiError::Failed { message: err.to_string() }
+    })?;
+    check_head(shared, request, engine, &head)?;
+    shared.prefixes.note(request.prefix, engine.key);
+    if request.stream && head.response.status().is_success() {
+        let Some((serving, permit)) = holding.take() else {
+            return Err(ApiError::Failed { message: "the request was answered before".to_owned() });
+        };
+        engine.counters.succeeded();
+        let holding = Holding { _serving: serving, _permit: permit, _under_way: under_way };
+        let relay =
+            Relay::new(Arc::clone(shared), request.clone(), engine.addr, head, started_at, holding);
+        return Ok(Response::builder()
+            .content_type("text/event-stream")
+            .header("cache-control", "no-cache")
+            .header("x-request-id", request.id.as_str())
+            .body(Body::from_bytes_stream(relay.into_bytes())));
+    }
+    whole(shared, request, engine, head, started_at).await
+}
+
+/// Judges the head of an answer. A wrong one counts against the engine.
+fn check_head(
+    shared: &Shared,
+    request: &ModelRequest,
+    engine: &EngineEntry,
+    head: &Head,
+) -> Result<(), ApiError> {
+    if is_crossed(&head.response, &request.id) {
+        Counts::add(&shared.counts.crossed);
+        engine.counters.failed(shared.uptime());
+        return Err(ApiError::Failed { message: "the engine mixed up answers".to_owned() });
+    }
+    let status = head.response.status();
+    if status == StatusCode::NOT_FOUND {
+        shared.tell(EntryEvent::Missing {
+            engine: engine.id.clone(),
+            incarnation: engine.incarnation,
+            model: request.model.clone(),
+        });
+        let message = "the engine no longer holds the model".to_owned();
+        return Err(ApiError::Failed { message });
+    }
+    if status.is_server_error() {
+        engine.counters.failed(shared.uptime());
+        return Err(ApiError::Failed { message: format!("the engine answered status {status}") });
+    }
+    Ok(())
+}
+
+/// Gathers an answer that isn't streamed; a body shorter than announced is an error.
+async fn whole(
+    shared: &Shared,
+    request: &ModelRequest,
+    engine: &EngineEntry,
+    head: Head,
+    started_at: Instant,
+) -> Result<Response, ApiError> {
+    let (parts, body) = head.response.into_parts();
+    let gathered = timeout(WHOLE_BODY_TIMEOUT, body.collect()).await;
+    let body = match gathered {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(_)) | Err(_) => {
+            engine.counters.failed(shared.uptime());
+            shared.pool.forget(engine.addr);
+            return Err(ApiError::Failed { message: "the engine's answer was cut".to_owned() });
+        }
+    };
+    shared.pool.give_back(head.connection);
+    engine.counters.succeeded();
+    let met = started_at.elapsed() <= request.first_token_within;
+    let sample = Sample { first_token_met: met, gaps_met: true, refused: false };
+    shared.burn.record(Instant::now(), &request.model, sample);
+    let content_type = parts.headers.get("content-type").and_then(|value| value.to_str().ok());
+    Ok(Response::builder()
+        .status(parts.status)
+        .content_type(content_type.unwrap_or("application/json"))
+        .header("x-request-id", request.id.as_str())
+        .body(body))
+}
--- /dev/null
+++ b/crates/lease/src/keeper.rs
@@ -0,0 +1,320 @@
+//! Decides when to read, renew and take over a lease.
+
+use {
+    crate::{
+        row::LeaseRow,
+        state::{Held, Watching},
+    },
+    glade_platform::{Revision, StoreError, StoredRow, TxnAnswer},
+    glade_types::{Incarnation, VmId},
+    std::time::{Duration, Instant},
+};
+
+/// Share of the duration that watchers wait on top, for clocks that run at different rates.
+const DRIFT_MARGIN_DIVISOR: u32 = 20;
+
+/// Who the candidate is, and the lease's times.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseConfig {
+    /// VM of the candidate.
+    pub holder: VmId,
+    /// Incarnation of the candidate's daemon.
+    pub incarnation: Incarnation,
+    /// How long one renewal lasts.
+    pub duration: Duration,
+    /// Period of renewals and of reads.
+    pub renew_every: Duration,
+    /// Extra wait before taking over, larger for less preferred candidates.
+    pub takeover_delay: Duration,
+}
+
+/// What the keeper wants done with the lease's row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseAction {
+    /// Read the row and call [`LeaseKeeper::on_read`].
+    Read,
+    /// Write the row if it stands at `expected` and call [`LeaseKeeper::on_write`].
+    Write {
+        /// Expected revision.
+        expected: Revision,
+        /// Content to write.
+        row: LeaseRow,
+    },
+}
+
+#[derive(Clone, Debug)]
+enum State {
+    Watching(Watching),
+    Held(Held),
+}
+
+/// A write that was sent on top of the present revision.
+#[derive(Clone, Debug)]
+struct Attempt {
+    row: LeaseRow,
+    sent_at: Instant,
+}
+
+/// One candidate's view of one lease. One operation is under way at a time.
+#[derive(Clone, Debug)]
+pub struct LeaseKeeper {
+    config: LeaseConfig,
+    state: State,
+    /// Writes on top of the present revision whose effect isn't known.
+    attempts: Vec<Attempt>,
+    busy: bool,
+    must_read: bool,
+    next_at: Instant,
+}
+
+impl LeaseKeeper {
+    /// Returns a keeper that knows nothing of the row yet.
+    pub fn new(config: LeaseConfig, now: Instant) -> Self {
+        let watching = Watching { revision: Revision::ABSENT, row: None, seen_at: now };
+        Self {
+            config,
+            state: State::Watching(watching),
+            attempts: Vec::new(),
+            busy: false,
+            must_read: true,
+            next_at: now,
+        }
+    }
+
+    /// Changes the extra wait before a takeover, when the order of candidates changes.
+    pub fn set_takeover_delay(&mut self, delay: Duration) {
+        self.config.takeover_delay = delay;
+    }
+
+    /// Epoch of the lease if this candidate may act on it at `now`.
+    pub fn epoch(&self, now: Instant) -> Option<u64> {
+        match &self.state {
+            State::Held(held) if now < held.valid_until => Some(held.row.epoch),
+            State::Held(_) | State::Watching(_) => None,
+        }
+    }
+
+    /// Reading after which this candidate must not act on the lease; `None` if it doesn't hold it.
+    pub fn valid_until(&self) -> Option<Instant> {
+        match &self.state {
+            State::Held(held) => Some(held.valid_until),
+            State::Watching(_) => None,
+        }
+    }
+
+    /// Holder named by the row when last seen.
+    pub fn holder(&self) -> Option<&VmId> {
+        match &self.state {
+            State::Held(held) => Some(&held.row.holder),
+            State::Watching(watching) => watching.row.as_ref().map(|row| &row.holder),
+        }
+    }
+
+    /// Returns the next operation if one is due. `write_id` must be unique.
+    pub fn tick(&mut self, now: Instant, write_id: u64) -> Option<LeaseAction> {
+        self.lapse(now);
+        if self.busy || now < self.next_at {
+            return None;
+        }
+        self.busy = true;
+        self.next_at = now + self.config.renew_every;
+        if self.must_read {
+            return Some(LeaseAction::Read);
+        }
+        match &self.state {
+            State::Held(held) => {
+                let (expected, epoch) = (held.revision, held.row.epoch);
+                Some(self.write(now, expected, epoch, write_id))
+            }
+            State::Watching(watching) if self.may_take_over(watching, now) => {
+                let expected = watching.revision;
+                let epoch = watching.row.as_ref().map_or(0, |row| row.epoch) + 1;
+                Some(self.write(now, expected, epoch, write_id))
+            }
+            State::Watching(_) => Some(LeaseAction::Read),
+        }
+    }
+
+    /// Takes the answer to a read.
+    pub fn on_read(&mut self, now: Instant, answer: Result<Option<&StoredRow>, &StoreError>) {
+        self.busy = false;
+        let Ok(stored) = answer else { return };
+        self.must_read = false;
+        self.observe(now, stored);
+    }
+
+    /// Takes the answer to a write.
+    pub fn on_write(&mut self, now: Instant, answer: Result<&TxnAnswer, &StoreError>) {
+        self.busy = false;
+        match answer {
+            Ok(TxnAnswer::Committed(revision)) => {
+                if let Some(attempt) = self.attempts.pop() {
+                    self.confirm(*revision, attempt);
+                }
+            }
+            Ok(TxnAnswer::Conflict(rows)) => self.observe(now, rows.first()),
+            Err(StoreError::NotSent { .. }) => {
+                self.attempts.pop();
+            }
+            Err(StoreError::Unknown { .. }) => {
+                self.must_read = true;
+                self.next_at = now;
+            }
+        }
+    }
+
+    fn write(&mut self, now: Instant, expected: Revision, epoch: u64, id: u64) -> LeaseAction {
+        let row = LeaseRow {
+            holder: self.config.holder.clone(),
+            incarnation: self.config.incarnation,
+            epoch,
+            write_id: id,
+        };
+        self.attempts.push(Attempt { row: row.clone(), sent_at: now });
+        LeaseAction::Write { expected, row }
+    }
+
+    fn may_take_over(&self, watching: &Watching, now: Instant) -> bool {
+        if watching.row.is_none() {
+            return now >= watching.seen_at + self.config.takeover_delay;
+        }
+        let duration = self.config.duration;
+        let margin = duration / DRIFT_MARGIN_DIVISOR;
+        now >= watching.seen_at + duration + margin + self.config.takeover_delay
+    }
+
+    /// Gives the lease up once its time is over.
+    fn lapse(&mut self, now: Instant) {
+        let State::Held(held) = &self.state else { return };
+        if now < held.valid_until {
+            return;
+        }
+        let lost = held.clone().lost(held.revision, Some(held.row.clone()), now);
+        self.state = State::Watching(lost);
+        self.must_read = true;
+        self.next_at = self.next_at.min(now);
+    }
+
+    /// Takes note of the row as stored.
+    fn observe(&mut self, now: Instant, stored: Option<&StoredRow>) {
+        let revision = stored.map_or(Revision::ABSENT, |stored| stored.revision);
+        let row: Option<LeaseRow> =
+            stored.and_then(|stored| serde_json::from_slice(&stored.value).ok());
+        let landed = row.as_ref().and_then(|row| {
+            self.attempts.iter().find(|attempt| attempt.row.write_id == row.write_id)
+        });
+        if let Some(attempt) = landed.cloned() {
+            self.confirm(revision, attempt);
+            return;
+        }
+        let known = match &self.state {
+            State::Held(held) => held.revision,
+            State::Watching(watching) => watching.revision,
+        };
+        if revision == known {
+            return;
+        }
+        self.attempts.clear();
+        self.state = State::Watching(Watching { revision, row, seen_at: now });
+    }
+
+    fn confirm(&mut self, revision: Revision, attempt: Attempt) {
+        self.attempts.clear();
+        let valid_until = attempt.sent_at + self.config.duration;
+        let state = match self.state.clone() {
+            State::Held(held) => held.renewed(revision, attempt.row, valid_until),
+            State::Watching(watching) => watching.acquired(revision, attempt.row, valid_until),
+        };
+        self.state = State::Held(state);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use {
+        super::*,
+        glade_platform::{Key, MemoryTable, Txn},
+    };
+
+    const LEASE: Duration = Duration::from_secs(4);
+
+    fn keeper(name: &str, now: Instant) -> LeaseKeeper {
+        let config = LeaseConfig {
+            holder: VmId::new(name),
+            incarnation: Incarnation(1),
+            duration: LEASE,
+            renew_every: Duration::from_secs(1),
+            takeover_delay: Duration::ZERO,
+        };
+        LeaseKeeper::new(config, now)
+    }
+
+    fn key() -> Key {
+        Key::new("lease/g")
+    }
+
+    /// Performs the keeper's operation, if any; `lose` drops the answer of a write.
+    fn run(keeper: &mut LeaseKeeper, now: Instant, id: u64, store: &mut MemoryTable, lose: bool) {
+        match keeper.tick(now, id) {
+            Some(LeaseAction::Read) => keeper.on_read(now, Ok(store.read(&key()).as_ref())),
+            Some(LeaseAction::Write { expected, row }) => {
+                let value = serde_json::to_vec(&row).expect("plain structure");
+                let answer = store.transact(&Txn::compare_and_set(key(), expected, value));
+                let lost = StoreError::Unknown { reason: "lost".to_owned() };
+                keeper.on_write(now, if lose { Err(&lost) } else { Ok(&answer) });
+            }
+            None => {}
+        }
+    }
+
+    #[test]
+    fn a_silent_holder_is_replaced_only_after_its_own_lease_is_over() {
+        let (start, mut store) = (Instant::now(), MemoryTable::default());
+        let (mut a, mut b) = (keeper("a", start), keeper("b", start));
+        let mut taken_over_at = None;
+        for step in 0..200_u64 {
+            let now = start + Duration::from_millis(step * 100);
+            if step < 30 {
+                run(&mut a, now, step * 2, &mut store, false);
+            }
+            run(&mut b, now, step * 2 + 1, &mut store, false);
+            let both = a.epoch(now).is_some() && b.epoch(now).is_some();
+            assert!(!both, "two holders at step {step}");
+            if b.epoch(now).is_some() && taken_over_at.is_none() {
+                taken_over_at = Some(now - start);
+            }
+        }
+        let died_at = Duration::from_millis(2900);
+        let waited = taken_over_at.expect("b takes over") - died_at;
+        assert!(waited <= LEASE + Duration::from_secs(2), "{waited:?}");
+        assert_eq!(b.epoch(start + Duration::from_millis(19_900)), Some(2));
+    }
+
+    #[test]
+    fn a_renewal_with_a_lost_answer_counts_from_before_it_was_sent() {
+        let (start, mut store) = (Instant::now(), MemoryTable::default());
+        let mut a = keeper("a", start);
+        run(&mut a, start, 1, &mut store, false);
+        let sent_at = start + Duration::from_secs(1);
+        run(&mut a, sent_at, 2, &mut store, true);
+        assert_eq!(a.epoch(sent_at), None, "nothing is known yet");
+        run(&mut a, sent_at + Duration::from_secs(2), 3, &mut store, false);
+        assert_eq!(a.epoch(sent_at + LEASE - Duration::from_millis(1)), Some(1));
+        assert_eq!(a.epoch(sent_at + LEASE), None);
+    }
+
+    #[test]
+    fn a_lapsed_holder_needs_a_new_epoch() {
+        let (start, mut store) = (Instant::now(), MemoryTable::default());
+        let mut a = keeper("a", start);
+        run(&mut a, start, 1, &mut store, false);
+        run(&mut a, start + Duration::from_secs(1), 2, &mut store, false);
+        assert_eq!(a.epoch(start + Duration::from_secs(2)), Some(1));
+        let late = start + Duration::from_secs(60);
+        assert_eq!(a.epoch(late), None);
+        for step in 0..20 {
+            run(&mut a, late + Duration::from_secs(step), 3 + step, &mut store, false);
+        }
+        assert_eq!(a.epoch(late + Duration::from_secs(19)), Some(2));
+    }
+}
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,20 @@
+//! A lease on a row of the table service, without synchronised clocks.
+//!
+//! The holder renews by compare-and-set and counts the lease from a clock reading taken *before*
+//! the renewal was sent. Everybody else watches the row's revision and may take over when it hasn't
+//! changed for the lease's duration, counted from when they first *saw* it, plus a margin for
+//! clocks that run at different rates. A renewal whose answer was lost is settled by reading the
+//! row back and comparing its write identifier.
+//!
+//! The lease is advisory: it keeps two holders from getting in each other's way. Safety of memory
+//! rests on the ledger's compare-and-set alone.
+
+mod keeper;
+mod row;
+mod state;
+
+pub use crate::{
+    keeper::{LeaseAction, LeaseConfig, LeaseKeeper},
+    row::LeaseRow,
+    state::{Held, Watching},
+};
--- /dev/null
+++ b/crates/lease/src/state.rs
@@ -0,0 +1,44 @@
+//! The two states of a lease as seen by one candidate.
+
+use {crate::row::LeaseRow, glade_platform::Revision, std::time::Instant};
+
+/// Somebody else holds the lease, or nobody does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Watching {
+    /// Revision of the row when last read.
+    pub revision: Revision,
+    /// The row when last read, if there was one.
+    pub row: Option<LeaseRow>,
+    /// When this revision was first seen.
+    pub seen_at: Instant,
+}
+
+/// This candidate holds the lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// Revision of its last confirmed write.
+    pub revision: Revision,
+    /// Its last confirmed write.
+    pub row: LeaseRow,
+    /// Reading after which it must not act on the lease.
+    pub valid_until: Instant,
+}
+
+impl Watching {
+    /// The state after this candidate's write was confirmed.
+    pub fn acquired(self, revision: Revision, row: LeaseRow, valid_until: Instant) -> Held {
+        Held { revision, row, valid_until }
+    }
+}
+
+impl Held {
+    /// The state after a renewal was confirmed.
+    pub fn renewed(self, revision: Revision, row: LeaseRow, valid_until: Instant) -> Self {
+        Self { revision, row, valid_until }
+    }
+
+    /// The state after the row was seen in other hands, or the lease lapsed.
+    pub fn lost(self, revision: Revision, row: Option<LeaseRow>, seen_at: Instant) -> Watching {
+        Watching { revision, row, seen_at }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/ledger.rs
@@ -0,0 +1,345 @@
+//! The ledger row and its rules.
+
+use {
+    crate::{
+        entry::{Entry, Phase},
+        error::LedgerError,
+    },
+    glade_engine::{EngineReport, FencingToken, Order, OrderKind, OrderOutcome},
+    glade_types::{BackendId, Bytes, Incarnation, ModelName},
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+/// The ledger of one engine, as kept in the table service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Ledger {
+    /// The engine.
+    pub engine: BackendId,
+    /// The incarnation that the entries are about.
+    pub incarnation: Incarnation,
+    /// Accelerator memory of the engine.
+    pub capacity_bytes: Bytes,
+    /// Whether the engine refuses orders with an old fencing token.
+    pub enforces_fencing: bool,
+    /// Epoch of the lease under which the row was last adopted.
+    pub epoch: u64,
+    /// Highest fencing token given out; never decreases, not even over restarts of the engine.
+    pub last_token: FencingToken,
+    /// Identifies the last write, to settle a commit whose answer was lost.
+    pub write_id: u64,
+    /// Entries by model.
+    pub entries: BTreeMap<ModelName, Entry>,
+}
+
+impl Ledger {
+    /// The first ledger of an engine, from its report. No order may have been sent to it before.
+    pub fn first(engine: &BackendId, enforces_fencing: bool, report: &EngineReport) -> Self {
+        let mut ledger = Self {
+            engine: engine.clone(),
+            incarnation: report.incarnation,
+            capacity_bytes: report.memory_bytes,
+            enforces_fencing,
+            epoch: 0,
+            last_token: FencingToken(0),
+            write_id: 0,
+            entries: BTreeMap::new(),
+        };
+        ledger.take_residents(report);
+        ledger
+    }
+
+    /// Fills in the base models of adapters that a report listed without them.
+    pub fn set_bases(&mut self, base_of: impl Fn(&ModelName) -> Option<ModelName>) {
+        for (name, entry) in &mut self.entries {
+            entry.base = entry.base.take().or_else(|| base_of(name));
+        }
+    }
+
+    /// Memory reserved by all entries.
+    pub fn reserved_bytes(&self) -> Bytes {
+        self.entries.values().map(|entry| entry.memory_bytes).sum()
+    }
+
+    /// Memory that a new entry may take.
+    pub fn free_bytes(&self) -> Bytes {
+        self.capacity_bytes.saturating_sub(self.reserved_bytes())
+    }
+
+    /// Number of unanswered loads.
+    pub fn open_loads(&self) -> usize {
+        self.entries.values().map(|entry| entry.open_loads.len()).sum()
+    }
+
+    /// Starts over with a new incarnation of the engine, which holds only what it reports.
+    pub fn restart(&mut self, report: &EngineReport) {
+        self.incarnation = report.incarnation;
+        self.capacity_bytes = report.memory_bytes;
+        self.entries.clear();
+        self.take_residents(report);
+    }
+
+    /// Reserves memory for residents that have no entry: something loaded them behind the ledger's
+    /// back. Returns whether there were any. `report` must be newer than the ledger.
+    pub fn adopt_foreign(&mut self, report: &EngineReport) -> bool {
+        let known = self.entries.len();
+        let mut foreign = report.clone();
+        foreign.resident.retain(|resident| !self.entries.contains_key(&resident.name));
+        self.take_residents(&foreign);
+        self.entries.len() > known
+    }
+
+    fn take_residents(&mut self, report: &EngineReport) {
+        for resident in &report.resident {
+            let entry = Entry {
+                memory_bytes: resident.memory_bytes,
+                base: None,
+                phase: Phase::Resident,
+                was_resident: true,
+                open_loads: Default::default(),
+            };
+            self.entries.insert(resident.name.clone(), entry);
+        }
+    }
+
+    /// Reserves memory for `model` and returns the order to send once the row is committed.
+    ///
+    /// For an entry that exists already, this is a further attempt that takes no further memory.
+    ///
+    /// # Errors
+    ///
+    /// The model doesn't fit or its base isn't resident.
+    pub fn begin_load(
+        &mut self,
+        model: &ModelName,
+        memory_bytes: Bytes,
+        base: Option<&ModelName>,
+    ) -> Result<Order, LedgerError> {
+        if let Some(base) = base {
+            let resident = self.entries.get(base).is_some_and(|e| e.phase == Phase::Resident);
+            if !resident {
+                return Err(LedgerError::BaseMissing(base.clone()));
+            }
+        }
+        let held_bytes = self.entries.get(model).map_or(0, |entry| entry.memory_bytes);
+        let needed_bytes = memory_bytes.saturating_sub(held_bytes);
+        let free_bytes = self.free_bytes();
+        if needed_bytes > free_bytes {
+            return Err(LedgerError::NoMemory { needed_bytes, free_bytes });
+        }
+        let token = self.next_token();
+        let entry = self.entries.entry(model.clone()).or_insert_with(|| Entry {
+            memory_bytes,
+            base: base.cloned(),
+            phase: Phase::Loading,
+            was_resident: false,
+            open_loads: Default::default(),
+        });
+        entry.memory_bytes = entry.memory_bytes.max(memory_bytes);
+        entry.phase = Phase::Loading;
+        entry.open_loads.insert(token);
+        let kind = OrderKind::Load { memory_bytes, base: base.cloned() };
+        Ok(self.order(token, model, kind))
+    }
+
+    /// Decides to unload `model` and returns the order to send once the row is committed.
+    ///
+    /// # Errors
+    ///
+    /// There is no such entry, or an adapter needs it as its base.
+    pub fn begin_unload(&mut self, model: &ModelName) -> Result<Order, LedgerError> {
+        let in_use = self.entries.values().any(|entry| entry.base.as_ref() == Some(model));
+        if in_use {
+            return Err(LedgerError::BaseInUse(model.clone()));
+        }
+        if !self.entries.contains_key(model) {
+            return Err(LedgerError::NoEntry(model.clone()));
+        }
+        let token = self.next_token();
+        if let Some(entry) = self.entries.get_mut(model) {
+            entry.phase = Phase::Unloading;
+        }
+        Ok(self.order(token, model, OrderKind::Unload))
+    }
+
+    /// Records what became of `order`. Returns false if that changes nothing, for instance because
+    /// the order was for an earlier incarnation.
+    pub fn settle(&mut self, order: &Order, outcome: OrderOutcome) -> bool {
+        if order.incarnation != self.incarnation {
+            return false;
+        }
+        match order.kind {
+            OrderKind::Load { .. } => self.settle_load(order, outcome),
+            OrderKind::Unload => self.settle_unload(order, outcome),
+        }
+    }
+
+    fn settle_load(&mut self, order: &Order, outcome: OrderOutcome) -> bool {
+        let Some(entry) = self.entries.get_mut(&order.model) else { return false };
+        if outcome == OrderOutcome::Unknown || !entry.open_loads.remove(&order.token) {
+            return false;
+        }
+        if outcome == OrderOutcome::Done {
+            entry.was_resident = true;
+            if entry.phase == Phase::Loading {
+                entry.phase = Phase::Resident;
+            }
+            if self.enforces_fencing {
+                entry.open_loads.retain(|token| *token > order.token);
+            }
+            return true;
+        }
+        let never_landed = !entry.was_resident && entry.open_loads.is_empty();
+        if never_landed {
+            self.entries.remove(&order.model);
+        }
+        true
+    }
+
+    fn settle_unload(&mut self, order: &Order, outcome: OrderOutcome) -> bool {
+        let Some(entry) = self.entries.get_mut(&order.model) else { return false };
+        // A newer decision about the entry makes this answer say nothing about its memory.
+        let superseded = entry.open_loads.iter().any(|token| *token > order.token);
+        if outcome != OrderOutcome::Done || entry.phase != Phase::Unloading || superseded {
+            return false;
+        }
+        if self.enforces_fencing {
+            entry.open_loads.retain(|token| *token > order.token);
+        }
+        entry.was_resident = false;
+        if entry.open_loads.is_empty() {
+            self.entries.remove(&order.model);
+        }
+        true
+    }
+
+    fn next_token(&mut self) -> FencingToken {
+        self.last_token = FencingToken(self.last_token.0 + 1);
+        self.last_token
+    }
+
+    fn order(&self, token: FencingToken, model: &ModelName, kind: OrderKind) -> Order {
+        Order {
+            engine: self.engine.clone(),
+            incarnation: self.incarnation,
+            token,
+            model: model.clone(),
+            kind,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use {super::*, std::time::Duration};
+
+    fn report(incarnation: u64) -> EngineReport {
+        EngineReport {
+            incarnation: Incarnation(incarnation),
+            memory_bytes: 100,
+            accelerators: 1,
+            running: 0,
+            waiting: 0,
+            slots: 8,
+            mean_request: Duration::ZERO,
+            leaving: false,
+            resident: vec![],
+        }
+    }
+
+    fn ledger(enforces_fencing: bool) -> Ledger {
+        Ledger::first(&BackendId::new("engine-1"), enforces_fencing, &report(1))
+    }
+
+    fn model(name: &str) -> ModelName {
+        ModelName::new(name)
+    }
+
+    #[test]
+    fn a_swap_needs_the_memory_of_both_until_the_unload_is_confirmed() {
+        let mut ledger = ledger(true);
+        let load = ledger.begin_load(&model("a"), 60, None).expect("fits");
+        ledger.settle(&load, OrderOutcome::Done);
+        let unload = ledger.begin_unload(&model("a")).expect("resident");
+        let refused = ledger.begin_load(&model("b"), 60, None);
+        assert_eq!(refused, Err(LedgerError::NoMemory { needed_bytes: 60, free_bytes: 40 }));
+        ledger.settle(&unload, OrderOutcome::Unknown);
+        assert!(ledger.begin_load(&model("b"), 60, None).is_err());
+        ledger.settle(&unload, OrderOutcome::Done);
+        assert!(ledger.begin_load(&model("b"), 60, None).is_ok());
+    }
+
+    #[test]
+    fn a_load_in_doubt_outlives_a_confirmed_unload_without_fencing() {
+        let mut ledger = ledger(false);
+        let lost = ledger.begin_load(&model("a"), 60, None).expect("fits");
+        ledger.settle(&lost, OrderOutcome::Unknown);
+        let again = ledger.begin_load(&model("a"), 60, None).expect("no further memory");
+        ledger.settle(&again, OrderOutcome::Done);
+        let unload = ledger.begin_unload(&model("a")).expect("resident");
+        ledger.settle(&unload, OrderOutcome::Done);
+        assert_eq!(ledger.free_bytes(), 40, "the first load may still land");
+        ledger.settle(&lost, OrderOutcome::Done);
+        assert_eq!(ledger.free_bytes(), 40, "it has landed and needs another unload");
+        let unload = ledger.begin_unload(&model("a")).expect("resident");
+        ledger.settle(&unload, OrderOutcome::Done);
+        assert_eq!(ledger.free_bytes(), 100);
+    }
+
+    #[test]
+    fn a_higher_token_settles_older_loads_with_fencing() {
+        let mut ledger = ledger(true);
+        let lost = ledger.begin_load(&model("a"), 60, None).expect("fits");
+        ledger.settle(&lost, OrderOutcome::Unknown);
+        let unload = ledger.begin_unload(&model("a")).expect("entry");
+        ledger.settle(&unload, OrderOutcome::Done);
+        assert_eq!(ledger.free_bytes(), 100);
+    }
+
+    #[test]
+    fn a_refused_load_gives_its_memory_back_only_if_no_other_can_land() {
+        let mut ledger = ledger(false);
+        let first = ledger.begin_load(&model("a"), 60, None).expect("fits");
+        let second = ledger.begin_load(&model("a"), 60, None).expect("fits");
+        ledger.settle(&second, OrderOutcome::NotSent);
+        assert_eq!(ledger.free_bytes(), 40);
+        ledger.settle(&first, OrderOutcome::NotSent);
+        assert_eq!(ledger.free_bytes(), 100);
+    }
+
+    #[test]
+    fn a_stale_unload_answer_does_not_free_a_newer_load() {
+        let mut ledger = ledger(false);
+        let load = ledger.begin_load(&model("a"), 60, None).expect("fits");
+        ledger.settle(&load, OrderOutcome::Done);
+        let unload = ledger.begin_unload(&model("a")).expect("resident");
+        let reload = ledger.begin_load(&model("a"), 60, None).expect("no further memory");
+        ledger.settle(&unload, OrderOutcome::Done);
+        assert_eq!(ledger.free_bytes(), 40);
+        ledger.settle(&reload, OrderOutcome::Done);
+        assert_eq!(ledger.entries[&model("a")].phase, Phase::Resident);
+    }
+
+    #[test]
+    fn a_restart_clears_the_entries_and_keeps_the_tokens_growing() {
+        let mut ledger = ledger(false);
+        let order = ledger.begin_load(&model("a"), 60, None).expect("fits");
+        ledger.restart(&report(2));
+        assert_eq!(ledger.free_bytes(), 100);
+        assert!(!ledger.settle(&order, OrderOutcome::Done), "the order was for incarnation 1");
+        let next = ledger.begin_load(&model("a"), 60, None).expect("fits");
+        assert!(next.token > order.token);
+    }
+
+    #[test]
+    fn a_base_is_kept_while_an_adapter_needs_it() {
+        let mut ledger = ledger(true);
+        let missing = ledger.begin_load(&model("a-1"), 5, Some(&model("a")));
+        assert_eq!(missing, Err(LedgerError::BaseMissing(model("a"))));
+        let load = ledger.begin_load(&model("a"), 60, None).expect("fits");
+        ledger.settle(&load, OrderOutcome::Done);
+        ledger.begin_load(&model("a-1"), 5, Some(&model("a"))).expect("base is resident");
+        assert_eq!(ledger.begin_unload(&model("a")), Err(LedgerError::BaseInUse(model("a"))));
+    }
+}
--- /dev/null
+++ b/crates/placement/src/pass.rs
@@ -0,0 +1,314 @@
+//! One placement pass.
+
+use {
+    crate::input::{EngineInput, ModelDemand, Move, PlacementInput},
+    glade_ledger::Phase,
+    glade_table::{Row, RowKind},
+    glade_types::{Bytes, ModelName},
+    std::{
+        cmp::Reverse,
+        collections::{HashMap, HashSet},
+    },
+};
+
+/// Demand below which a row counts as idle, in requests under way.
+const IDLE_UNDER_WAY: f64 = 0.05;
+
+/// Returns the moves that lead towards the wanted placement, most urgent first.
+pub fn plan(input: &PlacementInput<'_>) -> Vec<Move> {
+    let mut pass = Pass::new(input);
+    pass.remove_unlisted();
+    pass.cover_owed();
+    pass.add_copies();
+    pass.moves
+}
+
+/// An engine during the pass, with the moves decided so far taken into account.
+struct Site<'a> {
+    input: EngineInput<'a>,
+    free_bytes: Bytes,
+    /// Rows that the engine holds or will hold.
+    held: HashSet<&'a ModelName>,
+    /// Rows that leave during this pass.
+    evicted: HashSet<&'a ModelName>,
+}
+
+struct Pass<'a> {
+    input: &'a PlacementInput<'a>,
+    sites: Vec<Site<'a>>,
+    /// Residences by row in the whole deployment, as after the moves decided so far.
+    residences: HashMap<&'a ModelName, u32>,
+    /// Demand by base model, its adapters included.
+    base_demand: HashMap<&'a ModelName, f64>,
+    moves: Vec<Move>,
+}
+
+impl<'a> Pass<'a> {
+    fn new(input: &'a PlacementInput<'a>) -> Self {
+        let sites: Vec<Site<'a>> = input.engines.iter().map(|engine| Site::new(*engine)).collect();
+        let mut residences = input.elsewhere.clone();
+        for site in sites.iter().filter(|site| site.input.usable) {
+            for name in &site.held {
+                *residences.entry(name).or_default() += 1;
+            }
+        }
+        let mut base_demand: HashMap<&ModelName, f64> = HashMap::new();
+        for row in input.table.loadable() {
+            let under_way = input.demand.get(&row.name).map_or(0.0, |demand| demand.under_way);
+            *base_demand.entry(row.base().unwrap_or(&row.name)).or_default() += under_way;
+        }
+        Self { input, sites, residences, base_demand, moves: Vec::new() }
+    }
+
+    fn demand(&self, name: &ModelName) -> ModelDemand {
+        self.input.demand.get(name).copied().unwrap_or_default()
+    }
+
+    /// Unloads rows that left the table, adapters before their base.
+    fn remove_unlisted(&mut self) {
+        for idx in 0..self.sites.len() {
+            let ledger = self.sites[idx].input.ledger;
+            let mut unlisted: Vec<&ModelName> = ledger
+                .entries
+                .iter()
+                .filter(|(name, entry)| {
+                    entry.phase == Phase::Resident && self.input.table.row(name.as_str()).is_none()
+                })
+                .map(|(name, _)| name)
+                .collect();
+            unlisted.sort_by_key(|name| ledger.entries[*name].base.is_none());
+            for name in unlisted {
+                self.unload(idx, name);
+            }
+        }
+    }
+
+    /// Gives every owed row that has no residence one, heaviest first; bases before adapters.
+    fn cover_owed(&mut self) {
+        let mut rows: Vec<&'a Row> = self
+            .input
+            .table
+            .loadable()
+            .filter(|row| self.input.owed.contains(&row.name))
+            .filter(|row| self.residences.get(&row.name).is_none_or(|count| *count == 0))
+            .collect();
+        // Large rows first: they are the hardest to fit.
+        rows.sort_by_key(|row| (row.base().is_some(), Reverse(row.memory_bytes), &row.name));
+        for row in rows {
+            match self.best_site(row, |_| true) {
+                Some(idx) => self.load(idx, row),
+                None => self.make_room(row),
+            }
+        }
+    }
+
+    /// Adds copies of rows whose residences are all crowded, the most valuable first.
+    fn add_copies(&mut self) {
+        let mut candidates: Vec<(f64, &'a Row)> = self
+            .input
+            .table
+            .loadable()
+            .filter_map(|row| self.copy_value(row).map(|value| (value, row)))
+            .collect();
+        candidates.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.name.cmp(&b.1.name)));
+        for (_, row) in candidates {
+            let spare = self.input.policy.spare_utilization;
+            let target = self.best_site(row, |site| site.input.utilization < spare);
+            match target {
+                Some(idx) => self.load(idx, row),
+                None => self.make_room_at_spare_site(row, spare),
+            }
+        }
+    }
+
+    /// Net worth of a further copy of `row`, or `None` if it isn't worth its cost.
+    fn copy_value(&self, row: &Row) -> Option<f64> {
+        let policy = &self.input.policy;
+        if self.is_loading(&row.name) {
+            return None;
+        }
+        let residences = self.sites.iter().filter(|site| site.serves(&row.name));
+        let least = residences.map(|site| site.input.utilization).min_by(f64::total_cmp)?;
+        if least < policy.crowded_utilization {
+            return None;
+        }
+        let under_way = match row.kind {
+            RowKind::Model => self.base_demand.get(&row.name).copied().unwrap_or_default(),
+            RowKind::Adapter { .. } | RowKind::Service => self.demand(&row.name).under_way,
+        };
+        if under_way < IDLE_UNDER_WAY {
+            return None;
+        }
+        let relief = (least - policy.spare_utilization).min(1.0);
+        let missed = self.demand(&row.name).missed_per_s;
+        let served = under_way * relief + missed;
+        let worth = policy.attainment_weight * f64::from(row.weight) * served * policy.horizon_s;
+        let moves = if row.base().is_none() { policy.base_move_factor } else { 1.0 };
+        let cost = policy.move_weight * moves * f64::from(row.weight.max(1));
+        (worth > cost).then_some(worth - cost)
+    }
+
+    fn is_loading(&self, name: &ModelName) -> bool {
+        self.sites.iter().any(|site| {
+            let entry = site.input.ledger.entries.get(name);
+            entry.is_some_and(|entry| entry.phase == Phase::Loading)
+        })
+    }
+
+    /// The usable engine with the most room on which `row` fits now.
+    fn best_site(&self, row: &Row, accept: impl Fn(&Site<'a>) -> bool) -> Option<usize> {
+        let fits = |site: &Site<'a>| {
+            site.input.usable
+                && !site.held.contains(&row.name)
+                && row.base().is_none_or(|base| site.serves(base))
+                && site.needed_bytes(row) <= site.free_bytes
+        };
+        let candidates = self.sites.iter().enumerate().filter(|(_, s)| fits(s) && accept(s));
+        // Memory that is reserved for this row already costs nothing; it is used first.
+        candidates
+            .min_by(|(_, a), (_, b)| {
+                let key = |site: &Site<'a>| (site.needed_bytes(row) > 0, Reverse(site.free_bytes));
+                key(a)
+                    .cmp(&key(b))
+                    .then_with(|| a.input.utilization.total_cmp(&b.input.utilization))
+                    .then_with(|| a.input.ledger.engine.cmp(&b.input.ledger.engine))
+            })
+            .map(|(idx, _)| idx)
+    }
+
+    /// Unloads surplus copies from the engine where the fewest have to go for `row` to fit.
+    fn make_room(&mut self, row: &'a Row) {
+        self.evict_for(row, |_| true);
+    }
+
+    fn make_room_at_spare_site(&mut self, row: &'a Row, spare: f64) {
+        self.evict_for(row, |site| site.input.utilization < spare);
+    }
+
+    fn evict_for(&mut self, row: &'a Row, accept: impl Fn(&Site<'a>) -> bool) {
+        let best = (0..self.sites.len())
+            .filter(|idx| {
+                let site = &self.sites[*idx];
+                site.input.usable
+                    && accept(site)
+                    && !site.held.contains(&row.name)
+                    && row.base().is_none_or(|base| site.serves(base))
+            })
+            .filter_map(|idx| self.evictions(idx, row).map(|victims| (idx, victims)))
+            .min_by_key(|(idx, victims)| (victims.len(), *idx));
+        let Some((idx, victims)) = best else { return };
+        for victim in victims {
+            self.unload(idx, victim);
+        }
+        // The room is spoken for: nothing else of this pass may take it.
+        let needed = self.sites[idx].needed_bytes(row);
+        self.sites[idx].free_bytes = self.sites[idx].free_bytes.saturating_sub(needed);
+        self.sites[idx].held.insert(&row.name);
+        *self.residences.entry(&row.name).or_default() += 1;
+    }
+
+    /// Surplus rows on the engine at `idx` whose memory makes `row` fit, or `None`.
+    fn evictions(&self, idx: usize, row: &Row) -> Option<Vec<&'a ModelName>> {
+        let site = &self.sites[idx];
+        let leaving_bytes: Bytes = site
+            .input
+            .ledger
+            .entries
+            .iter()
+            .filter(|(name, entry)| entry.phase == Phase::Unloading || site.evicted.contains(*name))
+            .map(|(_, entry)| entry.memory_bytes)
+            .sum();
+        let mut missing = site.needed_bytes(row).saturating_sub(site.free_bytes);
+        missing = missing.saturating_sub(leaving_bytes);
+        let mut surplus: Vec<&'a ModelName> = site
+            .input
+            .ledger
+            .entries
+            .iter()
+            .filter(|(name, entry)| {
+                entry.phase == Phase::Resident
+                    && Some(*name) != row.base()
+                    && !site.evicted.contains(*name)
+                    && self.is_surplus(name)
+            })
+            .map(|(name, _)| name)
+            .collect();
+        surplus.sort_by(|a, b| {
+            let demand = |name: &ModelName| self.demand(name).under_way;
+            demand(a).total_cmp(&demand(b)).then_with(|| a.cmp(b))
+        });
+        let mut victims = Vec::new();
+        for name in surplus {
+            if missing == 0 {
+                break;
+            }
+            if self.supports_others(idx, name, &victims) {
+                continue;
+            }
+            missing = missing.saturating_sub(site.input.ledger.entries[name].memory_bytes);
+            victims.push(name);
+        }
+        (missing == 0).then_some(victims)
+    }
+
+    /// True if the row has another residence that can carry its demand.
+    fn is_surplus(&self, name: &ModelName) -> bool {
+        let count = self.residences.get(name).copied().unwrap_or_default();
+        let demand = self.base_demand.get(name).copied().unwrap_or(self.demand(name).under_way);
+        count > 1 && demand / f64::from(count) < 1.0
+    }
+
+    /// True if an adapter on the engine at `idx`, other than `victims`, needs `name` as its base.
+    fn supports_others(&self, idx: usize, name: &ModelName, victims: &[&ModelName]) -> bool {
+        self.sites[idx]
+            .input
+            .ledger
+            .entries
+            .iter()
+            .any(|(other, entry)| entry.base.as_ref() == Some(name) && !victims.contains(&other))
+    }
+
+    fn load(&mut self, idx: usize, row: &'a Row) {
+        let site = &mut self.sites[idx];
+        site.free_bytes -= site.needed_bytes(row);
+        site.held.insert(&row.name);
+        let engine = site.input.ledger.engine.clone();
+        *self.residences.entry(&row.name).or_default() += 1;
+        self.moves.push(Move::Load { engine, model: row.name.clone() });
+    }
+
+    fn unload(&mut self, idx: usize, name: &'a ModelName) {
+        let site = &mut self.sites[idx];
+        site.held.remove(name);
+        site.evicted.insert(name);
+        let engine = site.input.ledger.engine.clone();
+        if site.input.usable
+            && let Some(count) = self.residences.get_mut(name)
+        {
+            *count = count.saturating_sub(1);
+        }
+        self.moves.push(Move::Unload { engine, model: name.clone() });
+    }
+}
+
+impl<'a> Site<'a> {
+    fn new(input: EngineInput<'a>) -> Self {
+        let wanted = input.ledger.entries.iter().filter(|(_, entry)| entry.is_wanted());
+        let held = wanted.map(|(name, _)| name).collect();
+        Self { input, free_bytes: input.ledger.free_bytes(), held, evicted: HashSet::new() }
+    }
+
+    /// True if the engine holds the row and is expected to keep it.
+    fn serves(&self, name: &ModelName) -> bool {
+        let entry = self.input.ledger.entries.get(name);
+        entry.is_some_and(|entry| entry.phase == Phase::Resident)
+            && !self.evicted.contains(name)
+            && self.input.usable
+    }
+
+    /// Memory that `row` needs beyond what is reserved for it already.
+    fn needed_bytes(&self, row: &Row) -> Bytes {
+        let entry = self.input.ledger.entries.get(&row.name);
+        row.memory_bytes.saturating_sub(entry.map_or(0, |entry| entry.memory_bytes))
+    }
+}
--- /dev/null
+++ b/crates/planner/src/lib.rs
@@ -0,0 +1,12 @@
+//! The planner daemon: watches engines, holds leases and carries out the placement.
+//!
+//! Watching is part of this daemon rather than a daemon of its own, because the planner needs the
+//! same reports, and one process a VM halves the connections and the state. All decisions are made
+//! by the control crate; this crate moves events in and actions out.
+
+mod daemon;
+mod events;
+mod http;
+mod reports;
+
+pub use crate::daemon::{Planner, PlannerError};
--- /dev/null
+++ b/crates/routing/src/decide.rs
@@ -0,0 +1,329 @@
+//! The routing decision.
+
+use {
+    crate::{
+        prefix::PrefixMemory,
+        table::{EngineEntry, RouteTable, ServiceEntry},
+    },
+    glade_types::{ModelName, Priority},
+    std::time::Duration,
+};
+
+/// Tuning of the decision.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RoutingPolicy {
+    /// Time to the first token on an idle engine that hasn't cached the prompt.
+    pub prefill: Duration,
+    /// Share of `prefill` that a cached prefix saves.
+    pub cached_saving: f64,
+    /// Part of an engine's batch that patient work leaves to urgent work when it is fresh.
+    pub reserved_for_urgent: f64,
+    /// Time over which waiting patient work earns one further batch of depth.
+    pub ageing: Duration,
+    /// Pause before waiting patient work is considered again.
+    pub patient_pause: Duration,
+    /// Predictions within this of the best are chosen among at random.
+    pub indifference: Duration,
+}
+
+impl Default for RoutingPolicy {
+    fn default() -> Self {
+        Self {
+            prefill: Duration::from_millis(60),
+            cached_saving: 0.7,
+            reserved_for_urgent: 0.25,
+            ageing: Duration::from_secs(30),
+            patient_pause: Duration::from_millis(50),
+            indifference: Duration::from_millis(2),
+        }
+    }
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// Model or adapter.
+    pub model: &'a ModelName,
+    /// Urgency.
+    pub priority: Priority,
+    /// Time left until the first token is due.
+    pub first_token_within: Duration,
+    /// Hash of the start of the prompt.
+    pub prefix: u64,
+    /// How long the request has waited here.
+    pub waited: Duration,
+    /// Position of an engine that just failed the request, to be avoided.
+    pub avoid: Option<usize>,
+}
+
+/// Why a request is refused; it was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No live engine holds the model at present.
+    NotResident,
+    /// No engine can give the first token in time.
+    Overloaded,
+}
+
+/// What to do with a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Decision {
+    /// Send it to the engine at this position.
+    Send {
+        /// Position in the route table.
+        engine: usize,
+        /// Predicted time to the first token.
+        predicted: Duration,
+    },
+    /// Consider it again after this time.
+    Wait(Duration),
+    /// Refuse it now.
+    Refuse {
+        /// Why.
+        reason: Refusal,
+        /// When the caller may try again.
+        retry_after: Duration,
+    },
+}
+
+/// Shortest advice to come back.
+const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
+/// Longest advice to come back.
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(30);
+
+/// Decides where `need` goes. `uptime` is the time since the process started.
+pub fn decide(
+    routes: &RouteTable,
+    policy: &RoutingPolicy,
+    prefixes: &PrefixMemory,
+    need: &Need<'_>,
+    uptime: Duration,
+    rng: &mut fastrand::Rng,
+) -> Decision {
+    let holders = routes.holders.get(need.model).map_or(&[][..], Vec::as_slice);
+    let cached_on = prefixes.engine(need.prefix);
+    let mut best: Option<(Duration, usize)> = None;
+    let mut ties = 0_u32;
+    for position in holders {
+        let idx = *position as usize;
+        let engine = &routes.engines[idx];
+        if !engine.usable || need.avoid == Some(idx) || !engine.counters.is_accepted(uptime) {
+            continue;
+        }
+        let cached = cached_on == Some(engine.key);
+        let predicted = predict(engine, routes.entries, policy, cached);
+        let beats = match best {
+            None => true,
+            Some((time, _)) if predicted + policy.indifference < time => {
+                ties = 0;
+                true
+            }
+            Some((time, _)) if predicted < time + policy.indifference => {
+                // Reservoir sampling: each of the equally good ones is as likely to stay.
+                ties += 1;
+                rng.u32(0..=ties) == 0
+            }
+            Some(_) => false,
+        };
+        if beats {
+            best = Some((predicted, idx));
+        }
+    }
+    let Some((predicted, engine)) = best else {
+        return absent(policy, need);
+    };
+    match need.priority {
+        Priority::Urgent if predicted > need.first_token_within => Decision::Refuse {
+            reason: Refusal::Overloaded,
+            retry_after: (predicted - need.first_token_within)
+                .clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
+        },
+        Priority::Urgent => Decision::Send { engine, predicted },
+        Priority::Patient => admit_patient(routes, policy, need, engine, predicted),
+    }
+}
+
+/// A model without a usable residence: patient work waits for one, urgent work is refused at once.
+fn absent(policy: &RoutingPolicy, need: &Need<'_>) -> Decision {
+    match need.priority {
+        Priority::Patient => Decision::Wait(policy.patient_pause * 4),
+        Priority::Urgent => {
+            Decision::Refuse { reason: Refusal::NotResident, retry_after: RETRY_AFTER_MIN }
+        }
+    }
+}
+
+/// Patient work leaves room for urgent work when fresh and accepts a longer queue as it ages, so
+/// that it is sent in the end however busy the engines are.
+fn admit_patient(
+    routes: &RouteTable,
+    policy: &RoutingPolicy,
+    need: &Need<'_>,
+    engine: usize,
+    predicted: Duration,
+) -> Decision {
+    let entry = &routes.engines[engine];
+    let ceiling =
+        1.0 - policy.reserved_for_urgent + need.waited.as_secs_f64() / policy.ageing.as_secs_f64();
+    let places = f64::from(entry.slots) * ceiling;
+    if f64::from(expected_load(entry, routes.entries) + 1) <= places.max(1.0) {
+        return Decision::Send { engine, predicted };
+    }
+    Decision::Wait(policy.patient_pause)
+}
+
+/// Requests at the engine now: those reported, and those sent since the report.
+fn expected_load(engine: &EngineEntry, entries: u32) -> u32 {
+    let own = engine.counters.under_way();
+    let since = own.saturating_sub(engine.under_way_at_report);
+    // Other entries have seen the same report and have sent about as much.
+    let load = engine.reported + since * entries.max(1);
+    load.max(own)
+}
+
+/// Predicted time to the first token.
+fn predict(engine: &EngineEntry, entries: u32, policy: &RoutingPolicy, cached: bool) -> Duration {
+    let load = expected_load(engine, entries);
+    let slots = engine.slots.max(1);
+    let queued = (load + 1).saturating_sub(slots);
+    let wait = engine.mean_request * queued / slots;
+    let saving = if cached { policy.cached_saving } else { 0.0 };
+    let crowding = f64::from(load.min(slots)) / f64::from(slots);
+    let prefill = policy.prefill.mul_f64((1.0 - saving) * (1.0 + crowding));
+    engine.distance * 2 + wait + prefill
+}
+
+/// Picks a server of the plain service `name`: the nearest data centre that has one, and there the
+/// one with the fewest requests of this VM under way.
+pub fn pick_service<'a>(
+    routes: &'a RouteTable,
+    name: &ModelName,
+    avoid: Option<&ServiceEntry>,
+    uptime: Duration,
+    rng: &mut fastrand::Rng,
+) -> Option<&'a ServiceEntry> {
+    let servers = routes.services.get(name)?;
+    servers
+        .iter()
+        .filter(|server| server.usable && server.counters.is_accepted(uptime))
+        .filter(|server| avoid.is_none_or(|avoided| avoided.id != server.id))
+        .min_by_key(|server| (server.distance, server.counters.under_way(), rng.u32(..)))
+}
+
+#[cfg(test)]
+mod tests {
+    use {
+        super::*,
+        crate::counters::ServerCounters,
+        glade_types::{BackendId, Incarnation},
+        std::{sync::Arc, time::Instant},
+    };
+
+    fn engine(key: u16, reported: u32) -> EngineEntry {
+        EngineEntry {
+            id: BackendId::new(&format!("e{key}")),
+            addr: ([127, 0, 0, 1], 1).into(),
+            incarnation: Incarnation(1),
+            key,
+            distance: Duration::ZERO,
+            slots: 8,
+            reported,
+            under_way_at_report: 0,
+            reported_at: Instant::now(),
+            mean_request: Duration::from_secs(1),
+            usable: true,
+            counters: Arc::new(ServerCounters::default()),
+        }
+    }
+
+    fn routes(engines: Vec<EngineEntry>) -> RouteTable {
+        let all = (0..engines.len() as u32).collect();
+        RouteTable {
+            holders: Arc::new([(ModelName::new("m"), all)].into()),
+            engines,
+            entries: 1,
+            takes_work: true,
+            ..RouteTable::default()
+        }
+    }
+
+    fn ask(routes: &RouteTable, priority: Priority, waited: Duration) -> Decision {
+        let model = ModelName::new("m");
+        let need = Need {
+            model: &model,
+            priority,
+            first_token_within: Duration::from_secs(1),
+            prefix: 1,
+            waited,
+            avoid: None,
+        };
+        let (policy, prefixes) = (RoutingPolicy::default(), PrefixMemory::default());
+        let mut rng = fastrand::Rng::with_seed(1);
+        decide(routes, &policy, &prefixes, &need, Duration::ZERO, &mut rng)
+    }
+
+    #[test]
+    fn the_shorter_queue_wins_and_own_sends_since_the_report_count() {
+        let routes = routes(vec![engine(0, 4), engine(1, 8)]);
+        let chosen = |routes| match ask(routes, Priority::Urgent, Duration::ZERO) {
+            Decision::Send { engine, .. } => engine,
+            other => panic!("{other:?}"),
+        };
+        assert_eq!(chosen(&routes), 0);
+        let _sent: Vec<_> = (0..6).map(|_| routes.engines[0].counters.begin()).collect();
+        assert_eq!(chosen(&routes), 1);
+    }
+
+    #[test]
+    fn urgent_work_that_cannot_be_met_is_refused_at_once() {
+        let routes = routes(vec![engine(0, 40)]);
+        let decision = ask(&routes, Priority::Urgent, Duration::ZERO);
+        let Decision::Refuse { reason, retry_after } = decision else { panic!("{decision:?}") };
+        assert_eq!(reason, Refusal::Overloaded);
+        assert!(retry_after >= Duration::from_secs(3), "{retry_after:?}");
+    }
+
+    #[test]
+    fn patient_work_leaves_headroom_and_is_sent_in_the_end() {
+        let routes = routes(vec![engine(0, 7)]);
+        let patient = |waited| ask(&routes, Priority::Patient, Duration::from_secs(waited));
+        assert!(matches!(patient(0), Decision::Wait(_)));
+        assert!(matches!(ask(&routes, Priority::Urgent, Duration::ZERO), Decision::Send { .. }));
+        assert!(matches!(patient(30), Decision::Send { .. }));
+    }
+
+    #[test]
+    fn a_leaving_engine_is_never_chosen() {
+        let mut leaving = engine(0, 0);
+        leaving.usable = false;
+        let routes = routes(vec![leaving]);
+        let decision = ask(&routes, Priority::Urgent, Duration::ZERO);
+        assert!(
+            matches!(decision, Decision::Refuse { reason: Refusal::NotResident, .. }),
+            "{decision:?}"
+        );
+    }
+
+    #[test]
+    fn equally_good_engines_share_the_load() {
+        let routes = routes((0..4).map(|key| engine(key, 0)).collect());
+        let model = ModelName::new("m");
+        let (policy, prefixes) = (RoutingPolicy::default(), PrefixMemory::default());
+        let mut rng = fastrand::Rng::with_seed(1);
+        let mut counts = [0; 4];
+        for _ in 0..4000 {
+            let need = Need {
+                model: &model,
+                priority: Priority::Urgent,
+                first_token_within: Duration::from_secs(1),
+                prefix: 1,
+                waited: Duration::ZERO,
+                avoid: None,
+            };
+            let decision = decide(&routes, &policy, &prefixes, &need, Duration::ZERO, &mut rng);
+            let Decision::Send { engine, .. } = decision else { panic!("{decision:?}") };
+            counts[engine] += 1;
+        }
+        assert!(counts.iter().all(|count| (850..1150).contains(count)), "{counts:?}");
+    }
+}
--- /dev/null
+++ b/crates/routing/src/retry.rs
@@ -0,0 +1,68 @@
+//! A budget that keeps retries from multiplying load.
+
+use std::sync::atomic::{AtomicI64, Ordering};
+
+/// Thousandths of a retry that each first attempt earns.
+const EARNED_MILLI: i64 = 100;
+/// Thousandths of a retry that one retry costs.
+const COST_MILLI: i64 = 1000;
+/// Most thousandths saved up.
+const MAX_MILLI: i64 = 20_000;
+
+/// Retries are paid for by first attempts: one for every ten, with a small reserve.
+#[derive(Debug)]
+pub struct RetryBudget {
+    balance_milli: AtomicI64,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self { balance_milli: AtomicI64::new(MAX_MILLI) }
+    }
+}
+
+impl RetryBudget {
+    /// Notes a first attempt.
+    pub fn earn(&self) {
+        let before = self.balance_milli.fetch_add(EARNED_MILLI, Ordering::Relaxed);
+        if before + EARNED_MILLI > MAX_MILLI {
+            self.balance_milli.store(MAX_MILLI, Ordering::Relaxed);
+        }
+    }
+
+    /// Pays for a retry; false if the budget is spent.
+    pub fn spend(&self) -> bool {
+        let before = self.balance_milli.fetch_sub(COST_MILLI, Ordering::Relaxed);
+        if before < COST_MILLI {
+            self.balance_milli.fetch_add(COST_MILLI, Ordering::Relaxed);
+            return false;
+        }
+        true
+    }
+
+    /// Whole retries that could be paid for now.
+    pub fn balance(&self) -> i64 {
+        self.balance_milli.load(Ordering::Relaxed) / COST_MILLI
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn retries_stay_within_a_tenth_of_first_attempts() {
+        let budget = RetryBudget::default();
+        let reserve = (0..).take_while(|_| budget.spend()).count();
+        assert_eq!(reserve, 20);
+        (0..1000).for_each(|_| budget.earn());
+        let paid = (0..).take_while(|_| budget.spend()).count();
+        assert!(paid <= 20, "the reserve is capped, paid {paid}");
+        let mut retries = 0;
+        for _ in 0..1000 {
+            budget.earn();
+            retries += u32::from(budget.spend());
+        }
+        assert!((95..=100).contains(&retries), "{retries} retries for 1000 attempts");
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,14 @@
+//! Settings of the daemons, read from YAML and checked as a whole.
+//!
+//! Two steps: serde reads the text into raw structures that refuse unknown keys; then every value
+//! and every pair of values that can contradict each other is checked. Nothing past this crate sees
+//! an unchecked value.
+
+mod error;
+mod raw;
+mod settings;
+
+pub use crate::{
+    error::SettingsError,
+    settings::{DeploymentWeights, PacingLimits, PlatformAddrs, Settings, Timing, VmAddrs},
+};
--- /dev/null
+++ b/crates/types/src/ids.rs
@@ -0,0 +1,95 @@
+//! Identifier types. Each is a thin wrapper that keeps one kind of name apart from the others.
+
+use {
+    crate::limits::MAX_NAME_LEN,
+    serde::{Deserialize, Serialize},
+    std::{borrow::Borrow, fmt, sync::Arc},
+};
+
+macro_rules! name_type {
+    ($(#[$meta:meta])* $name:ident) => {
+        $(#[$meta])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Wraps `name` without checking it; see [`is_valid_name`] for the accepted alphabet.
+            pub fn new(name: &str) -> Self {
+                Self(Arc::from(name))
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+    };
+}
+
+name_type! {
+    /// Name of a model, an adapter or a plain service: the key of a row of the table.
+    ModelName
+}
+name_type! {
+    /// Name of a backend server: a model engine or a server of a plain service.
+    BackendId
+}
+name_type! {
+    /// Name of a VM that runs the system's daemons.
+    VmId
+}
+name_type! {
+    /// Name of a data centre.
+    DataCentre
+}
+name_type! {
+    /// Name of a group of engines that one lease holder looks after.
+    GroupId
+}
+name_type! {
+    /// Identifier of one request, carried end to end.
+    RequestId
+}
+name_type! {
+    /// Idempotency key of a call that may run at most once.
+    CallKey
+}
+
+/// True if `name` is 1 to [`MAX_NAME_LEN`] letters, digits, `.`, `_`, `-`, `:` or `/`.
+pub fn is_valid_name(name: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-' | ':' | '/');
+    !name.is_empty() && name.len() <= MAX_NAME_LEN && name.chars().all(allowed)
+}
+
+impl ModelName {
+    /// Checks `name` against the accepted alphabet.
+    pub fn parse(name: &str) -> Option<Self> {
+        is_valid_name(name).then(|| Self::new(name))
+    }
+}
+
+/// One life of a process, from its start to its death; a later life has a higher number.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
