--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -28,7 +28,7 @@
         sync::{Arc, PoisonError},
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// Path under which plain services are reached.
@@ -41,6 +41,8 @@
 const MAX_STORED_BYTES: usize = 64 << 10;
 /// Times that the record of an outcome is written.
 const RECORD_ATTEMPTS: u32 = 20;
+/// Longest wait of the caller for that record.
+const RECORD_WAIT: Duration = Duration::from_millis(300);
 /// Pause between two of these.
 const RECORD_PAUSE: Duration = Duration::from_secs(3);
 /// Advice when not run.
@@ -299,7 +301,7 @@
 async fn gather(shared: &Shared, server: &ServiceEntry, head: Head) -> Dispatched {
     let (parts, body) = head.response.into_parts();
     let content_type = parts.headers.get("content-type").and_then(|value| value.to_str().ok());
-    match tokio::time::timeout(HEAD_TIMEOUT, body.collect()).await {
+    match timeout(HEAD_TIMEOUT, body.collect()).await {
         Ok(Ok(body)) => {
             server.counters.succeeded();
             Dispatched::Answered(StoredAnswer {
@@ -436,7 +438,10 @@
     }
     let dispatched = once(shared, call).await;
     let record = keyed.on_outcome(dispatched.outcome(), dispatched.stored());
-    tokio::spawn(record_outcome(Arc::clone(shared), record));
+    // A caller that has its answer finds it again through any VM at once. When the table service
+    // gives no answer the caller isn't kept waiting: the record is written later.
+    let recorded = tokio::spawn(record_outcome(Arc::clone(shared), record));
+    let _ = timeout(RECORD_WAIT, recorded).await;
     Ok(dispatched)
 }
 
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -20,6 +20,8 @@
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
+            .scope_info_enabled(false)
+            .without_target_info()
             .build()
             .expect("a fresh registry accepts its only exporter");
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
