Fuzzing worlds with oracles; adapters of full engines are covered

Ruled out by replay: leases, leaving engines, orders in doubt. Change: bases are placed where their adapters fit too; when an owed row fits nowhere, its base (or a model in its way) is copied elsewhere first. New: three fuzzing worlds (planners, calls, tables) over the cores with faults at the interfaces, shrinking by quickcheck, a sabotage feature that removes one guard each. A keyed refusal now says that this attempt was not run, since an earlier one under the key may have been.

--- a/Makefile
+++ b/Makefile
@@ -11,11 +11,16 @@
 
 test: cmake
 	$(CARGO) test --workspace --quiet
+	$(CARGO) test --package glade-fuzz --features sabotage --test sabotage --quiet
 
 lint: cmake
 	$(CARGO) fmt --all --check
 	$(CARGO) clippy --workspace --all-targets --quiet -- -D warnings
 
+# Prints seed, steps and faults, and ends with "violations: 0" or the shrunk sequence.
+fuzz: cmake
+	$(CARGO) run --release --quiet --package glade-fuzz -- --seed $(SEED) --steps $(STEPS)
+
 demo: build
 	sh scripts/demo.sh
 
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -148,6 +148,11 @@
             .collect()
     }
 
+    /// Epoch of the lease over `group` if this planner may act on it at `now`.
+    pub fn epoch_at(&self, group: &GroupId, now: Instant) -> Option<u64> {
+        self.groups.get(group)?.keeper.epoch(now)
+    }
+
     /// The state for operators and metrics.
     pub fn status(&self) -> ControlStatus {
         let groups = self.groups.values().map(|group| GroupStatus {
--- a/crates/control/src/slot.rs
+++ b/crates/control/src/slot.rs
@@ -225,9 +225,7 @@
             self.retry_at = now + pause.min(RETRY_MAX);
             self.failures += 1;
         }
-        if outcome != OrderOutcome::Unknown {
-            self.outcomes.push((order, outcome));
-        }
+        self.outcomes.push((order, outcome));
     }
 
     /// The model whose entry needs another order because nobody is working on it: a load or unload
--- a/crates/entry/src/api_error.rs
+++ b/crates/entry/src/api_error.rs
@@ -19,6 +19,8 @@
     RateLimited { retry_after: Duration },
     /// Not run: no capacity in time, no residence, or this VM takes no work.
     NotRun { message: String, retry_after: Duration },
+    /// This attempt wasn't run; whether an earlier one under the same key was isn't known.
+    AttemptNotRun { message: String, retry_after: Duration },
     /// The key was used for another request; not run.
     KeyReused,
     /// Another attempt under the same key is under way or died; this one wasn't run.
@@ -39,7 +41,8 @@
     message: &'a str,
     r#type: &'a str,
     code: &'a str,
-    /// Whether the request was run, as far as is known: `no`, `unknown` or `failed`.
+    /// Whether the request was run, as far as is known: `no`, `not_by_this_attempt`, `unknown` or
+    /// `failed`.
     run: &'a str,
 }
 
@@ -54,7 +57,7 @@
             Self::UnknownModel { .. } => StatusCode::NOT_FOUND,
             Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::RateLimited { .. } => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotRun { .. } | Self::AttemptNotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::UnderWay { .. } => StatusCode::CONFLICT,
             Self::Unknown { .. } | Self::Failed { .. } => StatusCode::BAD_GATEWAY,
@@ -70,7 +73,10 @@
             Self::RateLimited { .. } => ("rate_limit_error", "rate_limited", "no"),
             Self::NotRun { .. } => ("overloaded_error", "not_run", "no"),
             Self::KeyReused => ("invalid_request_error", "key_reused", "no"),
-            Self::UnderWay { .. } => ("conflict_error", "under_way", "unknown"),
+            Self::AttemptNotRun { .. } => {
+                ("overloaded_error", "attempt_not_run", "not_by_this_attempt")
+            }
+            Self::UnderWay { .. } => ("conflict_error", "under_way", "not_by_this_attempt"),
             Self::Unknown { .. } => ("api_error", "outcome_unknown", "unknown"),
             Self::Failed { .. } => ("api_error", "backend_failed", "failed"),
         }
@@ -84,6 +90,7 @@
             Self::KeyReused => "this key was used for a different request; not run".to_owned(),
             Self::BadRequest { message }
             | Self::NotRun { message, .. }
+            | Self::AttemptNotRun { message, .. }
             | Self::UnderWay { message, .. }
             | Self::Unknown { message }
             | Self::Failed { message } => message.clone(),
@@ -94,6 +101,7 @@
         match self {
             Self::RateLimited { retry_after }
             | Self::NotRun { retry_after, .. }
+            | Self::AttemptNotRun { retry_after, .. }
             | Self::UnderWay { retry_after, .. } => Some(*retry_after),
             _ => None,
         }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -474,9 +474,13 @@
 fn reply_response(reply: CallReply, call: &Call) -> Result<Response, ApiError> {
     match reply {
         CallReply::Repeated(answer) => Ok(answer_response(&answer, &call.id, true)),
-        CallReply::NotRun { reason } => Err(not_run(&format!(
-            "the call can't be registered ({reason}); a token of POST /v1/call-tokens needs no store"
-        ))),
+        CallReply::NotRun { reason } => Err(ApiError::AttemptNotRun {
+            message: format!(
+                "the call can't be registered ({reason}); this attempt was not run, ask again with \
+                 the same key; a token of POST /v1/call-tokens needs no store"
+            ),
+            retry_after: RETRY_AFTER,
+        }),
         CallReply::Elsewhere { owner } => {
             Err(under_way(&format!("an attempt through VM {} owns this key", owner.vm)))
         }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -177,6 +177,11 @@
 
     fn settle_load(&mut self, order: &Order, outcome: OrderOutcome) -> bool {
         let Some(entry) = self.entries.get_mut(&order.model) else { return false };
+        #[cfg(feature = "sabotage")]
+        if outcome == OrderOutcome::Unknown && crate::sabotage::is_removed() {
+            self.entries.remove(&order.model);
+            return true;
+        }
         if outcome == OrderOutcome::Unknown || !entry.open_loads.remove(&order.token) {
             return false;
         }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -17,6 +17,8 @@
 mod entry;
 mod error;
 mod ledger;
+#[cfg(feature = "sabotage")]
+pub mod sabotage;
 
 pub use crate::{
     entry::{Entry, Phase},
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -12,6 +12,8 @@
 mod head;
 mod membership;
 mod peer;
+#[cfg(feature = "sabotage")]
+pub mod sabotage;
 
 pub use crate::{
     edit::{EditOutcome, EditRequest, EditStep, TableEdit, run_edit},
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -225,7 +225,7 @@
     }
 
     fn put_in_force(&mut self, table: Arc<Table>, out: &mut Vec<Action>) {
-        if table.version <= self.table.version {
+        if table.version <= self.table.version && !guard_is_removed() {
             return;
         }
         self.fetch_at = None;
@@ -298,3 +298,13 @@
         self.peers.get(&(vm.clone(), role)).map_or(Incarnation(0), |peer| peer.incarnation)
     }
 }
+
+#[cfg(feature = "sabotage")]
+fn guard_is_removed() -> bool {
+    crate::sabotage::is_removed()
+}
+
+#[cfg(not(feature = "sabotage"))]
+const fn guard_is_removed() -> bool {
+    false
+}
--- a/crates/once/src/keyed.rs
+++ b/crates/once/src/keyed.rs
@@ -27,7 +27,7 @@
 pub enum CallReply {
     /// It ran before; this was its answer.
     Repeated(StoredAnswer),
-    /// It wasn't run under this key by this attempt or any other.
+    /// This attempt did not run it. Whether an earlier attempt under the key did isn't known.
     NotRun {
         /// Why.
         reason: String,
@@ -89,6 +89,11 @@
         &self.record.owner
     }
 
+    /// Key of the call's row.
+    pub fn key(&self) -> &Key {
+        &self.key
+    }
+
     /// True if a row of this attempt may exist without a dispatch: later attempts on the same VM
     /// may then take the call over.
     pub fn may_be_abandoned(&self) -> bool {
@@ -109,6 +114,10 @@
                 CallStep::Reply(CallReply::NotRun { reason })
             }
             Err(StoreError::NotSent { .. }) => CallStep::Read(self.key.clone()),
+            #[cfg(feature = "sabotage")]
+            Err(StoreError::Unknown { .. }) if crate::sabotage::is_removed() => {
+                self.claimed(Revision::ABSENT)
+            }
             Err(StoreError::Unknown { .. }) => {
                 self.in_doubt = true;
                 CallStep::Read(self.key.clone())
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -13,6 +13,8 @@
 
 mod keyed;
 mod record;
+#[cfg(feature = "sabotage")]
+pub mod sabotage;
 mod token;
 
 pub use crate::{
--- a/crates/placement/src/pass.rs
+++ b/crates/placement/src/pass.rs
@@ -92,14 +92,75 @@
             .filter(|row| self.input.owed.contains(&row.name))
             .filter(|row| self.residences.get(&row.name).is_none_or(|count| *count == 0))
             .collect();
-        // Large rows first: they are the hardest to fit.
+        // Large rows first: they are the hardest to fit. A base takes its adapters' memory into
+        // account, because they can go nowhere else.
         rows.sort_by_key(|row| (row.base().is_some(), Reverse(row.memory_bytes), &row.name));
         for row in rows {
-            match self.best_site(row, |_| true) {
-                Some(idx) => self.load(idx, row),
-                None => self.make_room(row),
+            self.cover(row);
+        }
+    }
+
+    /// Takes the first step that leads to a residence for `row`: load it where it fits, unload
+    /// surplus copies where it then fits, or start to move something else out of its way.
+    fn cover(&mut self, row: &'a Row) {
+        let family_bytes = self.adapter_bytes(row);
+        let roomy = |site: &Site<'a>| site.free_bytes >= site.needed_bytes(row) + family_bytes;
+        let site = self.best_site(row, roomy).or_else(|| self.best_site(row, |_| true));
+        if let Some(idx) = site {
+            self.load(idx, row);
+        } else if !self.evict_for(row, |_| true) {
+            self.relocate_for(row);
+        }
+    }
+
+    /// Memory of the adapters of `row` that have no residence yet.
+    fn adapter_bytes(&self, row: &Row) -> Bytes {
+        let adapters = self.input.table.rows().filter(|other| other.base() == Some(&row.name));
+        let uncovered = adapters
+            .filter(|adapter| self.residences.get(&adapter.name).is_none_or(|count| *count == 0));
+        uncovered.map(|adapter| adapter.memory_bytes).sum()
+    }
+
+    /// Starts a relocation without which `row` fits nowhere. Its copy goes up first; the old one is
+    /// then surplus, and a later pass unloads it.
+    fn relocate_for(&mut self, row: &'a Row) {
+        match row.base().and_then(|base| self.input.table.row(base.as_str())) {
+            // All engines with the base are full: put the base where both fit.
+            Some(base) if !self.is_loading(&base.name) => {
+                let both =
+                    |site: &Site<'a>| site.free_bytes >= site.needed_bytes(base) + row.memory_bytes;
+                if let Some(idx) = self.best_site(base, both) {
+                    self.load(idx, base);
+                }
+            }
+            Some(_) => {}
+            None => self.move_one_out(row),
+        }
+    }
+
+    /// Copies one model away from an engine on which `row` fits once that model is gone.
+    fn move_one_out(&mut self, row: &Row) {
+        let mut best: Option<(Bytes, usize, &'a Row)> = None;
+        for site in self.sites.iter().filter(|site| site.input.usable) {
+            let missing = site.needed_bytes(row).saturating_sub(site.free_bytes);
+            for (name, entry) in &site.input.ledger.entries {
+                let Some(other) = self.input.table.row(name.as_str()) else { continue };
+                let movable = entry.phase == Phase::Resident
+                    && entry.memory_bytes >= missing
+                    && other.base().is_none()
+                    && !site.evicted.contains(name)
+                    && !self.is_loading(name)
+                    && !site.is_base(name);
+                let target = movable.then(|| self.best_site(other, |_| true)).flatten();
+                let smaller = best.is_none_or(|(bytes, ..)| entry.memory_bytes < bytes);
+                if let Some(target) = target.filter(|_| smaller) {
+                    best = Some((entry.memory_bytes, target, other));
+                }
             }
         }
+        if let Some((_, target, other)) = best {
+            self.load(target, other);
+        }
     }
 
     /// Adds copies of rows whose residences are all crowded, the most valuable first.
@@ -116,7 +177,9 @@
             let target = self.best_site(row, |site| site.input.utilization < spare);
             match target {
                 Some(idx) => self.load(idx, row),
-                None => self.make_room_at_spare_site(row, spare),
+                None => {
+                    self.evict_for(row, |site| site.input.utilization < spare);
+                }
             }
         }
     }
@@ -176,16 +239,9 @@
             .map(|(idx, _)| idx)
     }
 
-    /// Unloads surplus copies from the engine where the fewest have to go for `row` to fit.
-    fn make_room(&mut self, row: &'a Row) {
-        self.evict_for(row, |_| true);
-    }
-
-    fn make_room_at_spare_site(&mut self, row: &'a Row, spare: f64) {
-        self.evict_for(row, |site| site.input.utilization < spare);
-    }
-
-    fn evict_for(&mut self, row: &'a Row, accept: impl Fn(&Site<'a>) -> bool) {
+    /// Unloads surplus copies from the engine where the fewest have to go for `row` to fit; false if
+    /// there is no such engine.
+    fn evict_for(&mut self, row: &'a Row, accept: impl Fn(&Site<'a>) -> bool) -> bool {
         let best = (0..self.sites.len())
             .filter(|idx| {
                 let site = &self.sites[*idx];
@@ -196,7 +252,7 @@
             })
             .filter_map(|idx| self.evictions(idx, row).map(|victims| (idx, victims)))
             .min_by_key(|(idx, victims)| (victims.len(), *idx));
-        let Some((idx, victims)) = best else { return };
+        let Some((idx, victims)) = best else { return false };
         for victim in victims {
             self.unload(idx, victim);
         }
@@ -205,6 +261,7 @@
         self.sites[idx].free_bytes = self.sites[idx].free_bytes.saturating_sub(needed);
         self.sites[idx].held.insert(&row.name);
         *self.residences.entry(&row.name).or_default() += 1;
+        true
     }
 
     /// Surplus rows on the engine at `idx` whose memory makes `row` fit, or `None`.
@@ -306,6 +363,11 @@
             && self.input.usable
     }
 
+    /// True if an adapter on this engine has `name` as its base.
+    fn is_base(&self, name: &ModelName) -> bool {
+        self.input.ledger.entries.values().any(|entry| entry.base.as_ref() == Some(name))
+    }
+
     /// Memory that `row` needs beyond what is reserved for it already.
     fn needed_bytes(&self, row: &Row) -> Bytes {
         let entry = self.input.ledger.entries.get(&row.name);
--- a/crates/placement/tests/passes.rs
+++ b/crates/placement/tests/passes.rs
@@ -121,3 +121,34 @@
     lost.engines[0].usable = false;
     assert_eq!(plan(&lost), [load("e2", "a")]);
 }
+
+/// Found by fuzzing: the base's only engine was full, so its adapter never got a residence.
+#[test]
+fn an_adapter_whose_base_sits_on_a_full_engine_gets_the_base_elsewhere() {
+    let table = table(&[("a", "", 60), ("b", "", 38), ("a-1", "a", 5)]);
+    let full = [ledger("e1", 100, &[("a", 60, None), ("b", 38, None)]), ledger("e2", 100, &[])];
+    assert_eq!(plan(&input(&table, &full)), [load("e2", "a")]);
+    let copied = [
+        ledger("e1", 100, &[("a", 60, None), ("b", 38, None)]),
+        ledger("e2", 100, &[("a", 60, None)]),
+    ];
+    assert_eq!(plan(&input(&table, &copied)), [load("e2", "a-1")]);
+}
+
+#[test]
+fn a_base_goes_where_its_adapters_fit_too() {
+    let table = table(&[("a", "", 40), ("a-1", "a", 30)]);
+    let ledgers = [ledger("e1", 60, &[]), ledger("e2", 100, &[("z", 20, None)])];
+    let moves = plan(&input(&table, &ledgers));
+    assert!(moves.contains(&load("e2", "a")), "{moves:?}");
+}
+
+#[test]
+fn a_model_in_the_way_is_copied_elsewhere_before_it_is_unloaded() {
+    let table = table(&[("big", "", 90), ("small", "", 30)]);
+    let ledgers = [ledger("e1", 100, &[("small", 30, None)]), ledger("e2", 40, &[])];
+    assert_eq!(plan(&input(&table, &ledgers)), [load("e2", "small")]);
+    let copied =
+        [ledger("e1", 100, &[("small", 30, None)]), ledger("e2", 40, &[("small", 30, None)])];
+    assert_eq!(plan(&input(&table, &copied)), [unload("e1", "small")]);
+}
