--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -14,7 +14,7 @@
     glade_fleet::{EngineView, Fleet},
     glade_lease::LeaseAction,
     glade_ledger::{Ledger, Phase},
-    glade_placement::{EngineInput, Move, PlacementInput, plan},
+    glade_placement::{EngineInput, Move, Outside, PlacementInput, plan},
     glade_platform::{BackendKind, BackendRecord, Listing, Txn, VmRecord},
     glade_table::Table,
     glade_types::{BackendId, GroupId, ModelName, VmId, rendezvous_order},
@@ -30,6 +30,8 @@
 const PLAN_EVERY: Duration = Duration::from_millis(500);
 /// How much longer each less preferred group waits before it covers a row without a residence.
 const COVER_RANK_DELAY: Duration = Duration::from_secs(3);
+/// Ranks by which a group without its base comes later to cover an adapter.
+const ADAPTER_HELP_RANK: u32 = 3;
 /// Pause before a scan that failed is tried again.
 const SCAN_RETRY: Duration = Duration::from_secs(1);
 /// VMs of its data centre that watch an engine.
@@ -405,7 +407,7 @@
     ) -> PlacementInput<'a> {
         let (now, stale) = (self.now, self.config.report_stale);
         let mut engines = Vec::new();
-        let mut elsewhere: HashMap<&ModelName, u32> = HashMap::new();
+        let mut elsewhere: HashMap<&ModelName, Outside> = HashMap::new();
         for view in self.fleet.iter() {
             let usable = view.is_usable(now, stale);
             let slot = self.slots.get(&view.record.id).filter(|slot| slot.group == *id);
@@ -419,7 +421,12 @@
                 None if usable => {
                     let resident = view.current_residency().into_iter();
                     for (name, _) in resident.flat_map(|(residency, _)| &residency.resident) {
-                        *elsewhere.entry(name).or_default() += 1;
+                        let utilization = view.utilization();
+                        let outside = elsewhere
+                            .entry(name)
+                            .or_insert(Outside { count: 0, least_utilization: utilization });
+                        outside.count += 1;
+                        outside.least_utilization = outside.least_utilization.min(utilization);
                     }
                 }
                 None => {}
@@ -453,9 +460,14 @@
             let names = live_groups.iter().map(GroupId::as_str);
             let order = rendezvous_order(anchor.as_str(), names);
             let rank = order.iter().position(|group| *group == id.as_str());
-            // An adapter can only go where its base is, so every group with the base may cover it.
-            let rank = if row.is_some_and(|row| row.base().is_some()) { Some(0) } else { rank };
             let rank = rank.and_then(|rank| u32::try_from(rank).ok());
+            // An adapter goes where its base is; groups without the base help out last, since they
+            // have to load the base as well.
+            let rank = match row.and_then(|row| row.base()) {
+                Some(base) if self.group_holds(id, base) => Some(0),
+                Some(_) => rank.map(|rank| rank + ADAPTER_HELP_RANK),
+                None => rank,
+            };
             rank.is_some_and(|rank| self.now >= since + COVER_RANK_DELAY * rank)
         };
         self.uncovered_since
@@ -465,6 +477,15 @@
             .collect()
     }
 
+    /// True if a usable engine of the group reports to hold `model`.
+    fn group_holds(&self, id: &GroupId, model: &ModelName) -> bool {
+        let stale = self.config.report_stale;
+        let usable = self.fleet.iter().filter(|view| view.is_usable(self.now, stale));
+        let in_group = usable
+            .filter(|view| self.slots.get(&view.record.id).is_some_and(|slot| slot.group == *id));
+        in_group.into_iter().any(|view| view.holds(model))
+    }
+
     fn tick_slot(&mut self, engine: &BackendId, out: &mut Vec<Action>) {
         let Some(slot) = self.slots.get(engine) else { return };
         if slot.is_busy() {
--- a/crates/control/src/demand.rs
+++ b/crates/control/src/demand.rs
@@ -5,7 +5,7 @@
     glade_types::{ModelName, VmId},
     glade_wire::Demand,
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         time::{Duration, Instant},
     },
 };
@@ -18,13 +18,13 @@
 #[derive(Debug)]
 struct EntryDemand {
     received_at: Instant,
-    by_model: HashMap<ModelName, ModelDemand>,
+    by_model: BTreeMap<ModelName, ModelDemand>,
 }
 
 /// Demand by model.
 #[derive(Debug, Default)]
 pub(crate) struct DemandBook {
-    entries: HashMap<VmId, EntryDemand>,
+    entries: BTreeMap<VmId, EntryDemand>,
     levels: HashMap<ModelName, ModelDemand>,
     decayed_at: Option<Instant>,
 }
@@ -54,7 +54,7 @@
             level.under_way *= kept;
             level.missed_per_s *= kept;
         }
-        let mut sums: HashMap<&ModelName, ModelDemand> = HashMap::new();
+        let mut sums: BTreeMap<&ModelName, ModelDemand> = BTreeMap::new();
         for (model, demand) in self.entries.values().flat_map(|entry| &entry.by_model) {
             let sum = sums.entry(model).or_default();
             sum.under_way += demand.under_way;
--- a/crates/fuzz/tests/worlds.rs
+++ b/crates/fuzz/tests/worlds.rs
@@ -50,6 +50,24 @@
     assert_holds::<TableWorld>(13, 30_000, &faults);
 }
 
+/// Shrunk from seed 1: three engines leave, and `adapter-4` fits only once another adapter moves out.
+#[test]
+fn an_adapter_moves_out_to_make_room_for_another() {
+    let mut world = PlannerWorld::new(1_002_502);
+    let ops = [
+        PlannerOp::Edit { base: 83 },
+        PlannerOp::Leave { engine: 68, leaving: true },
+        PlannerOp::Edit { base: 142 },
+        PlannerOp::Leave { engine: 227, leaving: true },
+        PlannerOp::Advance { ms: 500 },
+        PlannerOp::Leave { engine: 202, leaving: true },
+        PlannerOp::Advance { ms: 500 },
+    ];
+    ops.iter().for_each(|op| world.apply(op));
+    world.finish();
+    assert_eq!(world.violation(), None);
+}
+
 /// Shrunk from seed 11: the base of `adapter-0` sat on an engine without room for it.
 #[test]
 fn an_adapter_whose_base_sits_on_a_full_engine_is_covered() {
--- a/crates/placement/src/input.rs
+++ b/crates/placement/src/input.rs
@@ -29,6 +29,15 @@
     pub missed_per_s: f64,
 }
 
+/// Residences of a row outside the group.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Outside {
+    /// How many there are.
+    pub count: u32,
+    /// Utilization of the least loaded of their engines.
+    pub least_utilization: f64,
+}
+
 /// What the deployment values, and when a copy is worth making.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementPolicy {
@@ -69,7 +78,7 @@
     /// Rows of which this group owes a residence.
     pub owed: HashSet<&'a ModelName>,
     /// Usable residences outside the group, by row.
-    pub elsewhere: HashMap<&'a ModelName, u32>,
+    pub elsewhere: HashMap<&'a ModelName, Outside>,
     /// Demand by row.
     pub demand: HashMap<ModelName, ModelDemand>,
     /// What the deployment values.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -13,6 +13,6 @@
 mod pass;
 
 pub use crate::{
-    input::{EngineInput, ModelDemand, Move, PlacementInput, PlacementPolicy},
+    input::{EngineInput, ModelDemand, Move, Outside, PlacementInput, PlacementPolicy},
     pass::plan,
 };
--- a/crates/placement/src/pass.rs
+++ b/crates/placement/src/pass.rs
@@ -27,6 +27,9 @@
 struct Site<'a> {
     input: EngineInput<'a>,
     free_bytes: Bytes,
+    /// Requests for each place in the batch: those at the engine, or the engine's share of the
+    /// demand for its rows if that is more, since patient work waits at the entries.
+    pressure: f64,
     /// Rows that the engine holds or will hold.
     held: HashSet<&'a ModelName>,
     /// Rows that leave during this pass.
@@ -45,13 +48,18 @@
 
 impl<'a> Pass<'a> {
     fn new(input: &'a PlacementInput<'a>) -> Self {
-        let sites: Vec<Site<'a>> = input.engines.iter().map(|engine| Site::new(*engine)).collect();
-        let mut residences = input.elsewhere.clone();
+        let mut sites: Vec<Site<'a>> =
+            input.engines.iter().map(|engine| Site::new(*engine)).collect();
+        let mut residences: HashMap<&ModelName, u32> =
+            input.elsewhere.iter().map(|(name, outside)| (*name, outside.count)).collect();
         for site in sites.iter().filter(|site| site.input.usable) {
             for name in &site.held {
                 *residences.entry(name).or_default() += 1;
             }
         }
+        for site in &mut sites {
+            site.pressure = site.pressure.max(demand_pressure(site, input, &residences));
+        }
         let mut base_demand: HashMap<&ModelName, f64> = HashMap::new();
         for row in input.table.loadable() {
             let under_way = input.demand.get(&row.name).map_or(0.0, |demand| demand.under_way);
@@ -121,46 +129,72 @@
         uncovered.map(|adapter| adapter.memory_bytes).sum()
     }
 
-    /// Starts a relocation without which `row` fits nowhere. Its copy goes up first; the old one is
-    /// then surplus, and a later pass unloads it.
+    /// Starts a relocation without which `row` fits nowhere. Copies go up first; the old ones are
+    /// then surplus, and a later pass unloads them. Each pass takes one step and remembers nothing,
+    /// because the next one finds the state that this step led to.
     fn relocate_for(&mut self, row: &'a Row) {
-        match row.base().and_then(|base| self.input.table.row(base.as_str())) {
-            // All engines with the base are full: put the base where both fit.
-            Some(base) if !self.is_loading(&base.name) => {
-                let both =
-                    |site: &Site<'a>| site.free_bytes >= site.needed_bytes(base) + row.memory_bytes;
-                if let Some(idx) = self.best_site(base, both) {
-                    self.load(idx, base);
+        let base = row.base().and_then(|base| self.input.table.row(base.as_str()));
+        match base {
+            Some(base) if self.is_loading(&base.name) => {}
+            Some(base) => {
+                if !self.load_with_room_for(base, row.memory_bytes) {
+                    self.move_one_out(row);
                 }
             }
-            Some(_) => {}
             None => self.move_one_out(row),
         }
     }
 
-    /// Copies one model away from an engine on which `row` fits once that model is gone.
+    /// Loads `base` to an engine that has `extra_bytes` more; false if there is none.
+    fn load_with_room_for(&mut self, base: &'a Row, extra_bytes: Bytes) -> bool {
+        let roomy = |site: &Site<'a>| site.free_bytes >= site.needed_bytes(base) + extra_bytes;
+        let site = self.best_site(base, roomy);
+        if let Some(idx) = site {
+            self.load(idx, base);
+        }
+        site.is_some()
+    }
+
+    /// Starts to move one row away from an engine on which `row` fits once that one is gone: the
+    /// smallest that has somewhere to go.
     fn move_one_out(&mut self, row: &Row) {
-        let mut best: Option<(Bytes, usize, &'a Row)> = None;
-        for site in self.sites.iter().filter(|site| site.input.usable) {
-            let missing = site.needed_bytes(row).saturating_sub(site.free_bytes);
-            for (name, entry) in &site.input.ledger.entries {
-                let Some(other) = self.input.table.row(name.as_str()) else { continue };
-                let movable = entry.phase == Phase::Resident
-                    && entry.memory_bytes >= missing
-                    && other.base().is_none()
-                    && !site.evicted.contains(name)
-                    && !self.is_loading(name)
-                    && !site.is_base(name);
-                let target = movable.then(|| self.best_site(other, |_| true)).flatten();
-                let smaller = best.is_none_or(|(bytes, ..)| entry.memory_bytes < bytes);
-                if let Some(target) = target.filter(|_| smaller) {
-                    best = Some((entry.memory_bytes, target, other));
-                }
+        let mut candidates: Vec<(Bytes, &'a Row)> = self
+            .sites
+            .iter()
+            .filter(|site| site.input.usable && row.base().is_none_or(|base| site.serves(base)))
+            .flat_map(|site| self.movable_for(site, row))
+            .collect();
+        candidates.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.name.cmp(&b.1.name)));
+        for (_, other) in candidates {
+            if let Some(target) = self.best_site(other, |_| true) {
+                self.load(target, other);
+                return;
+            }
+            let base = other.base().and_then(|base| self.input.table.row(base.as_str()));
+            let loading = base.is_some_and(|base| self.is_loading(&base.name));
+            if loading || base.is_some_and(|base| self.load_with_room_for(base, other.memory_bytes))
+            {
+                return;
             }
         }
-        if let Some((_, target, other)) = best {
-            self.load(target, other);
-        }
+    }
+
+    /// Rows on `site` each of which makes enough room for `row` by leaving.
+    fn movable_for(&self, site: &Site<'a>, row: &Row) -> Vec<(Bytes, &'a Row)> {
+        let missing = site.needed_bytes(row).saturating_sub(site.free_bytes);
+        let entries = site.input.ledger.entries.iter().filter(|(name, entry)| {
+            entry.phase == Phase::Resident
+                && entry.memory_bytes >= missing
+                && Some(*name) != row.base()
+                && !site.evicted.contains(*name)
+                && !site.is_base(name)
+                && !self.is_loading(name)
+        });
+        entries
+            .filter_map(|(name, entry)| {
+                Some((entry.memory_bytes, self.input.table.row(name.as_str())?))
+            })
+            .collect()
     }
 
     /// Adds copies of rows whose residences are all crowded, the most valuable first.
@@ -174,11 +208,11 @@
         candidates.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.name.cmp(&b.1.name)));
         for (_, row) in candidates {
             let spare = self.input.policy.spare_utilization;
-            let target = self.best_site(row, |site| site.input.utilization < spare);
+            let target = self.best_site(row, |site| site.pressure < spare);
             match target {
                 Some(idx) => self.load(idx, row),
                 None => {
-                    self.evict_for(row, |site| site.input.utilization < spare);
+                    self.evict_for(row, |site| site.pressure < spare);
                 }
             }
         }
@@ -191,14 +225,12 @@
             return None;
         }
         let residences = self.sites.iter().filter(|site| site.serves(&row.name));
-        let least = residences.map(|site| site.input.utilization).min_by(f64::total_cmp)?;
+        let inside = residences.map(|site| site.pressure).min_by(f64::total_cmp);
+        let least = inside.or_else(|| self.outside_pressure(row))?;
         if least < policy.crowded_utilization {
             return None;
         }
-        let under_way = match row.kind {
-            RowKind::Model => self.base_demand.get(&row.name).copied().unwrap_or_default(),
-            RowKind::Adapter { .. } | RowKind::Service => self.demand(&row.name).under_way,
-        };
+        let under_way = self.demand_with_adapters(row);
         if under_way < IDLE_UNDER_WAY {
             return None;
         }
@@ -211,6 +243,23 @@
         (worth > cost).then_some(worth - cost)
     }
 
+    /// Requests under way for the row, and for its adapters if it is a base model.
+    fn demand_with_adapters(&self, row: &Row) -> f64 {
+        match row.kind {
+            RowKind::Model => self.base_demand.get(&row.name).copied().unwrap_or_default(),
+            RowKind::Adapter { .. } | RowKind::Service => self.demand(&row.name).under_way,
+        }
+    }
+
+    /// Pressure on the residences outside the group, for a row that has none inside. The group's
+    /// own demand counts too: patient work for the row waits at the entries.
+    fn outside_pressure(&self, row: &Row) -> Option<f64> {
+        let outside = self.input.elsewhere.get(&row.name).filter(|outside| outside.count > 0)?;
+        let slots = self.sites.iter().map(|site| site.input.slots).max()?;
+        let share = self.demand_with_adapters(row) / f64::from(outside.count);
+        Some(outside.least_utilization.max(share / f64::from(slots.max(1))))
+    }
+
     fn is_loading(&self, name: &ModelName) -> bool {
         self.sites.iter().any(|site| {
             let entry = site.input.ledger.entries.get(name);
@@ -233,7 +282,7 @@
                 let key = |site: &Site<'a>| (site.needed_bytes(row) > 0, Reverse(site.free_bytes));
                 key(a)
                     .cmp(&key(b))
-                    .then_with(|| a.input.utilization.total_cmp(&b.input.utilization))
+                    .then_with(|| a.pressure.total_cmp(&b.pressure))
                     .then_with(|| a.input.ledger.engine.cmp(&b.input.ledger.engine))
             })
             .map(|(idx, _)| idx)
@@ -348,11 +397,29 @@
     }
 }
 
+/// The engine's share of the demand for the rows it serves, for each place in its batch.
+fn demand_pressure(
+    site: &Site<'_>,
+    input: &PlacementInput<'_>,
+    residences: &HashMap<&ModelName, u32>,
+) -> f64 {
+    let share = |name: &&ModelName| {
+        let under_way = input.demand.get(*name).map_or(0.0, |demand| demand.under_way);
+        under_way / f64::from(residences.get(*name).copied().unwrap_or(1).max(1))
+    };
+    let served = site.held.iter().filter(|name| site.serves(name));
+    let mut shares: Vec<f64> = served.map(share).collect();
+    // A fixed order of addition keeps the sum the same on every run.
+    shares.sort_by(f64::total_cmp);
+    shares.iter().sum::<f64>() / f64::from(site.input.slots.max(1))
+}
+
 impl<'a> Site<'a> {
     fn new(input: EngineInput<'a>) -> Self {
         let wanted = input.ledger.entries.iter().filter(|(_, entry)| entry.is_wanted());
         let held = wanted.map(|(name, _)| name).collect();
-        Self { input, free_bytes: input.ledger.free_bytes(), held, evicted: HashSet::new() }
+        let (free_bytes, pressure) = (input.ledger.free_bytes(), input.utilization);
+        Self { input, free_bytes, pressure, held, evicted: HashSet::new() }
     }
 
     /// True if the engine holds the row and is expected to keep it.
--- a/crates/policy-bench/src/world.rs
+++ b/crates/policy-bench/src/world.rs
@@ -488,7 +488,11 @@
     }
 
     fn refuse(&mut self, request: usize) {
-        self.requests[request].refused = true;
+        // After an attempt that ran, the caller is told that the request failed, not that it wasn't
+        // run; the entry does the same.
+        let tracked = &mut self.requests[request];
+        tracked.refused = !tracked.ran;
+        tracked.first_token = None;
         self.end(request);
     }
 
