--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -52,8 +52,11 @@
     rng: fastrand::Rng,
     now: Instant,
     table: Arc<Table>,
+    listing: Listing,
     vms: Vec<VmRecord>,
     live: BTreeSet<VmId>,
+    /// Engines that this planner watches; follows from the VM list and the live planners.
+    watched: Vec<BackendRecord>,
     fleet: Fleet,
     groups: BTreeMap<GroupId, Group>,
     slots: BTreeMap<BackendId, Slot>,
@@ -76,7 +79,9 @@
             config,
             now,
             table: Arc::default(),
+            listing: Listing::default(),
             vms: Vec::new(),
+            watched: Vec::new(),
             fleet: Fleet::default(),
             groups: BTreeMap::new(),
             slots: BTreeMap::new(),
@@ -101,10 +106,13 @@
                     self.table = table;
                 }
             }
-            Event::LivePlanners(live) => {
-                self.live = live;
-                self.live.insert(self.config.vm.clone());
-                self.rank_candidates();
+            Event::LivePlanners(mut live) => {
+                live.insert(self.config.vm.clone());
+                if live != self.live {
+                    self.live = live;
+                    self.rank_candidates();
+                    self.choose_watched();
+                }
             }
             Event::Report { engine, report } => self.on_report(engine, report),
             Event::Load(digest) => self.fleet.load(now, digest),
@@ -128,14 +136,19 @@
     }
 
     /// Engines whose reports this planner should read: it is one of their watchers.
-    pub fn watched(&self) -> Vec<BackendRecord> {
+    pub fn watched(&self) -> &[BackendRecord] {
+        &self.watched
+    }
+
+    fn choose_watched(&mut self) {
         let names: Vec<&VmRecord> = self
             .vms
             .iter()
             .filter(|vm| vm.data_centre == self.config.data_centre)
             .filter(|vm| !vm.leaving && self.live.contains(&vm.name))
             .collect();
-        self.fleet
+        let watched = self
+            .fleet
             .iter()
             .map(|view| &view.record)
             .filter(|record| record.data_centre == self.config.data_centre)
@@ -147,7 +160,8 @@
                     .any(|name| *name == self.config.vm.as_str())
             })
             .cloned()
-            .collect()
+            .collect();
+        self.watched = watched;
     }
 
     /// Epoch of the lease over `group` if this planner may act on it at `now`.
@@ -185,6 +199,11 @@
 
     fn on_listing(&mut self, listing: &Listing) {
         self.fleet.list(listing);
+        // The list is read every second and seldom changes.
+        if self.listing == *listing {
+            return;
+        }
+        self.listing = listing.clone();
         self.vms = listing.vms.clone();
         for view in self.fleet.iter() {
             let record = &view.record;
@@ -197,6 +216,7 @@
                 .or_insert_with(|| Slot::new(record.id.clone(), id, self.now));
         }
         self.rank_candidates();
+        self.choose_watched();
         let count = u32::try_from(self.groups.len()).unwrap_or(u32::MAX);
         for (rank, group) in (0..).zip(self.groups.values_mut()) {
             let (rate, at_once) = (self.config.loads_per_s, self.config.loads_at_once);
--- a/crates/placement/src/pass.rs
+++ b/crates/placement/src/pass.rs
@@ -41,6 +41,8 @@
     sites: Vec<Site<'a>>,
     /// Residences by row in the whole deployment, as after the moves decided so far.
     residences: HashMap<&'a ModelName, u32>,
+    /// Adapters by base model.
+    adapters: HashMap<&'a ModelName, Vec<&'a Row>>,
     /// Demand by base model, its adapters included.
     base_demand: HashMap<&'a ModelName, f64>,
     moves: Vec<Move>,
@@ -65,7 +67,13 @@
             let under_way = input.demand.get(&row.name).map_or(0.0, |demand| demand.under_way);
             *base_demand.entry(row.base().unwrap_or(&row.name)).or_default() += under_way;
         }
-        Self { input, sites, residences, base_demand, moves: Vec::new() }
+        let mut adapters: HashMap<&ModelName, Vec<&Row>> = HashMap::new();
+        for row in input.table.loadable() {
+            if let Some(base) = row.base() {
+                adapters.entry(base).or_default().push(row);
+            }
+        }
+        Self { input, sites, residences, adapters, base_demand, moves: Vec::new() }
     }
 
     fn demand(&self, name: &ModelName) -> ModelDemand {
@@ -123,7 +131,7 @@
 
     /// Memory of the adapters of `row` that have no residence yet.
     fn adapter_bytes(&self, row: &Row) -> Bytes {
-        let adapters = self.input.table.rows().filter(|other| other.base() == Some(&row.name));
+        let adapters = self.adapters.get(&row.name).into_iter().flatten();
         let uncovered = adapters
             .filter(|adapter| self.residences.get(&adapter.name).is_none_or(|count| *count == 0));
         uncovered.map(|adapter| adapter.memory_bytes).sum()
--- a/crates/planner/src/daemon.rs
+++ b/crates/planner/src/daemon.rs
@@ -259,7 +259,9 @@
         self.control_step(now, ControlEvent::LivePlanners(live));
         self.control_step(now, ControlEvent::Tick);
         self.flush_loads();
-        self.shared.watched.store(Arc::new(self.control.watched()));
+        if **self.shared.watched.load() != self.control.watched() {
+            self.shared.watched.store(Arc::new(self.control.watched().to_vec()));
+        }
         self.shared.status.store(Arc::new(self.control.status()));
         self.shared.traffic.store(Arc::new(self.peers.traffic()));
     }
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -115,8 +115,9 @@
 ) -> Decision {
     let holders = routes.holders.get(need.model).map_or(&[][..], Vec::as_slice);
     let cached_on = prefixes.engine(need.prefix);
-    let mut best: Option<(Duration, usize)> = None;
-    let mut avoided: Option<(Duration, usize)> = None;
+    let mut best: Option<(f64, usize)> = None;
+    let mut avoided: Option<(f64, usize)> = None;
+    let indifference = policy.indifference.as_secs_f64();
     let mut ties = 0_u32;
     for position in holders {
         let idx = *position as usize;
@@ -133,11 +134,11 @@
         }
         let beats = match best {
             None => true,
-            Some((time, _)) if predicted + policy.indifference < time => {
+            Some((time, _)) if predicted + indifference < time => {
                 ties = 0;
                 true
             }
-            Some((time, _)) if predicted < time + policy.indifference => {
+            Some((time, _)) if predicted < time + indifference => {
                 // Reservoir sampling: each of the equally good ones is as likely to stay.
                 ties += 1;
                 rng.u32(0..=ties) == 0
@@ -152,6 +153,7 @@
     let Some((predicted, engine)) = best.or(avoided) else {
         return absent(policy, need);
     };
+    let predicted = Duration::from_secs_f64(predicted);
     let acceptable = need.first_token_within.mul_f64(policy.deadline_share);
     match need.priority {
         Priority::Urgent if predicted > acceptable => Decision::Refuse {
@@ -211,15 +213,16 @@
     (load.max(0.0).round() as u32).max(own)
 }
 
-/// Predicted time to the first token.
-fn predict(engine: &EngineEntry, load: u32, policy: &RoutingPolicy, cached: bool) -> Duration {
+/// Predicted time to the first token, in seconds.
+fn predict(engine: &EngineEntry, load: u32, policy: &RoutingPolicy, cached: bool) -> f64 {
     let slots = engine.slots.max(1);
     let queued = (load + 1).saturating_sub(slots);
-    let wait = engine.mean_request * queued / slots;
+    // Plain seconds: multiplying durations was two thirds of the time of a decision.
+    let wait_s = engine.mean_request.as_secs_f64() * f64::from(queued) / f64::from(slots);
     let saving = if cached { policy.cached_saving } else { 0.0 };
     let crowding = f64::from(load.min(slots)) / f64::from(slots);
-    let prefill = policy.prefill.mul_f64((1.0 - saving) * (1.0 + crowding));
-    engine.distance * 2 + wait + prefill
+    let prefill_s = policy.prefill.as_secs_f64() * (1.0 - saving) * (1.0 + crowding);
+    engine.distance.as_secs_f64() * 2.0 + wait_s + prefill_s
 }
 
 /// Picks a server of the plain service `name`: the nearest data centre that has one, and there the
