System tests drive the real programs; edits repeat their reads

Cause: with one answer of the table service lost on a read, an edit ended with 'nothing was applied' (true, but needless). Change: an edit repeats a read without an answer up to four times; tests that start the stand-ins and the daemons and bring about lost answers, outages, cut, silent and crossed streams, racing edits, leaving engines, a drain, and mistakes at the command line.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 	$(CARGO) build --workspace --release
 
 test: cmake
+	$(CARGO) build --workspace --quiet
 	$(CARGO) test --workspace --quiet
 	$(CARGO) test --package glade-fuzz --features sabotage --test sabotage --quiet
 
--- a/crates/membership/src/edit.rs
+++ b/crates/membership/src/edit.rs
@@ -19,6 +19,8 @@
 
 /// Versions of which the history is kept.
 const HISTORY_LEN: u64 = 1000;
+/// Reads without an answer that are repeated during one edit.
+const MAX_READ_FAILURES: u32 = 4;
 /// Times that an edit is tried before its outcome is reported as it stands.
 const MAX_ATTEMPTS: u32 = 12;
 
@@ -103,6 +105,9 @@
     attempts: u32,
     /// The last attempt whose outcome isn't known.
     in_doubt: Option<Arc<Table>>,
+    /// The last read, for repeating it.
+    last_read: EditStep,
+    read_failures: u32,
 }
 
 impl TableEdit {
@@ -114,15 +119,46 @@
             (State::ReadingBaseRow, EditStep::ReadRow(history_key(request.based_on)))
         };
         let base = (request.based_on == TableVersion(0)).then(Table::default);
-        (Self { request, base, state, attempts: 0, in_doubt: None }, step)
+        let edit = Self {
+            request,
+            base,
+            state,
+            attempts: 0,
+            in_doubt: None,
+            last_read: step.clone(),
+            read_failures: 0,
+        };
+        (edit, step)
+    }
+
+    /// Remembers a step that reads.
+    fn remember(&mut self, step: EditStep) -> EditStep {
+        if matches!(step, EditStep::ReadRow(_) | EditStep::LoadTable(_)) {
+            self.last_read = step.clone();
+        }
+        step
+    }
+
+    /// Repeats the last read, which has no effect, a few times before giving up.
+    fn read_failed(&mut self, err: StoreError) -> EditStep {
+        self.read_failures += 1;
+        if self.read_failures <= MAX_READ_FAILURES {
+            self.last_read.clone()
+        } else {
+            self.failed(err)
+        }
     }
 
     /// Takes the answer to [`EditStep::ReadRow`].
     pub fn on_row(&mut self, answer: Result<Option<StoredRow>, StoreError>) -> EditStep {
-        let row = match answer {
-            Ok(row) => row,
-            Err(err) => return self.failed(err),
+        let step = match answer {
+            Ok(row) => self.take_row(row),
+            Err(err) => return self.read_failed(err),
         };
+        self.remember(step)
+    }
+
+    fn take_row(&mut self, row: Option<StoredRow>) -> EditStep {
         match self.state.clone() {
             State::ReadingBaseRow => match row.as_ref().and_then(decode::<HistoryRow>) {
                 Some(history) => {
@@ -148,10 +184,14 @@
 
     /// Takes the answer to [`EditStep::LoadTable`].
     pub fn on_table(&mut self, answer: Result<Table, StoreError>) -> EditStep {
-        let table = match answer {
-            Ok(table) => table,
-            Err(err) => return self.failed(err),
+        let step = match answer {
+            Ok(table) => self.take_table(table),
+            Err(err) => return self.read_failed(err),
         };
+        self.remember(step)
+    }
+
+    fn take_table(&mut self, table: Table) -> EditStep {
         match self.state.clone() {
             State::LoadingCurrent { revision } => self.rebase_on(revision, &table),
             _ => {
@@ -253,13 +293,13 @@
 
     fn read_head(&mut self) -> EditStep {
         self.state = State::ReadingHead;
-        EditStep::ReadRow(Key::new(HEAD_KEY))
+        self.remember(EditStep::ReadRow(Key::new(HEAD_KEY)))
     }
 
     fn read_history(&mut self, next: Arc<Table>) -> EditStep {
         let key = history_key(next.version);
         self.state = State::Settling { next };
-        EditStep::ReadRow(key)
+        self.remember(EditStep::ReadRow(key))
     }
 
     /// Ends the edit after a failure of the store, truthfully.
--- /dev/null
+++ b/crates/system/src/lib.rs
@@ -0,0 +1,11 @@
+//! Runs the real programs on loopback for tests: the stand-ins, and the daemons of several VMs.
+//!
+//! Needs the workspace's programs to be built; `make test` sees to that.
+
+mod cluster;
+mod programs;
+
+pub use crate::{
+    cluster::{CREDENTIAL, Cluster, Reply},
+    programs::{Output, program, run_program},
+};
--- /dev/null
+++ b/crates/system/src/programs.rs
@@ -0,0 +1,41 @@
+//! Finds and runs the workspace's programs.
+
+use std::{
+    path::PathBuf,
+    process::{Command, Stdio},
+};
+
+/// What a program that has ended printed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Output {
+    /// Exit code.
+    pub code: i32,
+    /// Standard output.
+    pub stdout: String,
+    /// Standard error.
+    pub stderr: String,
+}
+
+/// Path of the program called `name`, beside the running test's own folder.
+pub fn program(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("the test's own path is known");
+    let folder = test.ancestors().nth(2).expect("tests run from target/PROFILE/deps");
+    let path = folder.join(name);
+    assert!(path.exists(), "{name} isn't built; run `make test`, or `cargo build --workspace`");
+    path
+}
+
+/// Runs a program to its end.
+pub fn run_program(name: &str, args: &[&str], variables: &[(&str, &str)]) -> Output {
+    let output = Command::new(program(name))
+        .args(args)
+        .envs(variables.iter().copied())
+        .stdin(Stdio::null())
+        .output()
+        .expect("the program can be started");
+    Output {
+        code: output.status.code().unwrap_or(-1),
+        stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
+        stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
+    }
+}
