--- a/crates/placement/src/input.rs
+++ b/crates/placement/src/input.rs
@@ -60,10 +60,10 @@
         Self {
             attainment_weight: 1.0,
             move_weight: 0.1,
-            base_move_factor: 4.0,
+            base_move_factor: 10.0,
             crowded_utilization: 0.75,
             spare_utilization: 0.6,
-            horizon_s: 30.0,
+            horizon_s: 3.0,
         }
     }
 }
--- a/crates/system/tests/answers.rs
+++ b/crates/system/tests/answers.rs
@@ -58,7 +58,8 @@
     let chat = "/v1/chat/completions";
     let valid = r#"{"model":"chat","max_tokens":1}"#;
     let large = format!(r#"{{"model":"chat","x":"{}"}}"#, "x".repeat(5 << 20));
-    let cases: [(&str, &[(&str, &str)], &str, u16, &str); 8] = [
+    type Case<'a> = (&'a str, &'a [(&'a str, &'a str)], &'a str, u16, &'a str);
+    let cases: [Case<'_>; 8] = [
         (chat, &[], r#"{"model":"nope"}"#, 404, "model_not_found"),
         (chat, &[], r#"{"model":"market"}"#, 404, "model_not_found"),
         (chat, &[], r#"{"model":"#, 400, "bad_request"),
