--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 DEPLOYMENT ?= kalahari
 STEPS ?= 200000
 
-.PHONY: build test lint demo fuzz bench-policy cmake
+.PHONY: build test lint demo fuzz bench bench-policy bench-capacity cmake
 
 build: cmake
 	$(CARGO) build --workspace --release
@@ -28,6 +28,14 @@
 	$(CARGO) run --release --quiet --package glade-policy-bench -- \
 		--seed $(SEED) --deployment $(DEPLOYMENT)
 
+# The slopes that docs/CAPACITY.md is worked out from.
+bench-capacity: cmake
+	$(CARGO) run --release --quiet --package glade-capacity
+
+# Times of single decisions, by criterion.
+bench: cmake
+	$(CARGO) bench --package glade-capacity
+
 demo: build
 	sh scripts/demo.sh
 
--- a/crates/planner/src/daemon.rs
+++ b/crates/planner/src/daemon.rs
@@ -20,11 +20,11 @@
     glade_placement::PlacementPolicy,
     glade_platform::{BackendRecord, Listing, TableService},
     glade_settings::Settings,
-    glade_types::{BackendId, Incarnation},
+    glade_types::{BackendId, DataCentre, Incarnation},
     glade_wire::{Envelope, Inbox, LoadDigest, Message, Role, WireError},
     poem::listener::TcpAcceptor,
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         fmt, io,
         sync::{Arc, mpsc::SyncSender},
         time::{Duration, Instant},
@@ -36,6 +36,8 @@
 const REPORT_STALE: Duration = Duration::from_secs(3);
 /// Longest lag of a report, beyond the period at which reports are read.
 const REPORT_LAG: Duration = Duration::from_secs(2);
+/// Period at which loads are sent to other data centres; shorter than [`REPORT_STALE`].
+const REMOTE_LOADS_EVERY: Duration = Duration::from_secs(2);
 /// Groups into which the engines of a data centre are divided.
 const GROUPS_PER_DATA_CENTRE: u32 = 1;
 
@@ -114,6 +116,9 @@
             engines: HashMap::new(),
             digests: DigestBook::default(),
             pending_loads: Vec::new(),
+            remote_loads: BTreeMap::new(),
+            remote_at: now,
+            data_centre: settings.vm.data_centre.clone(),
             platform,
             clients,
             runtime,
@@ -228,6 +233,10 @@
     engines: HashMap<BackendId, BackendRecord>,
     digests: DigestBook,
     pending_loads: Vec<LoadDigest>,
+    /// Latest loads that other data centres haven't been sent yet.
+    remote_loads: BTreeMap<BackendId, LoadDigest>,
+    remote_at: Instant,
+    data_centre: DataCentre,
     platform: Arc<Platform>,
     clients: Arc<EngineClients>,
     runtime: Handle,
@@ -258,7 +267,7 @@
         let live = self.peers.membership().live(now, Role::Planner);
         self.control_step(now, ControlEvent::LivePlanners(live));
         self.control_step(now, ControlEvent::Tick);
-        self.flush_loads();
+        self.flush_loads(now);
         if **self.shared.watched.load() != self.control.watched() {
             self.shared.watched.store(Arc::new(self.control.watched().to_vec()));
         }
@@ -297,11 +306,27 @@
         }
     }
 
-    /// Sends the loads gathered since the last tick in one message.
-    fn flush_loads(&mut self) {
+    /// Sends the loads gathered since the last tick in one message: at once within the data centre,
+    /// and the latest of each engine now and then to the others, which send there only when their
+    /// own engines don't hold a model.
+    fn flush_loads(&mut self, now: Instant) {
         let loads = std::mem::take(&mut self.pending_loads);
         if !loads.is_empty() {
-            self.broadcast(&Message::Loads(loads));
+            let latest = loads.iter().map(|load| (load.engine.clone(), load.clone()));
+            self.remote_loads.extend(latest);
+            self.broadcast_loads(loads, true);
+        }
+        if now >= self.remote_at && !self.remote_loads.is_empty() {
+            self.remote_at = now + REMOTE_LOADS_EVERY;
+            let loads = std::mem::take(&mut self.remote_loads).into_values().collect();
+            self.broadcast_loads(loads, false);
+        }
+    }
+
+    fn broadcast_loads(&mut self, loads: Vec<LoadDigest>, local: bool) {
+        let (message, data_centre) = (Message::Loads(loads), self.data_centre.clone());
+        for role in [Role::Entry, Role::Planner] {
+            self.peers.broadcast(role, &message, |other| (*other == data_centre) == local);
         }
     }
 
