Every load is ordered once; copies give way where it matters

Ruled out: the pacer and the placement pass, which asked for each load once. Change: orders are decided on the settled draft; reports count only when they are newer than the last change. Copies give way to any row without a residence, and to one whose residences carry 2.5 times their requests. The new test of the planner fails on the code before.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -571,7 +571,9 @@
             changed |= draft.epoch != epoch;
             draft.epoch = epoch;
             changed |= self.follow_engine(engine, &mut draft);
-            order = self.next_order(engine, &mut draft);
+            // After a settlement the reports can't show the new state yet.
+            let reports_count = !changed && self.residency_is_settled(engine);
+            order = self.next_order(engine, &mut draft, reports_count);
             changed |= order.is_some();
         }
         if changed {
@@ -614,7 +616,12 @@
     }
 
     /// Decides the next order to the engine, if one is due, and reserves for it in the draft.
-    fn next_order(&mut self, engine: &BackendId, draft: &mut Ledger) -> Option<Order> {
+    fn next_order(
+        &mut self,
+        engine: &BackendId,
+        draft: &mut Ledger,
+        reports_count: bool,
+    ) -> Option<Order> {
         let slot = self.slots.get(engine)?;
         let view = self.fleet.get(engine)?;
         let reachable = view.incarnation() == draft.incarnation
@@ -623,13 +630,19 @@
         if slot.in_flight.is_some() || self.now < slot.retry_at || !reachable {
             return None;
         }
-        let candidates = self.candidate_moves(engine);
-        candidates.into_iter().find_map(|step| self.try_move(&step, draft))
+        let candidates = self.candidate_moves(engine, draft, reports_count);
+        candidates.into_iter().find_map(|step| self.try_move(&step, draft, reports_count))
     }
 
     /// Moves for the engine in the order of their urgency: work that was left undone, models that
-    /// vanished from the engine, then the plan.
-    fn candidate_moves(&self, engine: &BackendId) -> Vec<Move> {
+    /// vanished from the engine, then the plan. `reports_count` says whether the engine's report can
+    /// be held against the draft.
+    fn candidate_moves(
+        &self,
+        engine: &BackendId,
+        draft: &Ledger,
+        reports_count: bool,
+    ) -> Vec<Move> {
         let (Some(slot), Some(view)) = (self.slots.get(engine), self.fleet.get(engine)) else {
             return Vec::new();
         };
@@ -637,14 +650,15 @@
         let unload =
             |model: &ModelName| Move::Unload { engine: engine.clone(), model: model.clone() };
         let mut moves = Vec::new();
-        for (model, phase) in slot.unattended() {
+        for (model, phase) in unattended(draft) {
             let listed = self.table.row(model.as_str()).is_some();
             let wanted = phase == Phase::Loading && listed;
             moves.push(if wanted { load(model) } else { unload(model) });
         }
-        if self.residency_is_settled(engine) {
-            let entries = slot.ledger().into_iter().flat_map(|ledger| &ledger.entries);
-            let vanished = entries
+        if reports_count {
+            let vanished = draft
+                .entries
+                .iter()
                 .filter(|(name, entry)| entry.phase == Phase::Resident && !view.holds(name))
                 .filter(|(name, _)| self.table.row(name.as_str()).is_some());
             moves.extend(vanished.map(|(name, _)| load(name)));
@@ -655,7 +669,7 @@
     }
 
     /// Reserves for `step` in the draft, unless a rule forbids it now.
-    fn try_move(&mut self, step: &Move, draft: &mut Ledger) -> Option<Order> {
+    fn try_move(&mut self, step: &Move, draft: &mut Ledger, reports_count: bool) -> Option<Order> {
         match step {
             Move::Unload { model, .. } => {
                 let gone = !draft.entries.contains_key(model);
@@ -664,9 +678,11 @@
             Move::Load { model, .. } => {
                 let table = Arc::clone(&self.table);
                 let row = table.row(model.as_str())?;
-                let resident = draft.entries.get(model).is_some_and(|entry| {
-                    entry.phase == Phase::Resident && self.reported_to_hold(&draft.engine, model)
-                });
+                let vanished = reports_count
+                    && !self.fleet.get(&draft.engine).is_some_and(|view| view.holds(model));
+                let entry = draft.entries.get(model);
+                let resident =
+                    entry.is_some_and(|entry| entry.phase == Phase::Resident) && !vanished;
                 if resident || (row.base().is_none() && !self.may_load_base(&draft.engine)) {
                     return None;
                 }
@@ -679,11 +695,6 @@
         }
     }
 
-    fn reported_to_hold(&self, engine: &BackendId, model: &ModelName) -> bool {
-        self.fleet.get(engine).is_some_and(|view| view.holds(model))
-            || !self.residency_is_settled(engine)
-    }
-
     /// True if the group's share of the weight store allows another base model.
     fn may_load_base(&self, engine: &BackendId) -> bool {
         let Some(slot) = self.slots.get(engine) else { return false };
@@ -726,3 +737,16 @@
         op
     }
 }
+
+/// Models whose entry needs another order because nobody is working on it: a load or unload that was
+/// committed by an earlier holder or had no answer. The engine has no order under way.
+fn unattended(ledger: &Ledger) -> impl Iterator<Item = (&ModelName, Phase)> {
+    ledger.entries.iter().filter_map(|(name, entry)| {
+        let waits_for_late_load = entry.phase == Phase::Unloading
+            && !entry.was_resident
+            && !entry.open_loads.is_empty()
+            && !ledger.enforces_fencing;
+        let attended = entry.phase == Phase::Resident || waits_for_late_load;
+        (!attended).then_some((name, entry.phase))
+    })
+}
--- a/crates/control/src/slot.rs
+++ b/crates/control/src/slot.rs
@@ -3,9 +3,9 @@
 use {
     crate::event::OpId,
     glade_engine::{Order, OrderKind, OrderOutcome},
-    glade_ledger::{Ledger, Phase},
+    glade_ledger::Ledger,
     glade_platform::{Key, Revision, StoreError, StoredRow, Txn, TxnAnswer},
-    glade_types::{BackendId, GroupId, ModelName},
+    glade_types::{BackendId, GroupId},
     std::time::{Duration, Instant},
 };
 
@@ -227,17 +227,4 @@
         }
         self.outcomes.push((order, outcome));
     }
-
-    /// The model whose entry needs another order because nobody is working on it: a load or unload
-    /// that was committed by an earlier holder or had no answer.
-    pub(crate) fn unattended(&self) -> impl Iterator<Item = (&ModelName, Phase)> {
-        self.ledger().into_iter().flat_map(|ledger| &ledger.entries).filter_map(|(name, entry)| {
-            let waits_for_late_load = entry.phase == Phase::Unloading
-                && !entry.was_resident
-                && !entry.open_loads.is_empty()
-                && !self.ledger().is_some_and(|ledger| ledger.enforces_fencing);
-            let attended = entry.phase == Phase::Resident || waits_for_late_load;
-            (!attended).then_some((name, entry.phase))
-        })
-    }
 }
--- a/crates/placement/src/pass.rs
+++ b/crates/placement/src/pass.rs
@@ -11,6 +11,11 @@
     },
 };
 
+/// Requests under way at each residence below which a copy gives way to any other.
+const IDLE_SHARE: f64 = 1.0;
+/// Share of a crowded row's requests at each residence that other copies may have and still give
+/// way. Well below 1, so that two rows don't take each other's place in turn.
+const YIELDING_SHARE: f64 = 0.4;
 /// Demand below which a row counts as idle, in requests under way.
 const IDLE_UNDER_WAY: f64 = 0.05;
 
@@ -124,7 +129,7 @@
         let site = self.best_site(row, roomy).or_else(|| self.best_site(row, |_| true));
         if let Some(idx) = site {
             self.load(idx, row);
-        } else if !self.evict_for(row, |_| true) {
+        } else if !self.evict_for(row, |_| true, f64::INFINITY) {
             self.relocate_for(row);
         }
     }
@@ -220,7 +225,10 @@
             match target {
                 Some(idx) => self.load(idx, row),
                 None => {
-                    self.evict_for(row, |site| site.pressure < spare);
+                    let residences = self.residences.get(&row.name).copied().unwrap_or(1).max(1);
+                    let share = self.demand_with_adapters(row) / f64::from(residences);
+                    let yielding = (share * YIELDING_SHARE).max(IDLE_SHARE);
+                    self.evict_for(row, |site| site.pressure < spare, yielding);
                 }
             }
         }
@@ -298,7 +306,14 @@
 
     /// Unloads surplus copies from the engine where the fewest have to go for `row` to fit; false if
     /// there is no such engine.
-    fn evict_for(&mut self, row: &'a Row, accept: impl Fn(&Site<'a>) -> bool) -> bool {
+    /// Copies give way only while their other residences would have to carry less than `yielding`
+    /// requests each.
+    fn evict_for(
+        &mut self,
+        row: &'a Row,
+        accept: impl Fn(&Site<'a>) -> bool,
+        yielding: f64,
+    ) -> bool {
         let best = (0..self.sites.len())
             .filter(|idx| {
                 let site = &self.sites[*idx];
@@ -307,7 +322,7 @@
                     && !site.held.contains(&row.name)
                     && row.base().is_none_or(|base| site.serves(base))
             })
-            .filter_map(|idx| self.evictions(idx, row).map(|victims| (idx, victims)))
+            .filter_map(|idx| self.evictions(idx, row, yielding).map(|victims| (idx, victims)))
             .min_by_key(|(idx, victims)| (victims.len(), *idx));
         let Some((idx, victims)) = best else { return false };
         for victim in victims {
@@ -322,7 +337,7 @@
     }
 
     /// Surplus rows on the engine at `idx` whose memory makes `row` fit, or `None`.
-    fn evictions(&self, idx: usize, row: &Row) -> Option<Vec<&'a ModelName>> {
+    fn evictions(&self, idx: usize, row: &Row, yielding: f64) -> Option<Vec<&'a ModelName>> {
         let site = &self.sites[idx];
         let leaving_bytes: Bytes = site
             .input
@@ -343,7 +358,7 @@
                 entry.phase == Phase::Resident
                     && Some(*name) != row.base()
                     && !site.evicted.contains(*name)
-                    && self.is_surplus(name)
+                    && self.is_surplus(name, yielding)
             })
             .map(|(name, _)| name)
             .collect();
@@ -365,11 +380,12 @@
         (missing == 0).then_some(victims)
     }
 
-    /// True if the row has another residence that can carry its demand.
-    fn is_surplus(&self, name: &ModelName) -> bool {
+    /// True if the row has another residence, and its others would have to carry less than `yielding`
+    /// requests each.
+    fn is_surplus(&self, name: &ModelName, yielding: f64) -> bool {
         let count = self.residences.get(name).copied().unwrap_or_default();
         let demand = self.base_demand.get(name).copied().unwrap_or(self.demand(name).under_way);
-        count > 1 && demand / f64::from(count) < 1.0
+        count > 1 && demand / f64::from(count - 1) < yielding
     }
 
     /// True if an adapter on the engine at `idx`, other than `victims`, needs `name` as its base.
--- a/crates/placement/tests/passes.rs
+++ b/crates/placement/tests/passes.rs
@@ -142,6 +142,29 @@
     assert_eq!(plan(&outside), [load("e1", "a")]);
 }
 
+#[test]
+fn copies_give_way_to_a_row_without_residence_and_to_a_far_more_crowded_one() {
+    let table = table(&[("a", "", 60), ("b", "", 60), ("c", "", 60)]);
+    let copied = [
+        ledger("e1", 100, &[("a", 60, None)]),
+        ledger("e2", 100, &[("a", 60, None)]),
+        ledger("e3", 100, &[("b", 60, None)]),
+    ];
+    let busy = |under_way| ModelDemand { under_way, missed_per_s: 0.0 };
+    let mut uncovered = input(&table, &copied);
+    uncovered.demand.insert(ModelName::new("a"), busy(50.0));
+    assert_eq!(plan(&uncovered), [unload("e1", "a")], "c has no residence at all");
+
+    for (demand_of_a, gives_way) in [(3.0, true), (30.0, false)] {
+        let mut crowded = input(&table, &copied);
+        crowded.owed.clear();
+        crowded.demand.insert(ModelName::new("a"), busy(demand_of_a));
+        crowded.demand.insert(ModelName::new("b"), busy(40.0));
+        let expected = if gives_way { vec![unload("e1", "a")] } else { vec![] };
+        assert_eq!(plan(&crowded), expected, "a has {demand_of_a} requests under way");
+    }
+}
+
 #[test]
 fn an_unusable_engine_neither_counts_nor_receives() {
     let table = table(&[("a", "", 60)]);
