One place for digests of reports and for the fuzz store's events; overhead measurement

Cause: duplicates showed the digests of a report made in the planner and in its core, and the scheduling of faulty store operations three times in the fuzzing worlds. Change: glade_fleet::digests and FaultyStore::events serve all; persimmonglade-load overhead measures an entry beside its engine.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -11,14 +11,13 @@
         status::{ControlStatus, EngineStatus, GroupStatus},
     },
     glade_engine::{EngineReport, Order, OrderKind, OrderOutcome},
-    glade_fleet::{EngineView, Fleet},
+    glade_fleet::{EngineView, Fleet, digests},
     glade_lease::LeaseAction,
     glade_ledger::{Ledger, Phase},
     glade_placement::{EngineInput, Move, Outside, PlacementInput, plan},
     glade_platform::{BackendKind, BackendRecord, Listing, Txn, VmRecord},
     glade_table::Table,
     glade_types::{BackendId, GroupId, ModelName, VmId, rendezvous_order},
-    glade_wire::{LoadDigest, Residency},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap, HashSet},
         sync::Arc,
@@ -114,7 +113,7 @@
                     self.choose_watched();
                 }
             }
-            Event::Report { engine, report } => self.on_report(engine, report),
+            Event::Report { engine, report } => self.on_report(&engine, &report),
             Event::Load(digest) => self.fleet.load(now, digest),
             Event::Residency(residency) => self.fleet.residency(now, residency),
             Event::Leaving { engine, incarnation } => self.fleet.leaving(&engine, incarnation),
@@ -230,24 +229,8 @@
         }
     }
 
-    fn on_report(&mut self, engine: BackendId, report: EngineReport) {
-        let load = LoadDigest {
-            engine: engine.clone(),
-            incarnation: report.incarnation,
-            running: report.running,
-            waiting: report.waiting,
-            slots: report.slots,
-            mean_request_ms: u32::try_from(report.mean_request.as_millis()).unwrap_or(u32::MAX),
-            leaving: report.leaving,
-        };
-        let resident = report.resident.into_iter().map(|r| (r.name, r.memory_bytes)).collect();
-        let residency = Residency {
-            engine,
-            incarnation: report.incarnation,
-            memory_bytes: report.memory_bytes,
-            accelerators: report.accelerators,
-            resident,
-        };
+    fn on_report(&mut self, engine: &BackendId, report: &EngineReport) {
+        let (load, residency) = digests(engine, report);
         self.fleet.load(self.now, load);
         self.fleet.residency(self.now, residency);
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,7 +9,7 @@
 use {
     glade_engine::{EngineReport, ResidentModel},
     glade_platform::{BackendKind, BackendRecord, Listing},
-    glade_types::{BackendId, Incarnation, ModelName},
+    glade_types::{BackendId, Bytes, Incarnation, ModelName},
     glade_wire::{LoadDigest, Residency},
     std::{
         collections::BTreeMap,
@@ -17,6 +17,30 @@
     },
 };
 
+/// What watchers pass on of an engine's report: its load, and its contents in the order of names.
+pub fn digests(engine: &BackendId, report: &EngineReport) -> (LoadDigest, Residency) {
+    let load = LoadDigest {
+        engine: engine.clone(),
+        incarnation: report.incarnation,
+        running: report.running,
+        waiting: report.waiting,
+        slots: report.slots,
+        mean_request_ms: u32::try_from(report.mean_request.as_millis()).unwrap_or(u32::MAX),
+        leaving: report.leaving,
+    };
+    let resident = report.resident.iter().map(|held| (held.name.clone(), held.memory_bytes));
+    let mut resident: Vec<(ModelName, Bytes)> = resident.collect();
+    resident.sort();
+    let residency = Residency {
+        engine: engine.clone(),
+        incarnation: report.incarnation,
+        memory_bytes: report.memory_bytes,
+        accelerators: report.accelerators,
+        resident,
+    };
+    (load, residency)
+}
+
 /// One engine as known from the VM list and from reports.
 #[derive(Clone, Debug)]
 pub struct EngineView {
--- a/crates/fuzz/src/faulty_store.rs
+++ b/crates/fuzz/src/faulty_store.rs
@@ -8,13 +8,22 @@
 };
 
 /// Time after which a client gives up on an answer.
-pub(crate) const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest time after which a write whose answer was lost still takes effect.
 const LATEST_EFFECT_MS: u64 = 30_000;
 
+/// What a world has to schedule for one operation.
+#[derive(Clone, Debug)]
+pub(crate) enum StoreEvent {
+    /// The client gets this error.
+    Fails { after: Duration, error: StoreError },
+    /// The operation takes effect; its answer comes after a further time, or never.
+    TakesEffect { after: Duration, answer_after: Option<Duration> },
+}
+
 /// What happens to one operation.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum StoreFate {
+enum StoreFate {
     /// It is refused before it leaves.
     NotSent,
     /// It takes effect after `effect` and is answered after `answer`.
@@ -43,8 +52,27 @@
         (self.down, self.slow_ms, self.loss_percent) = (false, 0, 0);
     }
 
+    /// Draws what happens to one operation.
+    pub(crate) fn events(&self, rng: &mut Rng, counts: &mut FaultCounts) -> Vec<StoreEvent> {
+        let no_answer = StoreEvent::Fails { after: STORE_TIMEOUT, error: no_answer() };
+        match self.fate(rng, counts) {
+            StoreFate::NotSent => {
+                let error = StoreError::NotSent { reason: "down".to_owned() };
+                vec![StoreEvent::Fails { after: Duration::from_millis(1), error }]
+            }
+            StoreFate::RequestLost => vec![no_answer],
+            StoreFate::AnswerLost { effect } => {
+                vec![no_answer, StoreEvent::TakesEffect { after: effect, answer_after: None }]
+            }
+            StoreFate::Answered { effect, answer } => {
+                let answer_after = Some(answer - effect);
+                vec![StoreEvent::TakesEffect { after: effect, answer_after }]
+            }
+        }
+    }
+
     /// Draws the fate of one operation.
-    pub(crate) fn fate(&self, rng: &mut Rng, counts: &mut FaultCounts) -> StoreFate {
+    fn fate(&self, rng: &mut Rng, counts: &mut FaultCounts) -> StoreFate {
         if self.down {
             counts.add("store down");
             return StoreFate::NotSent;
@@ -83,8 +111,3 @@
 pub(crate) fn no_answer() -> StoreError {
     StoreError::Unknown { reason: "no answer".to_owned() }
 }
-
-/// The error of an operation that didn't leave.
-pub(crate) fn not_sent() -> StoreError {
-    StoreError::NotSent { reason: "down".to_owned() }
-}
--- a/crates/fuzz/src/tables.rs
+++ b/crates/fuzz/src/tables.rs
@@ -8,7 +8,7 @@
     crate::{
         counts::FaultCounts,
         driver::World,
-        faulty_store::{FaultyStore, STORE_TIMEOUT, StoreFate, no_answer, not_sent},
+        faulty_store::{FaultyStore, StoreEvent, no_answer},
         timeline::Timeline,
     },
     fastrand::Rng,
@@ -341,22 +341,16 @@
             StoreOp::Load(_) => StoreResult::Loaded(Err(error)),
         };
         let answered = |result| Delivery::StoreAnswer { to, waiter, result };
-        match self.store.fate(&mut self.rng, &mut self.counts) {
-            StoreFate::NotSent => {
-                self.time.schedule(Duration::from_millis(1), answered(fail(not_sent())));
-            }
-            StoreFate::RequestLost => {
-                self.time.schedule(STORE_TIMEOUT, answered(fail(no_answer())));
-            }
-            StoreFate::AnswerLost { effect } => {
-                self.time.schedule(STORE_TIMEOUT, answered(fail(no_answer())));
-                let effect_of = Delivery::StoreEffect { to, waiter, work, answer_after: None };
-                self.time.schedule(effect, effect_of);
-            }
-            StoreFate::Answered { effect, answer } => {
-                let answer_after = Some(answer - effect);
-                let effect_of = Delivery::StoreEffect { to, waiter, work, answer_after };
-                self.time.schedule(effect, effect_of);
+        for event in self.store.events(&mut self.rng, &mut self.counts) {
+            match event {
+                StoreEvent::Fails { after, error } => {
+                    self.time.schedule(after, answered(fail(error)));
+                }
+                StoreEvent::TakesEffect { after, answer_after } => {
+                    let effect =
+                        Delivery::StoreEffect { to, waiter, work: work.clone(), answer_after };
+                    self.time.schedule(after, effect);
+                }
             }
         }
     }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -45,6 +45,23 @@
         #[bpaf(positional("MODEL"), some("give at least one MODEL"))]
         models: Vec<String>,
     },
+    /// What an entry adds to calls that aren't streamed: the same load straight to an engine and
+    /// through the first seed, in turn
+    #[bpaf(command)]
+    Overhead {
+        /// Requests started per second
+        #[bpaf(argument("N"), fallback(500))]
+        rate: u32,
+        /// Length of each of the four rounds
+        #[bpaf(argument("N"), fallback(5))]
+        seconds: u64,
+        /// The engine
+        #[bpaf(argument("IP:PORT"))]
+        engine: SocketAddr,
+        /// A model that only this engine holds
+        #[bpaf(positional("MODEL"))]
+        model: String,
+    },
     /// A call to a plain service, made twice under one key; fails unless both answers are the same
     #[bpaf(command)]
     Claim {
@@ -68,6 +85,7 @@
         Command::Chat { rate, seconds, tokens, stream, priority, models } => {
             let config = LoadConfig {
                 seeds: args.seed,
+                direct: false,
                 models,
                 rate_per_s: rate,
                 duration: Duration::from_secs(seconds.min(MAX_SECONDS)),
@@ -79,10 +97,42 @@
             println!("{}", serde_json::to_string(&report).expect("plain structure"));
             if report.whole == report.requests { ExitCode::SUCCESS } else { ExitCode::FAILURE }
         }
+        Command::Overhead { rate, seconds, engine, model } => {
+            let duration = Duration::from_secs(seconds.min(MAX_SECONDS));
+            overhead(args.seed[0], engine, &model, rate, duration).await
+        }
         Command::Claim { path, key } => claim(&args.seed, &path, &key).await,
     }
 }
 
+/// Measures an engine and an entry before it in turn, twice.
+async fn overhead(
+    entry: SocketAddr,
+    engine: SocketAddr,
+    model: &str,
+    rate_per_s: u32,
+    duration: Duration,
+) -> ExitCode {
+    let mut whole = true;
+    for (name, addr) in [("engine", engine), ("entry", entry), ("engine", engine), ("entry", entry)]
+    {
+        let config = LoadConfig {
+            seeds: vec![addr],
+            direct: true,
+            models: vec![model.to_owned()],
+            rate_per_s,
+            duration,
+            tokens: 1,
+            stream: false,
+            priority: "urgent".to_owned(),
+        };
+        let report = run_load(&config).await;
+        whole &= report.whole == report.requests;
+        println!("{name}: {}", serde_json::to_string(&report).expect("plain structure"));
+    }
+    if whole { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 /// Makes the same call through two VMs.
 async fn claim(seeds: &[SocketAddr], path: &str, key: &str) -> ExitCode {
     let pool = Pool::new();
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -17,6 +17,8 @@
 pub struct LoadConfig {
     /// Callers' ports that are asked for the directory first.
     pub seeds: Vec<SocketAddr>,
+    /// Sends to `seeds` themselves and asks for no directory.
+    pub direct: bool,
     /// Models and adapters, used in turn.
     pub models: Vec<String>,
     /// Requests started per second.
@@ -71,10 +73,14 @@
         let model = config.models[number % config.models.len()].clone();
         let (directory, pool) = (Arc::clone(&directory), Arc::clone(&pool));
         let (tokens, stream, priority) = (config.tokens, config.stream, config.priority.clone());
+        let direct = config.direct.then(|| config.seeds[number % config.seeds.len()]);
         tasks.push(tokio::spawn(async move {
-            let addr = match directory.addrs().await {
-                Ok(addrs) => addrs[number % addrs.len()],
-                Err(err) => return Outcome::Failed { reason: err.to_string() },
+            let addr = match (direct, directory.addrs()) {
+                (Some(addr), _) => addr,
+                (None, asked) => match asked.await {
+                    Ok(addrs) => addrs[number % addrs.len()],
+                    Err(err) => return Outcome::Failed { reason: err.to_string() },
+                },
             };
             call_chat(&pool, addr, &model, tokens, stream, &priority).await
         }));
--- a/crates/planner/src/reports.rs
+++ b/crates/planner/src/reports.rs
@@ -4,8 +4,9 @@
     crate::events::PlannerEvent,
     arc_swap::ArcSwap,
     glade_engine::{Engine, EngineReport, HttpEngine},
+    glade_fleet::digests,
     glade_platform::BackendRecord,
-    glade_types::{BackendId, ModelName},
+    glade_types::BackendId,
     glade_wire::{LoadDigest, Residency},
     std::{
         collections::HashMap,
@@ -104,7 +105,7 @@
         engine: &BackendId,
         report: &EngineReport,
     ) -> Digests {
-        let (load, residency) = (load_of(engine, report), residency_of(engine, report));
+        let (load, residency) = digests(engine, report);
         let Some(sent) = self.sent.get_mut(engine) else {
             let first = Sent {
                 load: load.clone(),
@@ -127,31 +128,3 @@
         digests
     }
 }
-
-fn load_of(engine: &BackendId, report: &EngineReport) -> LoadDigest {
-    LoadDigest {
-        engine: engine.clone(),
-        incarnation: report.incarnation,
-        running: report.running,
-        waiting: report.waiting,
-        slots: report.slots,
-        mean_request_ms: u32::try_from(report.mean_request.as_millis()).unwrap_or(u32::MAX),
-        leaving: report.leaving,
-    }
-}
-
-fn residency_of(engine: &BackendId, report: &EngineReport) -> Residency {
-    let mut resident: Vec<(ModelName, u64)> = report
-        .resident
-        .iter()
-        .map(|resident| (resident.name.clone(), resident.memory_bytes))
-        .collect();
-    resident.sort();
-    Residency {
-        engine: engine.clone(),
-        incarnation: report.incarnation,
-        memory_bytes: report.memory_bytes,
-        accelerators: report.accelerators,
-        resident,
-    }
-}
