--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         config::ControlConfig,
+        coverage::{Coverage, Situation},
         demand::DemandBook,
         event::{Action, Event, OpId, StoreAnswer},
         group::Group,
@@ -19,7 +20,7 @@
     glade_table::Table,
     glade_types::{BackendId, GroupId, ModelName, VmId, rendezvous_order},
     std::{
-        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+        collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -27,10 +28,6 @@
 
 /// Period of planning passes.
 const PLAN_EVERY: Duration = Duration::from_millis(500);
-/// How much longer each less preferred group waits before it covers a row without a residence.
-const COVER_RANK_DELAY: Duration = Duration::from_secs(3);
-/// Ranks by which a group without its base comes later to cover an adapter.
-const ADAPTER_HELP_RANK: u32 = 3;
 /// Pause before a scan that failed is tried again.
 const SCAN_RETRY: Duration = Duration::from_secs(1);
 /// VMs of its data centre that watch an engine.
@@ -60,8 +57,7 @@
     groups: BTreeMap<GroupId, Group>,
     slots: BTreeMap<BackendId, Slot>,
     demand: DemandBook,
-    /// Since when each row without a residence has had none.
-    uncovered_since: HashMap<ModelName, Instant>,
+    coverage: Coverage,
     ops: HashMap<OpId, Purpose>,
     next_op: u64,
     moves: u64,
@@ -85,7 +81,7 @@
             groups: BTreeMap::new(),
             slots: BTreeMap::new(),
             demand: DemandBook::default(),
-            uncovered_since: HashMap::new(),
+            coverage: Coverage::default(),
             ops: HashMap::new(),
             next_op: 0,
             moves: 0,
@@ -320,7 +316,9 @@
             self.tick_lease(id, out);
             self.tick_scan(id, out);
         }
-        self.note_uncovered();
+        let mut coverage = std::mem::take(&mut self.coverage);
+        coverage.note(self.situation());
+        self.coverage = coverage;
         for id in &ids {
             self.tick_plan(id);
         }
@@ -370,23 +368,6 @@
         out.push(Action::Scan { op, prefix });
     }
 
-    /// Keeps track of rows that no usable engine holds.
-    fn note_uncovered(&mut self) {
-        let (now, stale) = (self.now, self.config.report_stale);
-        let mut covered: HashSet<&ModelName> = HashSet::new();
-        for view in self.fleet.iter().filter(|view| view.is_usable(now, stale)) {
-            if let Some((residency, _)) = view.current_residency() {
-                covered.extend(residency.resident.iter().map(|(name, _)| name));
-            }
-        }
-        let table = Arc::clone(&self.table);
-        self.uncovered_since
-            .retain(|name, _| table.row(name.as_str()).is_some() && !covered.contains(name));
-        for row in table.loadable().filter(|row| !covered.contains(&row.name)) {
-            self.uncovered_since.entry(row.name.clone()).or_insert(now);
-        }
-    }
-
     fn tick_plan(&mut self, id: &GroupId) {
         let now = self.now;
         let Some(group) = self.groups.get(id) else { return };
@@ -438,55 +419,15 @@
         PlacementInput {
             table: &self.table,
             engines,
-            owed: self.owed(id),
+            owed: self.coverage.owed(id, self.situation()),
             elsewhere,
             demand,
             policy: self.config.policy,
         }
     }
 
-    /// Rows without a residence that the group has to cover by now.
-    ///
-    /// Groups are ranked for each base model by rendezvous hash. The first covers at once; each
-    /// further one waits longer, so that a group without room is helped out without any message.
-    fn owed<'a>(&'a self, id: &GroupId) -> HashSet<&'a ModelName> {
-        let stale = self.config.report_stale;
-        let live_groups: BTreeSet<GroupId> = self
-            .fleet
-            .iter()
-            .filter(|view| view.is_usable(self.now, stale))
-            .map(|view| self.config.group_of(&view.record.id, &view.record.data_centre))
-            .collect();
-        let owed = |name: &ModelName, since: Instant| {
-            let row = self.table.row(name.as_str());
-            let anchor = row.and_then(|row| row.base()).unwrap_or(name);
-            let names = live_groups.iter().map(GroupId::as_str);
-            let order = rendezvous_order(anchor.as_str(), names);
-            let rank = order.iter().position(|group| *group == id.as_str());
-            let rank = rank.and_then(|rank| u32::try_from(rank).ok());
-            // An adapter goes where its base is; groups without the base help out last, since they
-            // have to load the base as well.
-            let rank = match row.and_then(|row| row.base()) {
-                Some(base) if self.group_holds(id, base) => Some(0),
-                Some(_) => rank.map(|rank| rank + ADAPTER_HELP_RANK),
-                None => rank,
-            };
-            rank.is_some_and(|rank| self.now >= since + COVER_RANK_DELAY * rank)
-        };
-        self.uncovered_since
-            .iter()
-            .filter(|(name, since)| owed(name, **since))
-            .map(|(name, _)| name)
-            .collect()
-    }
-
-    /// True if a usable engine of the group reports to hold `model`.
-    fn group_holds(&self, id: &GroupId, model: &ModelName) -> bool {
-        let stale = self.config.report_stale;
-        let usable = self.fleet.iter().filter(|view| view.is_usable(self.now, stale));
-        let in_group = usable
-            .filter(|view| self.slots.get(&view.record.id).is_some_and(|slot| slot.group == *id));
-        in_group.into_iter().any(|view| view.holds(model))
+    fn situation(&self) -> Situation<'_> {
+        Situation { now: self.now, config: &self.config, table: &self.table, fleet: &self.fleet }
     }
 
     fn tick_slot(&mut self, engine: &BackendId, out: &mut Vec<Action>) {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod config;
 mod control;
+mod coverage;
 mod demand;
 mod event;
 mod group;
