The clock is passed in; ticks aren't starved by events

Cause, found by reading: the daemons read the system clock directly although the clock interface existed, and the control loop ticked only when its queue was empty, so a storm of events would have kept leases from being renewed. Change: entry and planner take a clock; a tick that is due comes before the next event. Before: by its code, no tick while the queue has an event. After: the new test sees three ticks with a queue that never empties.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -4,6 +4,7 @@
 //! time is never compared between VMs.
 
 use std::{
+    fmt::Debug,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -12,7 +13,7 @@
 };
 
 /// A source of monotonic time.
-pub trait Clock: Send + Sync {
+pub trait Clock: Debug + Send + Sync {
     /// The present reading.
     fn now(&self) -> Instant;
 }
--- a/crates/daemon/src/control_loop.rs
+++ b/crates/daemon/src/control_loop.rs
@@ -49,14 +49,17 @@
     let run = move || {
         let mut next_tick = Instant::now();
         loop {
-            let wait = next_tick.saturating_duration_since(Instant::now());
-            let go_on = match events.recv_timeout(wait) {
-                Ok(event) => step(Some(event)),
-                Err(RecvTimeoutError::Timeout) => {
-                    next_tick = Instant::now() + TICK;
-                    step(None)
+            // Ticks come first when due: a queue that never empties must not keep them from coming.
+            let now = Instant::now();
+            let go_on = if now >= next_tick {
+                next_tick = now + TICK;
+                step(None)
+            } else {
+                match events.recv_timeout(next_tick - now) {
+                    Ok(event) => step(Some(event)),
+                    Err(RecvTimeoutError::Timeout) => true,
+                    Err(RecvTimeoutError::Disconnected) => false,
                 }
-                Err(RecvTimeoutError::Disconnected) => false,
             };
             if !go_on {
                 return;
@@ -66,3 +69,37 @@
     let thread = thread::Builder::new().name("control".to_owned()).spawn(run)?;
     Ok(ControlHandle { thread })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Found by reading: ticks came only when the queue was empty.
+    #[test]
+    fn a_queue_that_never_empties_does_not_keep_ticks_from_coming() {
+        const MOST_EVENTS: u32 = 100_000_000;
+        let (sender, receiver) = channel::<()>();
+        let (report, outcome) = sync_channel(1);
+        for _ in 0..8 {
+            sender.send(()).expect("the channel is open");
+        }
+        let (mut events, mut ticks) = (0_u32, 0_u32);
+        let handle = spawn_control(receiver, move |event| {
+            match event {
+                Some(()) => {
+                    events += 1;
+                    let _ = sender.try_send(());
+                }
+                None => ticks += 1,
+            }
+            let go_on = ticks < 3 && events < MOST_EVENTS;
+            if !go_on {
+                let _ = report.send(ticks);
+            }
+            go_on
+        })
+        .expect("a thread can be started");
+        assert_eq!(outcome.recv(), Ok(3), "ticks starved");
+        handle.join();
+    }
+}
--- a/crates/entry/src/burn.rs
+++ b/crates/entry/src/burn.rs
@@ -94,13 +94,12 @@
     shards: [Mutex<HashMap<ModelName, Row>>; SHARDS],
 }
 
-impl Default for BurnBook {
-    fn default() -> Self {
-        Self { started_at: Instant::now(), shards: Default::default() }
+impl BurnBook {
+    /// Returns a book without counts, whose first bucket begins at `started_at`.
+    pub(crate) fn new(started_at: Instant) -> Self {
+        Self { started_at, shards: Default::default() }
     }
-}
 
-impl BurnBook {
     /// Counts one request.
     pub(crate) fn record(&self, now: Instant, model: &ModelName, sample: Sample) {
         let bucket = self.bucket(now);
@@ -213,7 +212,7 @@
 
     #[test]
     fn burn_rates_are_shares_of_the_budget_within_the_window() {
-        let (book, model) = (BurnBook::default(), ModelName::new("m"));
+        let (book, model) = (BurnBook::new(Instant::now()), ModelName::new("m"));
         let start = book.started_at;
         (0..90).for_each(|_| book.record(start, &model, MET));
         (0..10).for_each(|_| book.record(start, &model, LATE));
@@ -227,7 +226,8 @@
 
     #[test]
     fn reports_of_several_vms_add_up() {
-        let (a, b, model) = (BurnBook::default(), BurnBook::default(), ModelName::new("m"));
+        let (now, model) = (Instant::now(), ModelName::new("m"));
+        let (a, b) = (BurnBook::new(now), BurnBook::new(now));
         a.record(a.started_at, &model, MET);
         b.record(b.started_at, &model, LATE);
         let mut merged = a.report(a.started_at);
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -15,7 +15,7 @@
     serde::Serialize,
     std::{
         sync::{Arc, PoisonError},
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
@@ -114,7 +114,7 @@
 
     fn issue_token(&self) -> Response {
         let mut tokens = self.shared.tokens.lock().unwrap_or_else(PoisonError::into_inner);
-        let token = tokens.issue(Instant::now()).to_string();
+        let token = tokens.issue(self.shared.now()).to_string();
         drop(tokens);
         let ttl = self.shared.settings.timing.token_ttl;
         let ttl_ms = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -60,7 +60,7 @@
             Counts::add(&shared.counts.refused);
         }
         let sample = Sample { refused, ..Sample::default() };
-        shared.burn.record(Instant::now(), &request.model, sample);
+        shared.burn.record(shared.now(), &request.model, sample);
         if let Some(limiter) = shared.routes.load().limiters.get(&request.model) {
             limiter.missed();
         }
@@ -74,7 +74,7 @@
     serving: Serving,
     request: &ModelRequest,
 ) -> Result<Response, ApiError> {
-    let started_at = Instant::now();
+    let started_at = shared.now();
     let permit = admit(shared, request)?;
     shared.retries.earn();
     let mut serving = Some((serving, permit));
@@ -124,7 +124,7 @@
     avoid: Option<&EngineEntry>,
 ) -> Result<EngineEntry, ApiError> {
     loop {
-        let waited = started_at.elapsed();
+        let waited = shared.now() - started_at;
         let pause = {
             let routes = shared.routes.load();
             let position = |engine: &EngineEntry| {
@@ -263,9 +263,9 @@
     };
     shared.pool.give_back(head.connection);
     engine.counters.succeeded();
-    let met = started_at.elapsed() <= request.first_token_within;
+    let met = shared.now() - started_at <= request.first_token_within;
     let sample = Sample { first_token_met: met, gaps_met: true, refused: false };
-    shared.burn.record(Instant::now(), &request.model, sample);
+    shared.burn.record(shared.now(), &request.model, sample);
     let content_type = parts.headers.get("content-type").and_then(|value| value.to_str().ok());
     Ok(Response::builder()
         .status(parts.status)
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -54,6 +54,7 @@
 
 impl ControlThread {
     pub(crate) fn new(shared: Arc<Shared>, peers: PeerShell<EntryEvent>) -> Self {
+        let demand_at = shared.now();
         Self {
             shared,
             peers,
@@ -63,7 +64,7 @@
             limiters: HashMap::new(),
             announced: BTreeSet::new(),
             table_since: None,
-            demand_at: Instant::now(),
+            demand_at,
             entries: 1,
             structure_changed: true,
             loads_changed: false,
@@ -72,7 +73,7 @@
 
     /// Takes an event, or a tick for `None`; false ends the thread.
     pub(crate) fn step(&mut self, event: Option<EntryEvent>) -> bool {
-        let now = Instant::now();
+        let now = self.shared.now();
         match event {
             None => self.tick(now),
             Some(EntryEvent::Stop) => return false,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -8,6 +8,7 @@
         operator::OperatorPort,
         shared::{Counts, Shared},
     },
+    glade_clock::Clock,
     glade_daemon::{
         ControlHandle, PeerShell, Platform, channel, new_incarnation, spawn_control,
         spawn_listing_poll,
@@ -25,7 +26,7 @@
             atomic::{AtomicU64, Ordering},
             mpsc::SyncSender,
         },
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{net::TcpListener, runtime::Handle, time::sleep},
 };
@@ -75,13 +76,14 @@
     /// # Errors
     ///
     /// See [`EntryError`].
-    pub async fn spawn(settings: &Settings) -> Result<Self, EntryError> {
+    pub async fn spawn(settings: &Settings, clock: Arc<dyn Clock>) -> Result<Self, EntryError> {
         let runtime = Handle::current();
         let (events, receiver) = channel();
         let incarnation = new_incarnation();
         let platform = Platform::open(&settings.platform);
         let inbox = bind_inbox(settings, &events).map_err(EntryError::Peers)?;
-        let shared = Shared::new(settings, incarnation, Arc::clone(&platform), events.clone());
+        let shared =
+            Shared::new(settings, incarnation, Arc::clone(&platform), events.clone(), clock);
         let metrics = Arc::new(Metrics::open("persimmonglade-entry"));
         register_metrics(&metrics, &shared);
         let caller = CallerPort { shared: Arc::clone(&shared), metrics };
@@ -95,7 +97,7 @@
             &platform,
             &runtime,
             &events,
-            Instant::now(),
+            shared.now(),
         );
         let mut state = ControlThread::new(Arc::clone(&shared), peers);
         let control =
@@ -192,7 +194,10 @@
         s.routes.load().table.version.0
     });
     gauge("entry_table_age_seconds", "Time since the table in force was received.", |s| {
-        s.view.load().table_since.map_or(0, |since| since.elapsed().as_secs())
+        s.view
+            .load()
+            .table_since
+            .map_or(0, |since| s.now().saturating_duration_since(since).as_secs())
     });
     gauge("entry_peers_live", "Peers that send heartbeats.", |s| {
         s.view.load().peers.iter().filter(|peer| peer.live).count() as u64
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,9 +2,10 @@
 
 use {
     bpaf::Bpaf,
+    glade_clock::SystemClock,
     glade_entry::Entry,
     glade_settings::Settings,
-    std::{path::PathBuf, process::ExitCode},
+    std::{path::PathBuf, process::ExitCode, sync::Arc},
     tokio::signal::unix::{SignalKind, signal},
 };
 
@@ -37,7 +38,7 @@
         .enable_all()
         .build()?;
     runtime.block_on(async {
-        let entry = Entry::spawn(&settings).await?;
+        let entry = Entry::spawn(&settings, Arc::new(SystemClock)).await?;
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         let handle = entry.drain_handle();
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -97,7 +97,7 @@
             (&Method::GET, "backends") => json(&self.shared.view.load().backends),
             (&Method::POST, "drain") => self.drain(&req),
             (&Method::GET, "burn") if query(&req, "local").is_some() => {
-                json(&self.shared.burn.report(std::time::Instant::now()))
+                json(&self.shared.burn.report(self.shared.now()))
             }
             (&Method::GET, "burn") => self.burn().await,
             _ => (StatusCode::NOT_FOUND, "no such operation\n").into_response(),
@@ -263,7 +263,7 @@
 
     /// The counts of all VMs, the VMs that are in it and those that are lacking.
     async fn merged_burn(&self) -> (BurnReport, Vec<String>, Vec<String>) {
-        let mut report = self.shared.burn.report(std::time::Instant::now());
+        let mut report = self.shared.burn.report(self.shared.now());
         let mut merged = vec![self.shared.vm().to_string()];
         let mut lacking = Vec::new();
         let entries = role_name(Role::Entry);
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -149,7 +149,7 @@
     }
 
     fn pass(&mut self, event: &Event) -> String {
-        let now = Instant::now();
+        let now = self.shared.now();
         self.next += 1;
         self.measure(now);
         self.ended = event.data == END_MARK;
@@ -210,7 +210,7 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let now = Instant::now();
+        let now = self.shared.now();
         self.shared.burn.record(now, &self.request.model, self.sample);
     }
 }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -26,7 +26,7 @@
     std::{
         io,
         sync::{Arc, PoisonError},
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::time::{sleep, timeout},
 };
@@ -105,7 +105,7 @@
     let body = read_body(shared, req.take_body()).await?;
     let call = parse(shared, &req, body)?;
     let permit = admit(shared, &call)?;
-    let started_at = Instant::now();
+    let started_at = shared.now();
     let result = match key {
         _ if call.may_be_repeated() => repeatable(shared, &call, (serving, permit)).await,
         None => once(shared, &call).await.into_response(shared, &call),
@@ -115,11 +115,12 @@
         },
     };
     let sample = Sample {
-        first_token_met: result.is_ok() && started_at.elapsed() <= call.row.targets.first_token,
+        first_token_met: result.is_ok()
+            && shared.now() - started_at <= call.row.targets.first_token,
         gaps_met: true,
         refused: matches!(&result, Err(ApiError::NotRun { .. })),
     };
-    shared.burn.record(Instant::now(), &call.row.name, sample);
+    shared.burn.record(shared.now(), &call.row.name, sample);
     result
 }
 
@@ -327,7 +328,7 @@
     let hash = call.hash();
     let verdict = {
         let mut tokens = shared.tokens.lock().unwrap_or_else(PoisonError::into_inner);
-        tokens.present(Instant::now(), token, hash)
+        tokens.present(shared.now(), token, hash)
     };
     match verdict {
         TokenVerdict::Dispatch => {}
@@ -465,7 +466,7 @@
 }
 
 fn abandon(shared: &Shared, owner: &Owner) {
-    let now = Instant::now();
+    let now = shared.now();
     let mut abandoned = shared.abandoned.lock().unwrap_or_else(PoisonError::into_inner);
     abandoned.retain(|_, at| now < *at + ABANDONED_TTL);
     abandoned.insert(owner.clone(), now);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,6 +3,7 @@
 use {
     crate::{burn::BurnBook, events::EntryEvent},
     arc_swap::ArcSwap,
+    glade_clock::Clock,
     glade_daemon::Platform,
     glade_http::Pool,
     glade_membership::PeerStatus,
@@ -143,7 +144,8 @@
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
     pub(crate) incarnation: Incarnation,
-    pub(crate) started_at: Instant,
+    clock: Arc<dyn Clock>,
+    started_at: Instant,
     pub(crate) platform: Arc<Platform>,
     pub(crate) routes: ArcSwap<RouteTable>,
     pub(crate) view: ArcSwap<ControlView>,
@@ -167,6 +169,7 @@
         incarnation: Incarnation,
         platform: Arc<Platform>,
         events: SyncSender<EntryEvent>,
+        clock: Arc<dyn Clock>,
     ) -> Arc<Self> {
         let tokens = TokenBook::new(
             settings.vm.name.clone(),
@@ -177,7 +180,9 @@
         Arc::new(Self {
             settings: settings.clone(),
             incarnation,
-            started_at: Instant::now(),
+            started_at: clock.now(),
+            burn: BurnBook::new(clock.now()),
+            clock,
             platform,
             routes: ArcSwap::default(),
             view: ArcSwap::default(),
@@ -187,7 +192,6 @@
             retries: RetryBudget::default(),
             counts: Counts::default(),
             drain: DrainState::default(),
-            burn: BurnBook::default(),
             tokens: Mutex::new(tokens),
             abandoned: Mutex::default(),
             events,
@@ -197,7 +201,12 @@
 
     /// Time since the process started.
     pub(crate) fn uptime(&self) -> Duration {
-        self.started_at.elapsed()
+        self.now() - self.started_at
+    }
+
+    /// The present reading of the clock.
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
     }
 
     /// A number that no other request of this incarnation has.
--- a/crates/planner/src/daemon.rs
+++ b/crates/planner/src/daemon.rs
@@ -7,6 +7,7 @@
         reports::{DigestBook, EngineClients, spawn_report_poll},
     },
     arc_swap::ArcSwap,
+    glade_clock::Clock,
     glade_control::{
         Action, Control, ControlConfig, ControlStatus, Event as ControlEvent, OpId, StoreAnswer,
     },
@@ -83,7 +84,7 @@
     /// # Errors
     ///
     /// See [`PlannerError`].
-    pub async fn spawn(settings: &Settings) -> Result<Self, PlannerError> {
+    pub async fn spawn(settings: &Settings, clock: Arc<dyn Clock>) -> Result<Self, PlannerError> {
         let runtime = Handle::current();
         let (events, receiver) = channel();
         let incarnation = new_incarnation();
@@ -100,7 +101,7 @@
             settings.timing.report_poll,
             events.clone(),
         );
-        let now = Instant::now();
+        let now = clock.now();
         let config = control_config(settings, incarnation);
         let mut state = ControlThread {
             peers: PeerShell::new(
@@ -113,6 +114,7 @@
                 now,
             ),
             control: Control::new(config, now),
+            clock,
             engines: HashMap::new(),
             digests: DigestBook::default(),
             pending_loads: Vec::new(),
@@ -229,6 +231,7 @@
 struct ControlThread {
     peers: PeerShell<PlannerEvent>,
     control: Control,
+    clock: Arc<dyn Clock>,
     /// Where each engine listens, for orders.
     engines: HashMap<BackendId, BackendRecord>,
     digests: DigestBook,
@@ -248,7 +251,7 @@
 impl ControlThread {
     /// Takes an event, or a tick for `None`; false ends the thread.
     fn step(&mut self, event: Option<PlannerEvent>) -> bool {
-        let now = Instant::now();
+        let now = self.clock.now();
         match event {
             None => self.tick(now),
             Some(PlannerEvent::Stop) => return false,
@@ -379,10 +382,10 @@
     fn send_order(&self, order: Order, send_before: Instant) {
         let record = self.engines.get(&order.engine);
         let client = record.map(|record| self.clients.get(record));
-        let events = self.events.clone();
+        let (events, clock) = (self.events.clone(), Arc::clone(&self.clock));
         self.runtime.spawn(async move {
             let outcome = match client {
-                Some(client) if Instant::now() < send_before => client.execute(&order).await,
+                Some(client) if clock.now() < send_before => client.execute(&order).await,
                 _ => OrderOutcome::NotSent,
             };
             log::info!(
--- a/crates/planner/src/main.rs
+++ b/crates/planner/src/main.rs
@@ -2,9 +2,10 @@
 
 use {
     bpaf::Bpaf,
+    glade_clock::SystemClock,
     glade_planner::Planner,
     glade_settings::Settings,
-    std::{path::PathBuf, process::ExitCode},
+    std::{path::PathBuf, process::ExitCode, sync::Arc},
     tokio::signal::unix::{SignalKind, signal},
 };
 
@@ -37,7 +38,7 @@
         .enable_all()
         .build()?;
     runtime.block_on(async {
-        let planner = Planner::spawn(&settings).await?;
+        let planner = Planner::spawn(&settings, Arc::new(SystemClock)).await?;
         let mut terminate = signal(SignalKind::terminate())?;
         tokio::select! {
             _ = terminate.recv() => {}
