Leases go to the planners of their own data centre at a start

Cause: in the demo one planner held all three leases: at a start each knows only itself to be live, so each counted itself the most preferred, and candidates looked once a second while ranks were 0.3 s apart. Change: listed VMs are presumed live for 4 s after a start; ranks are 1.5 s apart.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -28,6 +28,8 @@
 
 /// Period of planning passes.
 const PLAN_EVERY: Duration = Duration::from_millis(500);
+/// How long after its start a planner presumes that listed VMs are live.
+const PRESUMED_LIVE: Duration = Duration::from_secs(4);
 /// Pause before a scan that failed is tried again.
 const SCAN_RETRY: Duration = Duration::from_secs(1);
 /// VMs of its data centre that watch an engine.
@@ -51,6 +53,9 @@
     listing: Listing,
     vms: Vec<VmRecord>,
     live: BTreeSet<VmId>,
+    /// Until when listed VMs count as live although they haven't been heard yet, so that a planner
+    /// that starts first doesn't take the leases that others are preferred for.
+    presumed_live_until: Option<Instant>,
     /// Engines that this planner watches; follows from the VM list and the live planners.
     watched: Vec<BackendRecord>,
     fleet: Fleet,
@@ -71,6 +76,7 @@
         Self {
             rng: fastrand::Rng::with_seed(config.seed),
             live: [config.vm.clone()].into(),
+            presumed_live_until: Some(now + PRESUMED_LIVE),
             config,
             now,
             table: Arc::default(),
@@ -220,8 +226,12 @@
     }
 
     fn rank_candidates(&mut self) {
+        let mut live = self.live.clone();
+        if self.presumed_live_until.is_some() {
+            live.extend(self.vms.iter().map(|vm| vm.name.clone()));
+        }
         for group in self.groups.values_mut() {
-            group.rank_candidates(&self.config.vm, &self.vms, &self.live);
+            group.rank_candidates(&self.config.vm, &self.vms, &live);
         }
     }
 
@@ -311,6 +321,10 @@
     }
 
     fn tick(&mut self, out: &mut Vec<Action>) {
+        if self.presumed_live_until.is_some_and(|until| self.now >= until) {
+            self.presumed_live_until = None;
+            self.rank_candidates();
+        }
         let ids: Vec<GroupId> = self.groups.keys().cloned().collect();
         for id in &ids {
             self.tick_lease(id, out);
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -16,8 +16,9 @@
 const LOCAL_CANDIDATES: usize = 3;
 /// Candidates for a lease from other data centres, should the own one be lost.
 const REMOTE_CANDIDATES: usize = 2;
-/// Further wait before a takeover for each more preferred candidate.
-const RANK_DELAY: Duration = Duration::from_millis(300);
+/// Further wait before a takeover for each more preferred candidate: more than the period at which
+/// candidates look, so that the preferred one has acted before the next may.
+const RANK_DELAY: Duration = Duration::from_millis(1500);
 
 /// A group as seen by this planner.
 #[derive(Debug)]
--- a/crates/control/tests/orders.rs
+++ b/crates/control/tests/orders.rs
@@ -156,3 +156,34 @@
     assert!(bench.orders[1].token > order.token);
     assert_eq!(bench.control.status().engines[0].open_loads, 2);
 }
+
+/// Found in the demo: the planner that started first took the leases of all data centres.
+#[test]
+fn a_planner_that_starts_first_leaves_other_data_centres_to_their_own() {
+    let addr = ([127, 0, 0, 1], 1).into();
+    let vm = |name: &str, data_centre: &str| VmRecord {
+        name: VmId::new(name),
+        data_centre: DataCentre::new(data_centre),
+        caller: addr,
+        operator: addr,
+        entry_peer: addr,
+        planner_peer: addr,
+        leaving: false,
+    };
+    let mut bench = Bench::new();
+    let engine = BackendRecord {
+        id: BackendId::new("far"),
+        kind: BackendKind::Engine { enforces_fencing: true },
+        data_centre: DataCentre::new("far"),
+        addr,
+        leaving: false,
+    };
+    let vms = vec![vm("vm", "dc"), vm("far-1", "far"), vm("far-2", "far"), vm("far-3", "far")];
+    bench.give(Event::Listing(Listing { vms, backends: vec![engine] }));
+    let group = glade_types::GroupId::new("far.0");
+    bench.run(Duration::from_millis(900));
+    assert_eq!(bench.control.epoch_at(&group, bench.now), None, "far VMs are preferred");
+    bench.run(Duration::from_secs(10));
+    let epoch = bench.control.epoch_at(&group, bench.now);
+    assert_eq!(epoch, Some(1), "none of them was ever heard, so it helps out");
+}
