--- a/crates/fuzz/src/driver.rs
+++ b/crates/fuzz/src/driver.rs
@@ -56,8 +56,14 @@
     pub violation: Option<Violation>,
 }
 
-/// Runs sequences until `steps` operations are done or a property is violated.
+/// Runs sequences until `steps` operations are done or a property is violated, and shrinks a
+/// sequence that violates one.
 pub fn fuzz<W: World>(seed: u64, steps: u64) -> FuzzReport {
+    fuzz_shrinking::<W>(seed, steps, MAX_SHRINK_RUNS)
+}
+
+/// The same with another bound on the runs spent on shrinking.
+pub fn fuzz_shrinking<W: World>(seed: u64, steps: u64, shrink_runs: u32) -> FuzzReport {
     let mut report = FuzzReport::default();
     while report.steps < steps {
         let world_seed = seed.wrapping_mul(1_000_003).wrapping_add(report.sequences);
@@ -68,7 +74,7 @@
         report.sequences += 1;
         report.counts.merge(&counts);
         if let Some(message) = message {
-            report.violation = Some(shrink::<W>(world_seed, ops, message));
+            report.violation = Some(shrink::<W>(world_seed, ops, message, shrink_runs));
             return report;
         }
     }
@@ -90,12 +96,17 @@
 }
 
 /// Looks for a shorter sequence that fails as well.
-fn shrink<W: World>(world_seed: u64, mut ops: Vec<W::Op>, mut message: String) -> Violation {
+fn shrink<W: World>(
+    world_seed: u64,
+    mut ops: Vec<W::Op>,
+    mut message: String,
+    most_runs: u32,
+) -> Violation {
     let mut runs = 0;
     'shorter: loop {
         for candidate in ops.shrink() {
             runs += 1;
-            if runs > MAX_SHRINK_RUNS {
+            if runs > most_runs {
                 break 'shorter;
             }
             if let (Some(shorter), _) = run::<W>(world_seed, &candidate) {
--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -18,7 +18,7 @@
 pub use crate::{
     calls::CallWorld,
     counts::FaultCounts,
-    driver::{FuzzReport, Violation, World, fuzz},
+    driver::{FuzzReport, Violation, World, fuzz, fuzz_shrinking},
     planners::{PlannerOp, PlannerWorld},
     tables::TableWorld,
 };
