Read-through: derived and dead state removed

Cause: a reading of the whole change found the VM list kept twice in the planner's core, a field of the route table that nothing read, a structure of one field, and the same filter for usable engines three times in the coverage module. Change: each is gone or stands once. No decision, bound, check or assertion changed. Seen: make test passes with status 0 in 1 min 53 s, formatter and linter are clean.

--- a/crates/capacity/src/fixtures.rs
+++ b/crates/capacity/src/fixtures.rs
@@ -174,7 +174,6 @@
         slots: 64,
         reported: (idx % 50) as u32,
         under_way_at_report: 0,
-        reported_at: Instant::now(),
         mean_request: Duration::from_millis(1800),
         usable: true,
         counters: Arc::default(),
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -51,7 +51,6 @@
     now: Instant,
     table: Arc<Table>,
     listing: Listing,
-    vms: Vec<VmRecord>,
     live: BTreeSet<VmId>,
     /// Until when listed VMs count as live although they haven't been heard yet, so that a planner
     /// that starts first doesn't take the leases that others are preferred for.
@@ -81,7 +80,6 @@
             now,
             table: Arc::default(),
             listing: Listing::default(),
-            vms: Vec::new(),
             watched: Vec::new(),
             fleet: Fleet::default(),
             groups: BTreeMap::new(),
@@ -143,6 +141,7 @@
 
     fn choose_watched(&mut self) {
         let names: Vec<&VmRecord> = self
+            .listing
             .vms
             .iter()
             .filter(|vm| vm.data_centre == self.config.data_centre)
@@ -205,7 +204,6 @@
             return;
         }
         self.listing = listing.clone();
-        self.vms = listing.vms.clone();
         for view in self.fleet.iter() {
             let record = &view.record;
             let id = self.config.group_of(&record.id, &record.data_centre);
@@ -228,10 +226,10 @@
     fn rank_candidates(&mut self) {
         let mut live = self.live.clone();
         if self.presumed_live_until.is_some() {
-            live.extend(self.vms.iter().map(|vm| vm.name.clone()));
+            live.extend(self.listing.vms.iter().map(|vm| vm.name.clone()));
         }
         for group in self.groups.values_mut() {
-            group.rank_candidates(&self.config.vm, &self.vms, &live);
+            group.rank_candidates(&self.config.vm, &self.listing.vms, &live);
         }
     }
 
--- a/crates/control/src/coverage.rs
+++ b/crates/control/src/coverage.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::config::ControlConfig,
-    glade_fleet::Fleet,
+    glade_fleet::{EngineView, Fleet},
     glade_table::Table,
     glade_types::{GroupId, ModelName, rendezvous_order},
     std::{
@@ -39,9 +39,9 @@
 impl Coverage {
     /// Takes note of the rows that no usable engine holds.
     pub(crate) fn note(&mut self, situation: Situation<'_>) {
-        let Situation { now, config, table, fleet } = situation;
-        let usable = fleet.iter().filter(|view| view.is_usable(now, config.report_stale));
-        let covered: HashSet<&ModelName> = usable
+        let Situation { now, table, .. } = situation;
+        let covered: HashSet<&ModelName> = situation
+            .usable()
             .filter_map(|view| view.current_residency())
             .flat_map(|(residency, _)| residency.resident.iter().map(|(name, _)| name))
             .collect();
@@ -64,12 +64,20 @@
     }
 }
 
-impl Situation<'_> {
+impl<'a> Situation<'a> {
+    /// Engines that reported lately and aren't leaving.
+    fn usable(self) -> impl Iterator<Item = &'a EngineView> {
+        let (now, stale) = (self.now, self.config.report_stale);
+        self.fleet.iter().filter(move |view| view.is_usable(now, stale))
+    }
+
+    fn group_of(&self, view: &EngineView) -> GroupId {
+        self.config.group_of(&view.record.id, &view.record.data_centre)
+    }
+
     /// Groups with a usable engine.
     fn live_groups(&self) -> BTreeSet<GroupId> {
-        let stale = self.config.report_stale;
-        let usable = self.fleet.iter().filter(|view| view.is_usable(self.now, stale));
-        usable.map(|view| self.config.group_of(&view.record.id, &view.record.data_centre)).collect()
+        self.usable().map(|view| self.group_of(view)).collect()
     }
 
     /// How many groups come before `group` in covering `name`; `None` if it has no usable engine.
@@ -89,11 +97,6 @@
 
     /// True if a usable engine of the group reports to hold `model`.
     fn group_holds(&self, group: &GroupId, model: &ModelName) -> bool {
-        let stale = self.config.report_stale;
-        let usable = self.fleet.iter().filter(|view| view.is_usable(self.now, stale));
-        let holders = usable.filter(|view| view.holds(model));
-        holders
-            .into_iter()
-            .any(|view| self.config.group_of(&view.record.id, &view.record.data_centre) == *group)
+        self.usable().any(|view| view.holds(model) && self.group_of(view) == *group)
     }
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -29,19 +29,14 @@
 /// One-way time to a server of another data centre.
 const REMOTE_DISTANCE: Duration = Duration::from_micros(1500);
 
-/// Requests of this VM under way at an engine when its last load came.
-#[derive(Clone, Copy, Debug)]
-struct AtReport {
-    under_way: u32,
-}
-
 /// State of the control thread.
 pub(crate) struct ControlThread {
     shared: Arc<Shared>,
     peers: PeerShell<EntryEvent>,
     fleet: Fleet,
     counters: HashMap<BackendId, Arc<ServerCounters>>,
-    at_report: HashMap<BackendId, AtReport>,
+    /// Requests of this VM under way at an engine when its last load came.
+    under_way_at_report: HashMap<BackendId, u32>,
     limiters: HashMap<ModelName, Arc<Limiter>>,
     announced: BTreeSet<(BackendId, Incarnation)>,
     table_since: Option<Instant>,
@@ -60,7 +55,7 @@
             peers,
             fleet: Fleet::default(),
             counters: HashMap::new(),
-            at_report: HashMap::new(),
+            under_way_at_report: HashMap::new(),
             limiters: HashMap::new(),
             announced: BTreeSet::new(),
             table_since: None,
@@ -156,7 +151,7 @@
 
     fn on_load(&mut self, now: Instant, load: LoadDigest) {
         let under_way = self.counters.get(&load.engine).map_or(0, |c| c.under_way());
-        self.at_report.insert(load.engine.clone(), AtReport { under_way });
+        self.under_way_at_report.insert(load.engine.clone(), under_way);
         self.loads_changed = true;
         self.fleet.load(now, load);
     }
@@ -297,7 +292,7 @@
     fn engine_entry(&mut self, now: Instant, view: &EngineView) -> EngineEntry {
         let id = &view.record.id;
         let load = view.load.as_ref();
-        let at_report = self.at_report.get(id).map_or(0, |at| at.under_way);
+        let at_report = self.under_way_at_report.get(id).copied().unwrap_or(0);
         EngineEntry {
             id: id.clone(),
             addr: view.record.addr,
@@ -307,7 +302,6 @@
             slots: load.map_or(1, |(load, _)| load.slots),
             reported: load.map_or(0, |(load, _)| load.running + load.waiting),
             under_way_at_report: at_report,
-            reported_at: load.map_or(now, |(_, at)| *at),
             mean_request: load.map_or(Duration::ZERO, |(load, _)| {
                 Duration::from_millis(u64::from(load.mean_request_ms))
             }),
--- a/crates/policy-bench/src/world.rs
+++ b/crates/policy-bench/src/world.rs
@@ -205,7 +205,6 @@
             slots: SLOTS,
             reported: 0,
             under_way_at_report: 0,
-            reported_at: self.start,
             mean_request: Duration::from_secs(1),
             usable: true,
             counters: Arc::clone(&counters[at]),
--- a/crates/routing/src/decide.rs
+++ b/crates/routing/src/decide.rs
@@ -248,7 +248,7 @@
         super::*,
         crate::counters::ServerCounters,
         glade_types::{BackendId, Incarnation},
-        std::{sync::Arc, time::Instant},
+        std::sync::Arc,
     };
 
     fn engine(key: u16, reported: u32) -> EngineEntry {
@@ -261,7 +261,6 @@
             slots: 8,
             reported,
             under_way_at_report: 0,
-            reported_at: Instant::now(),
             mean_request: Duration::from_secs(1),
             usable: true,
             counters: Arc::new(ServerCounters::default()),
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -4,12 +4,7 @@
     crate::{admission::Limiter, counters::ServerCounters},
     glade_table::Table,
     glade_types::{BackendId, Incarnation, ModelName},
-    std::{
-        collections::HashMap,
-        net::SocketAddr,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// A model engine as routing sees it.
@@ -31,8 +26,6 @@
     pub reported: u32,
     /// Requests of this VM under way there when the report was read.
     pub under_way_at_report: u32,
-    /// When the report was read.
-    pub reported_at: Instant,
     /// Mean time of a request there.
     pub mean_request: Duration,
     /// Whether it may get new work.
