A stream stays with a silent server until another has taken it

Stream::run dropped the attempt at a server that had sent nothing for three pauses, and then looked for another. The other shed, and the answer was broken off, although its engine only read other prompts and would have gone on.

Change: the silent server's stream is still read while another is chosen and connected to. If no other takes it, the stream goes on where it is, and another is asked after the next silence while attempts are left. Each of these is a line in the log (stream_kept). An attempt now has two steps, Reached (connected) and Leg (answering).

--- a/crates/relay/src/leg.rs
+++ b/crates/relay/src/leg.rs
@@ -119,33 +119,38 @@
     }
 }
 
-/// An attempt whose answer has begun. Dropping it closes the connection, which makes the server
-/// stop working on the request.
+/// An attempt that has a connection. Nothing of the request has left yet.
 #[derive(Debug)]
-pub(crate) struct Leg<D: Dialect> {
+pub(crate) struct Reached<D: Dialect> {
     flight: Flight<D>,
-    pub(crate) head: Parts,
     connection: Connection,
-    body: Incoming,
-    /// Idle time after which the server closes the connection; zero if it can't be used again.
-    idle: Option<Duration>,
-    splitter: EventSplitter,
 }
 
-impl<D: Dialect> Leg<D> {
-    /// Sends the request to the server of `flight` and waits for the head of its answer.
+impl<D: Dialect> Reached<D> {
+    /// Connects to the server of `flight`.
+    ///
+    /// # Errors
+    ///
+    /// There is no connection.
+    pub(crate) async fn open(flight: Flight<D>, admitted: &Admitted) -> Result<Self, LegFailure> {
+        let (relay, server) = (Rc::clone(flight.relay()), flight.server);
+        relay.log_sent(admitted, server);
+        let connection = relay.connect(server, admitted.received.route.repeat).await?;
+        Ok(Self { flight, connection })
+    }
+
+    /// Sends the request and waits for the head of its answer.
     ///
     /// # Errors
     ///
     /// There is no usable answer.
-    pub(crate) async fn open(
-        flight: Flight<D>,
+    pub(crate) async fn send(
+        self,
         admitted: &Admitted,
         last_event_id: Option<u64>,
-    ) -> Result<Self, LegFailure> {
+    ) -> Result<Leg<D>, LegFailure> {
+        let Self { flight, mut connection } = self;
         let (relay, server) = (Rc::clone(flight.relay()), flight.server);
-        relay.log_sent(admitted, server);
-        let mut connection = relay.connect(server, admitted.received.route.repeat).await?;
         let req = request(&relay, admitted, server, last_event_id);
         let within = head_timeout(admitted).min(admitted.time_left(relay.clock.now()));
         let response = connection.send(req, within).await.map_err(|err| failure(&err))?;
@@ -159,7 +164,35 @@
             hop::keep_alive_s(&head.headers).map(Duration::from_secs)
         };
         let splitter = EventSplitter::default();
-        Ok(Self { flight, head, connection, body, idle, splitter })
+        Ok(Leg { flight, head, connection, body, idle, splitter })
+    }
+}
+
+/// An attempt whose answer has begun. Dropping it closes the connection, which makes the server
+/// stop working on the request.
+#[derive(Debug)]
+pub(crate) struct Leg<D: Dialect> {
+    flight: Flight<D>,
+    pub(crate) head: Parts,
+    connection: Connection,
+    body: Incoming,
+    /// Idle time after which the server closes the connection; zero if it can't be used again.
+    idle: Option<Duration>,
+    splitter: EventSplitter,
+}
+
+impl<D: Dialect> Leg<D> {
+    /// Sends the request to the server of `flight` and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// There is no usable answer.
+    pub(crate) async fn open(
+        flight: Flight<D>,
+        admitted: &Admitted,
+        last_event_id: Option<u64>,
+    ) -> Result<Self, LegFailure> {
+        Reached::open(flight, admitted).await?.send(admitted, last_event_id).await
     }
 
     /// Waits for the first event. A silent server is left while another may be asked.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod received;
 mod relay;
 mod request_log;
+mod resume;
 mod stream;
 mod visit;
 mod waiting;
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -129,6 +129,17 @@
         );
     }
 
+    /// A stream stays with a `server` that was silent, since it woke or no other takes the stream.
+    pub(crate) fn log_kept(&self, admitted: &Admitted, server: ServerIdx, cause: &'static str) {
+        log::info!(
+            id = admitted.received.id.as_str(),
+            server = self.dispatcher.borrow().record(server).key.id.as_str(),
+            cause = cause,
+            after_ms = self.after_ms(admitted);
+            "stream_kept"
+        );
+    }
+
     /// A request gets an answer of the system before it was read as a whole.
     pub(crate) fn log_rejected(&self, id: Option<&RequestId>, answer: &OwnAnswer) {
         self.meters.on_own_answer(answer.cause);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,4 +1,4 @@
-//! Streams of events, passed on as they arrive and continued at another server where allowed.
+//! Streams of events, passed on as they arrive. How one goes on at another server is in `resume`.
 
 use {
     crate::{
@@ -26,43 +26,73 @@
 /// Events under way between a server's connection and the caller's.
 const EVENTS_IN_HAND: usize = 4;
 
-/// Longest pauses between events that pass before a silent server is left.
+/// Longest pauses between events that pass before another server is asked to go on.
 const SILENT_PAUSES: u32 = 3;
-/// Shortest silence after which a server is left.
+/// Shortest silence after which another server is asked.
 const SILENT_MIN: Duration = Duration::from_millis(800);
 
+/// What a server sends next: an event, the clean end (`None`), or a failure.
+pub(crate) type Next = Result<Option<Event>, LegFailure>;
+
 /// A stream whose first event is there.
 #[derive(Debug)]
 pub(crate) struct Stream<D: Dialect> {
-    leg: Leg<D>,
-    /// Event that was read but not passed on; `None` if the stream ended without one.
-    next: Option<Event>,
+    pub(crate) leg: Leg<D>,
+    /// What was read but not passed on.
+    next: Option<Next>,
     /// Id of the last event that was passed on.
-    last_id: Option<u64>,
+    pub(crate) last_id: Option<u64>,
     /// When this server's first event was there.
     began_at: Instant,
     /// Events of this server that were passed on.
     events: u32,
+    /// When the last event was there, of any server.
+    event_at: Instant,
     /// Longest time between two events, at all servers.
     longest_pause: Duration,
+    /// This server counts as an attempt that failed, since it was silent once.
+    was_silent: bool,
 }
 
-/// How a stream ended.
+/// How far a stream was passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
     /// All of it was passed on.
     Whole,
     /// The caller left.
     CallerLeft,
-    /// The rest can't be had.
+    /// The server is silent. It may go on.
+    Silent,
+    /// This server won't send the rest.
     Lost(LegFailure),
 }
 
 impl<D: Dialect> Stream<D> {
     /// Returns a stream that goes on after `last_id` with `first`.
     pub(crate) fn new(leg: Leg<D>, first: Option<Event>, last_id: Option<u64>) -> Self {
-        let began_at = leg.now();
-        Self { leg, next: first, last_id, began_at, events: 0, longest_pause: Duration::ZERO }
+        let now = leg.now();
+        Self {
+            leg,
+            next: Some(Ok(first)),
+            last_id,
+            began_at: now,
+            events: 0,
+            event_at: now,
+            longest_pause: Duration::ZERO,
+            was_silent: false,
+        }
+    }
+
+    /// Counts the time since the last event of `before`, which this stream continues.
+    pub(crate) fn continuing(mut self, before: &Pauses) -> Self {
+        let gap = self.event_at.saturating_duration_since(before.event_at);
+        self.longest_pause = before.longest.max(gap);
+        self
+    }
+
+    /// Pauses up to now.
+    pub(crate) fn pauses(&self) -> Pauses {
+        Pauses { event_at: self.event_at, longest: self.longest_pause }
     }
 
     /// Head of the answer.
@@ -75,18 +105,6 @@
         self.leg.server()
     }
 
-    fn log_ended(&self, relay: &Relay<D>, admitted: &Admitted, outcome: &'static str) {
-        relay.log_stream_ended(admitted, outcome, self.longest_pause);
-    }
-
-    /// Learns how fast the server generates.
-    fn note_speed(&self, relay: &Relay<D>, admitted: &Admitted) {
-        let later_events = self.events.saturating_sub(1);
-        let tokens = later_events * admitted.visit.need.tokens_per_event;
-        let time = relay.clock.now().saturating_duration_since(self.began_at);
-        self.leg.generated(tokens, time);
-    }
-
     /// Passes the stream on, on a task of its own.
     pub(crate) fn spawn(self, relay: &Rc<Relay<D>>, admitted: Admitted) -> AnswerBody {
         let (sender, receiver) = channel(EVENTS_IN_HAND);
@@ -94,6 +112,12 @@
         AnswerBody::Pieces(receiver)
     }
 
+    /// Takes what the silent server has sent after all.
+    pub(crate) fn awake(&mut self, next: Next) {
+        self.note_pause();
+        self.next = Some(next);
+    }
+
     async fn run(
         mut self,
         relay: Rc<Relay<D>>,
@@ -102,32 +126,35 @@
     ) {
         loop {
             let end = self.pass_on(&relay, &admitted, &caller).await;
-            let failure = match end {
-                End::Whole => {
-                    self.note_speed(&relay, &admitted);
-                    self.log_ended(&relay, &admitted, "whole");
-                    self.leg.finish();
-
-                    return;
+            let pauses = self.pauses();
+            let goes_on = match end {
+                End::Whole => return self.finish(&relay, &admitted),
+                End::CallerLeft => None,
+                End::Silent => {
+                    if !self.was_silent {
+                        relay.note_failure(&admitted, self.server(), LegFailure::Silent);
+                        admitted.spend(self.server(), LegFailure::Silent);
+                        self.was_silent = true;
+                    }
+                    unless_closed(&caller, self.hand_over(&relay, &mut admitted)).await
                 }
-                End::CallerLeft => {
-                    self.log_ended(&relay, &admitted, "caller_left");
-                    return;
+                End::Lost(failure) => {
+                    relay.note_failure(&admitted, self.server(), failure);
+                    if !self.was_silent {
+                        admitted.spend(self.server(), failure);
+                    }
+                    unless_closed(&caller, self.resume(&relay, &mut admitted)).await
                 }
-                End::Lost(failure) => failure,
             };
-            relay.note_failure(&admitted, self.leg.server(), failure);
-            admitted.spend(self.leg.server(), failure);
-            let (began, pause) = (relay.clock.now(), self.longest_pause);
-            match self.resume(&relay, &mut admitted, &caller).await {
-                Some(resumed) => {
-                    self = resumed;
-                    let gap = relay.clock.now().saturating_duration_since(began);
-                    self.longest_pause = pause.max(gap);
+            match goes_on {
+                Some(stream) => self = stream,
+                None if caller.is_closed() => {
+                    relay.log_stream_ended(&admitted, "caller_left", pauses.longest);
+                    return;
                 }
                 None => {
-                    relay.log_stream_ended(&admitted, "broken_off", pause);
-                    // The caller may have left; then nobody needs to know.
+                    relay.log_stream_ended(&admitted, "broken_off", pauses.longest);
+                    // The caller may have left by now; then nobody needs to know.
                     let _ = caller.send(Err(BrokenOff)).await;
                     return;
                 }
@@ -135,7 +162,7 @@
         }
     }
 
-    /// Passes events on until the stream ends, breaks or runs out of time.
+    /// Passes events on until the stream ends, breaks, pauses for long or runs out of time.
     async fn pass_on(
         &mut self,
         relay: &Relay<D>,
@@ -144,10 +171,26 @@
     ) -> End {
         let out_of_time = sleep(admitted.time_left(relay.clock.now()));
         tokio::pin!(out_of_time);
-        let Some(mut event) = self.next.take() else { return End::Whole };
         let silence = silence_limit(admitted);
-        let mut event_at = relay.clock.now();
         loop {
+            let next = match self.next.take() {
+                Some(next) => next,
+                None => tokio::select! {
+                    biased;
+                    () = caller.closed() => return End::CallerLeft,
+                    () = &mut out_of_time => return End::Lost(LegFailure::Silent),
+                    next = timeout(silence, self.leg.next_event()) => {
+                        let Ok(next) = next else { return End::Silent };
+                        self.note_pause();
+                        next
+                    }
+                },
+            };
+            let event = match next {
+                Ok(Some(event)) => event,
+                Ok(None) => return End::Whole,
+                Err(failure) => return End::Lost(failure),
+            };
             if !follows(self.last_id, event.id) {
                 return End::Lost(LegFailure::Foreign);
             }
@@ -157,66 +200,48 @@
             }
             self.last_id = id;
             self.events += 1;
-            let next = tokio::select! {
-                biased;
-                () = caller.closed() => return End::CallerLeft,
-                () = &mut out_of_time => return End::Lost(LegFailure::Silent),
-                next = timeout(silence, self.leg.next_event()) => {
-                    next.unwrap_or(Err(LegFailure::Silent))
-                }
-            };
-            let now = relay.clock.now();
-            self.longest_pause = self.longest_pause.max(now.saturating_duration_since(event_at));
-            event_at = now;
-            match next {
-                Ok(Some(next)) => event = next,
-                Ok(None) => return End::Whole,
-                Err(failure) => return End::Lost(failure),
-            }
         }
     }
 
-    /// Continues the stream at another server, if the route allows it and there is one in time.
-    async fn resume(
-        self,
-        relay: &Rc<Relay<D>>,
-        admitted: &mut Admitted,
-        caller: &Sender<Result<Bytes, BrokenOff>>,
-    ) -> Option<Self> {
-        let last_id = self.last_id;
-        // Closes the broken attempt's connection, so that its server stops.
-        drop(self.leg);
-        if admitted.received.route.repeat != Repeat::Resumable {
-            return None;
-        }
-        admitted.begin_anew(relay.clock.now());
-        while !caller.is_closed() {
-            let flight = relay.next_flight(admitted).await.ok()?;
-            let server = flight.server;
-            let opened = async {
-                let mut leg = Leg::open(flight, admitted, last_id).await?;
-                if !leg.head.status.is_success() {
-                    return Err(LegFailure::Failed);
-                }
-                let first = leg.first_event(admitted).await?;
-                Ok(Self::new(leg, first, last_id))
-            };
-            match opened.await {
-                Ok(stream) => {
-                    relay.log_resumed(admitted, server, last_id);
-                    return Some(stream);
-                }
-                Err(failure) => {
-                    relay.note_failure(admitted, server, failure);
-                    admitted.spend(server, failure);
-                }
-            }
-        }
-        None
+    /// Takes note that the time since the last event is over.
+    fn note_pause(&mut self) {
+        let now = self.leg.now();
+        let pause = now.saturating_duration_since(self.event_at);
+        self.longest_pause = self.longest_pause.max(pause);
+        self.event_at = now;
+    }
+
+    /// All of the stream was passed on.
+    fn finish(self, relay: &Relay<D>, admitted: &Admitted) {
+        let later_events = self.events.saturating_sub(1);
+        let tokens = later_events * admitted.visit.need.tokens_per_event;
+        let time = relay.clock.now().saturating_duration_since(self.began_at);
+        self.leg.generated(tokens, time);
+        relay.log_stream_ended(admitted, "whole", self.longest_pause);
+        self.leg.finish();
+    }
+}
+
+/// Pauses of a stream that another may continue.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pauses {
+    event_at: Instant,
+    longest: Duration,
+}
+
+/// What `goes_on` finds; `None` once the caller has left.
+async fn unless_closed<D: Dialect>(
+    caller: &Sender<Result<Bytes, BrokenOff>>,
+    goes_on: impl Future<Output = Option<Stream<D>>>,
+) -> Option<Stream<D>> {
+    tokio::select! {
+        biased;
+        () = caller.closed() => None,
+        stream = goes_on => stream,
     }
 }
 
-/// Longest silence of a server in the middle of a stream that another may continue.
+/// Longest silence of a server in the middle of a stream before another is asked to go on.
 fn silence_limit(admitted: &Admitted) -> Duration {
     let route = &admitted.received.route;
     if route.repeat != Repeat::Resumable || !admitted.may_try_again() {
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -41,6 +41,8 @@
 
 /// Time to load a model.
 const LOAD_TIME: Duration = Duration::from_millis(60);
+/// Time for which an engine sends nothing, longer than a node waits before it asks another.
+const LONG_PAUSE: Duration = Duration::from_millis(1_800);
 /// Events under way to a caller.
 const EVENTS_IN_HAND: usize = 4;
 
@@ -52,6 +54,8 @@
     None,
     /// It closes the connection after this many events, or in place of a whole answer.
     BreaksAfter(u64),
+    /// It sends nothing for a while after this many events of a stream, and then goes on.
+    PausesAfter(u64),
     /// It runs requests and answers nothing.
     Hangs,
     /// It rejects requests without running them.
@@ -335,7 +339,10 @@
             let marks = shared.marks("another-request", true);
             return Ok(shared.answer(StatusCode::OK, &marks, empty()));
         }
-        EngineFault::None | EngineFault::BreaksAfter(_) | EngineFault::Rejects => {}
+        EngineFault::None
+        | EngineFault::BreaksAfter(_)
+        | EngineFault::PausesAfter(_)
+        | EngineFault::Rejects => {}
     }
     let marks = shared.marks(&id, true);
     if shared.spec.is_engine {
@@ -347,7 +354,7 @@
         return Ok(response);
     }
     sleep(shared.spec.pause).await;
-    if fault != EngineFault::None {
+    if matches!(fault, EngineFault::BreaksAfter(_)) {
         return Err(broken());
     }
     shared.log.end(run);
@@ -370,6 +377,9 @@
             let _ = sender.send(Err(broken())).await;
             return;
         }
+        if fault == EngineFault::PausesAfter(sent as u64) {
+            sleep(LONG_PAUSE).await;
+        }
         sleep(shared.spec.pause).await;
         let event = Bytes::from(format!("id: {id}\ndata: token-{id}\n\n"));
         if sender.send(Ok(event)).await.is_err() {
--- a/crates/system/tests/node.rs
+++ b/crates/system/tests/node.rs
@@ -78,6 +78,33 @@
     assert!(site.log.runs().iter().any(|run| run.resumed_after.is_some()));
 }
 
+/// mix at Kalahari, seed 36701137966: an engine that read other prompts was left for its silence, the
+/// next one shed, and the answer was broken off.
+#[test]
+fn a_stream_that_pauses_goes_on_where_it_is_if_no_other_engine_takes_it() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    site.engine_fault(0, EngineFault::PausesAfter(4));
+    site.engine_fault(1, EngineFault::Rejects);
+    let id = site.request_id();
+    let reply = site.send(0, CHAT, Some("m0"), &id).expect("an answer");
+    assert_eq!(reply.event_ids(), whole_stream(), "{:?}", site.log.runs_of(&id));
+    assert!(reply.whole);
+    assert_eq!(site.log.runs_of(&id).len(), 1);
+}
+
+#[test]
+fn a_stream_that_pauses_goes_on_at_an_engine_that_takes_it() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    site.engine_fault(0, EngineFault::PausesAfter(4));
+    site.eventually("a stream is resumed", || {
+        let id = site.request_id();
+        let reply = site.send(0, CHAT, Some("m0"), &id).expect("an answer");
+        assert_eq!(reply.event_ids(), whole_stream(), "{:?}", site.log.runs_of(&id));
+        assert!(reply.whole);
+        site.log.runs_of(&id).iter().any(|run| run.resumed_after == Some(4))
+    });
+}
+
 #[test]
 fn a_stream_that_may_run_once_is_never_passed_off_as_whole() {
     let site = Site::start(1, &[&["m0"], &["m0"]]);
