Adapters that are asked for are put beside every copy of their model

Cause: an adapter was loaded at one engine and never at a second one, so a copy of a model served nobody who asked for an adapter that the first had.

Ruled out: copies on the wish of a node that finds an adapter's engines crowded (too late by the round trip through the holder, and the holder knows the demand already).

Change: each 200 ms an engine with nothing to do and more than one free place gets the adapter of its models that has most requests for each copy, from half a request on. One place stays free for adapters that are nowhere. If none is free, an adapter gives way that nobody asks for, then one that others have too.

Tests in virtual time: three engines hold the model and its adapter after 5 s, one before.

--- a/crates/residency/src/engine_slot.rs
+++ b/crates/residency/src/engine_slot.rs
@@ -80,6 +80,17 @@
     progress: Progress,
 }
 
+/// What is lost if an engine drops an adapter, the least first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum AdapterLoss {
+    /// Nobody asks for it.
+    Unused,
+    /// Others have it too. Its unload may wait for its requests here.
+    Elsewhere,
+    /// It is asked for and nowhere else; its unload waits for its requests.
+    InUse,
+}
+
 /// What the steward wants done for an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum SlotAction {
@@ -213,20 +224,25 @@
         }
     }
 
-    /// The adapter that has been unused for longest, with the time of its last use. One that
-    /// `is_in_use` is taken only if there is no other: its unload waits for its requests.
-    pub(crate) fn stalest_adapter(
+    /// Adapters that it holds.
+    pub(crate) fn adapters(&self) -> impl Iterator<Item = &ModelName> {
+        self.ledger.iter().flat_map(|ledger| ledger.adapters.keys())
+    }
+
+    /// The adapter that is the least loss, with the time of its last use: of several the one that has
+    /// been unused for longest.
+    pub(crate) fn least_adapter(
         &self,
-        is_in_use: impl Fn(&ModelName) -> bool,
-    ) -> Option<(&ModelName, Instant)> {
+        loss: impl Fn(&ModelName) -> AdapterLoss,
+    ) -> Option<(&ModelName, AdapterLoss, Instant)> {
         self.ledger
             .as_ref()?
             .adapters
             .iter()
             // One that is on its way out gives its place to somebody else already.
             .filter(|(adapter, _)| !self.is_outgoing(adapter))
-            .map(|(adapter, state)| (adapter, state.used_at))
-            .min_by_key(|(adapter, used_at)| (is_in_use(adapter), *used_at))
+            .map(|(adapter, state)| (adapter, loss(adapter), state.used_at))
+            .min_by_key(|(_, loss, used_at)| (*loss, *used_at))
     }
 
     /// Plans to load an adapter, dropping `victim` before.
--- a/crates/residency/src/steward.rs
+++ b/crates/residency/src/steward.rs
@@ -1,5 +1,7 @@
 //! The holder's work: keeps ledgers of all engines, decides, and gives orders.
 
+mod adapters;
+
 use {
     crate::{
         demand::DemandTable,
@@ -173,6 +175,7 @@
                 if now >= self.plan_at {
                     self.pacer.set_rate(now, class.store_loads_per_s);
                     self.place(now, service, class);
+                    self.spread_adapters(now, service, class);
                 }
             }
             if now >= self.plan_at {
@@ -202,58 +205,6 @@
         self.slots.values().map(|slot| slot.digest(now)).collect()
     }
 
-    /// Orders adapters that were asked for and are nowhere.
-    fn grant_wishes(&mut self, now: Instant, service: &Service, class: &EngineClass) {
-        let wishes: Vec<ModelName> = self.wishes.keys().cloned().collect();
-        for adapter in wishes {
-            let base = base_of(&adapter);
-            if !is_adapter(&adapter) || class.model(base).is_none() {
-                continue;
-            }
-            let is_somewhere = self
-                .slots
-                .values()
-                .any(|slot| slot.usable && slot.has_adapter(&adapter) && slot.has_ready_base(base));
-            if is_somewhere || self.grant(now, service, class, base, &adapter) {
-                self.wishes.remove(&adapter);
-            }
-        }
-    }
-
-    fn grant(
-        &mut self,
-        now: Instant,
-        service: &Service,
-        class: &EngineClass,
-        base: &str,
-        adapter: &ModelName,
-    ) -> bool {
-        let places = class.adapter_slots as usize;
-        let demand = &self.demand;
-        let is_in_use = |name: &ModelName| demand.in_flight(now, name) > 0.0;
-        let best = self
-            .slots
-            .values_mut()
-            .filter(|slot| slot.record.service == service.name)
-            .filter(|slot| slot.takes_adapters() && slot.has_ready_base(base))
-            .min_by_key(|slot| {
-                let count = slot.adapter_count();
-                let stalest = slot.stalest_adapter(is_in_use).map(|(_, used_at)| used_at);
-                (count.saturating_sub(places - 1), stalest.filter(|_| count >= places), count)
-            });
-        let Some(slot) = best else { return false };
-        let victim = if slot.adapter_count() >= places {
-            match slot.stalest_adapter(is_in_use) {
-                Some((victim, _)) => Some(victim.clone()),
-                None => return false,
-            }
-        } else {
-            None
-        };
-        slot.order_adapter(now, adapter.clone(), victim);
-        true
-    }
-
     /// Makes one placement decision for a service.
     fn place(&mut self, now: Instant, service: &Service, class: &EngineClass) {
         let keys: Vec<ServerKey> = self
--- a/crates/residency/tests/steward.rs
+++ b/crates/residency/tests/steward.rs
@@ -102,6 +102,10 @@
         }
     }
 
+    fn adapter_holders(&self, name: &str) -> usize {
+        self.engines.iter().filter(|engine| engine.adapters.contains(&model(name))).count()
+    }
+
     fn holders(&self, name: &str) -> usize {
         self.engines.iter().filter(|engine| engine.bases.contains(&model(name))).count()
     }
@@ -144,6 +148,46 @@
     assert!(world.engines[1].adapters.contains(&model("m3/a2")), "{:?}", world.engines[1]);
 }
 
+/// scale-1 at the grown Kalahari: 150 requests for adapters of one model were refused, because each was on
+/// one of the engines that held the model.
+#[test]
+fn an_adapter_in_demand_is_put_beside_every_copy_of_its_model() {
+    let mut world = small_world(Faults::default(), 1);
+    world.run(Duration::from_secs(1), |_| {});
+    world.steward.on_wish(world.now, &model("m0/a1"));
+    // One of the engines has a load of three seconds before it.
+    world.run(Duration::from_secs(5), |world| {
+        world.steward.on_demand(world.now, &VmId::new("a"), &demand("m0/a1", 4));
+    });
+    assert_eq!(world.adapter_holders("m0/a1"), 3, "{:?}", world.engines);
+}
+
+#[test]
+fn an_adapter_that_is_hardly_asked_for_has_one_copy() {
+    let mut world = small_world(Faults::default(), 1);
+    world.run(Duration::from_secs(1), |_| {});
+    world.steward.on_wish(world.now, &model("m0/a1"));
+    world.run(Duration::from_secs(2), |world| {
+        world.steward.on_demand(world.now, &VmId::new("a"), &demand("m0/a1", 0));
+    });
+    assert_eq!(world.adapter_holders("m0/a1"), 1);
+}
+
+#[test]
+fn copies_leave_a_place_for_an_adapter_that_is_nowhere() {
+    let mut world = small_world(Faults::default(), 1);
+    world.run(Duration::from_secs(1), |_| {});
+    for adapter in ["m0/a1", "m0/a2"] {
+        world.steward.on_wish(world.now, &model(adapter));
+        world.run(Duration::from_secs(1), |world| {
+            world.steward.on_demand(world.now, &VmId::new("a"), &demand(adapter, 4));
+        });
+    }
+    world.steward.on_wish(world.now, &model("m3/a1"));
+    world.run(Duration::from_millis(100), |_| {});
+    assert!(world.engines[1].adapters.contains(&model("m3/a1")), "{:?}", world.engines[1]);
+}
+
 #[test]
 fn adapters_beyond_the_places_take_the_place_of_the_stalest() {
     let mut world = small_world(Faults::default(), 1);
