A server that was silent before its stream began counts as one attempt

Cause, by reading: a stream whose server had been silent before its first event and woke was counted as an attempt then, and again if it broke later, so that it might not be resumed. Change: the stream takes over whether its server is counted.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -58,7 +58,10 @@
             };
             let Pursued { server, outcome, is_spent } = self.pursue(&admitted, flight).await;
             let failure = match outcome {
-                Ok(Answered::Stream(stream)) => return self.pass_stream_on(admitted, *stream),
+                Ok(Answered::Stream(mut stream)) => {
+                    stream.is_spent = is_spent;
+                    return self.pass_stream_on(admitted, *stream);
+                }
                 Ok(Answered::Whole(whole)) if whole.head.status.is_server_error() => {
                     failed = Some(whole);
                     LegFailure::Failed
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -50,8 +50,8 @@
     event_at: Instant,
     /// Longest time between two events, at all servers.
     longest_pause: Duration,
-    /// This server counts as an attempt that failed, since it was silent once.
-    was_silent: bool,
+    /// This server counts as an attempt that failed already, since it was silent for long.
+    pub(crate) is_spent: bool,
 }
 
 /// How far a stream was passed on.
@@ -79,7 +79,7 @@
             events: 0,
             event_at: now,
             longest_pause: Duration::ZERO,
-            was_silent: false,
+            is_spent: false,
         }
     }
 
@@ -131,16 +131,16 @@
                 End::Whole => return self.finish(&relay, &admitted),
                 End::CallerLeft => None,
                 End::Silent => {
-                    if !self.was_silent {
+                    if !self.is_spent {
                         relay.note_failure(&admitted, self.server(), LegFailure::Silent);
                         admitted.spend(self.server(), LegFailure::Silent);
-                        self.was_silent = true;
+                        self.is_spent = true;
                     }
                     unless_closed(&caller, self.hand_over(&relay, &mut admitted)).await
                 }
                 End::Lost(failure) => {
                     relay.note_failure(&admitted, self.server(), failure);
-                    if !self.was_silent {
+                    if !self.is_spent {
                         admitted.spend(self.server(), failure);
                     }
                     unless_closed(&caller, self.resume(&relay, &mut admitted)).await
