One hand-over for attempts and streams, one log of late prompts

Read again, without a change of behaviour:

* Streams handed over from a silent server by a loop of their own beside that of Relay::ask_another.
That now takes what the silent server owes and how another begins, and serves both; offer and Offered go.
* note_failure and spend stood together in five places: Relay::spend.
* The limits of silence before an answer and within one had the same rule and figures twice: Admitted.
* The dispatcher kept two lists of prompts with their times and forgot the old ones in each: PromptLog.
* The adapters of a ledger were asked whether they are adapters.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod health;
 mod load;
 mod need;
+mod prompt_log;
 mod prompt_sent;
 mod repeat_budget;
 mod sent_elsewhere;
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{
-        health::Health, load::Load, sent_elsewhere::SentElsewhere, speed::Speed, view::ServerView,
+        health::Health, load::Load, prompt_log::PromptLog, sent_elsewhere::SentElsewhere,
+        speed::Speed, view::ServerView,
     },
     std::{
-        collections::VecDeque,
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -33,8 +33,8 @@
     pub(crate) gone: bool,
     /// What this VM has under way there.
     pub(crate) own: Load,
-    /// Prompts sent by this VM within [`RECENT`], the oldest first.
-    recent: VecDeque<(Instant, u64)>,
+    /// Prompts sent by this VM within [`RECENT`].
+    recent: PromptLog,
     /// Prompts that other VMs have sent.
     pub(crate) elsewhere: SentElsewhere,
     /// Whether it answers as it should.
@@ -49,7 +49,7 @@
             view,
             gone: false,
             own: Load::default(),
-            recent: VecDeque::new(),
+            recent: PromptLog::new(RECENT),
             elsewhere: SentElsewhere::default(),
             health: Health::default(),
             speed: Speed::default(),
@@ -64,22 +64,12 @@
 
     /// A prompt of `tokens` is sent.
     pub(crate) fn on_prompt(&mut self, now: Instant, tokens: u64) {
-        self.forget_old_prompts(now);
-        self.recent.push_back((now, tokens));
-    }
-
-    /// Forgets prompts that were sent longer ago than [`RECENT`].
-    pub(crate) fn forget_old_prompts(&mut self, now: Instant) {
-        while self.recent.front().is_some_and(|(at, _)| now.saturating_duration_since(*at) > RECENT)
-        {
-            self.recent.pop_front();
-        }
+        self.recent.add(now, tokens);
     }
 
     /// What this VM has under way there.
     pub(crate) fn own_load(&self, now: Instant) -> Load {
-        let is_recent = |(at, _): &&(Instant, u64)| now.saturating_duration_since(*at) <= RECENT;
-        let recent_tokens = self.recent.iter().filter(is_recent).map(|(_, tokens)| tokens).sum();
+        let recent_tokens = self.recent.latest(now, RECENT).sum();
         Load { recent_tokens, ..self.own }
     }
 
--- a/crates/dispatch/tests/loads.rs
+++ b/crates/dispatch/tests/loads.rs
@@ -5,7 +5,7 @@
 
 use {
     common::play::{Arrival, Outcome, Play, shares},
-    std::time::Duration,
+    std::{ops::Range, time::Duration},
 };
 
 /// Chats like Kalahari's, `per_s` of them for ten seconds.
@@ -34,6 +34,12 @@
     arrivals
 }
 
+/// Shares of requests in time, and served at all, over one play for each of `seeds`.
+fn shares_over(seeds: Range<u64>, play: impl FnMut(u64) -> Vec<Outcome>) -> (f64, f64) {
+    let outcomes: Vec<Outcome> = seeds.flat_map(play).collect();
+    shares(&outcomes)
+}
+
 #[test]
 fn a_calm_load_is_served_in_time() {
     let outcomes = Play::run(6, &chats(36, 1));
@@ -46,10 +52,8 @@
 #[test]
 fn long_prompts_beside_streams_leave_the_streams_in_time() {
     // Without pacing 0.86 are in time; the target is 0.9.
-    let outcomes: Vec<Outcome> = (1..4)
-        .flat_map(|seed| Play::run(6, &with_long_prompts(chats(50, seed), 12, seed + 10)))
-        .collect();
-    let (in_time, served) = shares(&outcomes);
+    let (in_time, served) =
+        shares_over(1..4, |seed| Play::run(6, &with_long_prompts(chats(50, seed), 12, seed + 10)));
     assert!(in_time >= 0.9 && served >= 0.99, "in time {in_time}, served {served}");
 }
 
@@ -84,9 +88,8 @@
 /// all chose the server that had least to do, so its streams paused while it read all their prompts.
 #[test]
 fn many_nodes_that_know_little_of_each_other_dont_all_choose_the_same_server() {
-    let outcomes: Vec<Outcome> =
-        (1..4).flat_map(|seed| Play::run_nodes(60, 250, 12, &chats(80, seed))).collect();
-    let (in_time, served) = shares(&outcomes);
+    let (in_time, served) =
+        shares_over(1..4, |seed| Play::run_nodes(60, 250, 12, &chats(80, seed)));
     assert!(in_time >= 0.9 && served >= 0.99, "in time {in_time}, served {served}");
 }
 
@@ -95,9 +98,7 @@
 #[test]
 fn many_nodes_leave_streams_in_time_beside_long_prompts() {
     let load = |seed| with_long_prompts(chats(30, seed), 5, seed + 10);
-    let outcomes: Vec<Outcome> =
-        (1..9).flat_map(|seed| Play::run_nodes(60, 200, 4, &load(seed))).collect();
-    let (in_time, served) = shares(&outcomes);
+    let (in_time, served) = shares_over(1..9, |seed| Play::run_nodes(60, 200, 4, &load(seed)));
     // With pacing by what others tell 0.56 are in time, with one node that knows all 0.99.
     assert!(in_time >= 0.7 && served >= 0.99, "in time {in_time}, served {served}");
 }
@@ -106,10 +107,8 @@
 #[test]
 fn word_of_prompts_leaves_streams_in_time() {
     let load = |seed| with_long_prompts(chats(30, seed), 5, seed + 10);
-    let outcomes: Vec<Outcome> = (1..9)
-        .flat_map(|seed| Play::run_nodes_that_tell(60, 200, Some(30), 4, &load(seed)))
-        .collect();
-    let (in_time, served) = shares(&outcomes);
+    let play = |seed| Play::run_nodes_that_tell(60, 200, Some(30), 4, &load(seed));
+    let (in_time, served) = shares_over(1..9, play);
     assert!(in_time >= 0.88 && served >= 0.99, "in time {in_time}, served {served}");
 }
 
@@ -118,10 +117,8 @@
 #[test]
 fn word_of_prompts_leaves_streams_of_a_models_only_engine_in_time() {
     let load = |seed| with_long_prompts(chats(7, seed), 1, seed + 10);
-    let outcomes: Vec<Outcome> = (1..17)
-        .flat_map(|seed| Play::run_nodes_that_tell(60, 200, Some(30), 1, &load(seed)))
-        .collect();
-    let (in_time, served) = shares(&outcomes);
+    let play = |seed| Play::run_nodes_that_tell(60, 200, Some(30), 1, &load(seed));
+    let (in_time, served) = shares_over(1..17, play);
     // Without word 0.71, with one node that knows all 0.94.
     assert!(in_time >= 0.77 && served >= 0.99, "in time {in_time}, served {served}");
 }
@@ -130,9 +127,7 @@
 #[test]
 fn few_nodes_that_tell_of_prompts_leave_streams_in_time() {
     let load = |seed| with_long_prompts(chats(30, seed), 5, seed + 10);
-    let outcomes: Vec<Outcome> = (1..9)
-        .flat_map(|seed| Play::run_nodes_that_tell(7, 50, Some(10), 4, &load(seed)))
-        .collect();
-    let (in_time, served) = shares(&outcomes);
+    let play = |seed| Play::run_nodes_that_tell(7, 50, Some(10), 4, &load(seed));
+    let (in_time, served) = shares_over(1..9, play);
     assert!(in_time >= 0.88 && served >= 0.99, "in time {in_time}, served {served}");
 }
--- a/crates/relay/src/admitted.rs
+++ b/crates/relay/src/admitted.rs
@@ -3,6 +3,7 @@
 use {
     crate::{leg::LegFailure, received::Received, spent::Spent, visit::Visit},
     bytes::Bytes,
+    glade_catalog::Repeat,
     glade_dispatch::ServerIdx,
     hyper::http::request::Parts,
     std::{
@@ -11,6 +12,12 @@
     },
 };
 
+/// Times that the route's objective, or the longest pause of its streams, passes before another server
+/// is asked.
+const SILENT_TIMES: u32 = 3;
+/// Shortest silence after which another server is asked.
+const SILENT_MIN: Duration = Duration::from_millis(800);
+
 /// A request that was read as a whole, and what it may still spend.
 #[derive(Debug)]
 pub(crate) struct Admitted {
@@ -58,12 +65,21 @@
 
     /// Longest silence of a server before its answer begins, after which another one is asked.
     pub(crate) fn silence_limit(&self) -> Duration {
-        /// Objectives that pass before another server is asked.
-        const SILENT_OBJECTIVES: u32 = 3;
-        /// Shortest time before another server is asked.
-        const SILENT_MIN: Duration = Duration::from_millis(800);
-        if self.received.route.may_repeat() && self.may_try_again() {
-            (self.received.route.objective * SILENT_OBJECTIVES).max(SILENT_MIN)
+        let route = &self.received.route;
+        self.limit(route.may_repeat(), route.objective)
+    }
+
+    /// Longest silence of a server in the middle of a stream, after which another one is asked.
+    pub(crate) fn pause_silence_limit(&self) -> Duration {
+        let route = &self.received.route;
+        self.limit(route.repeat == Repeat::Resumable, route.pause_limit.unwrap_or_default())
+    }
+
+    /// Longest silence where the route wants something sent within `wanted`; without end if no other
+    /// server may be asked.
+    fn limit(&self, may_move: bool, wanted: Duration) -> Duration {
+        if may_move && self.may_try_again() {
+            (wanted * SILENT_TIMES).max(SILENT_MIN)
         } else {
             Duration::MAX
         }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -69,9 +69,10 @@
                 Ok(Answered::Whole(whole)) => return self.pass_on(&admitted, whole),
                 Err(failure) => failure,
             };
-            self.note_failure(&admitted, server, failure);
-            if !is_spent {
-                admitted.spend(server, failure);
+            if is_spent {
+                self.note_failure(&admitted, server, failure);
+            } else {
+                self.spend(&admitted, server, failure);
             }
             if let Some(whole) =
                 failed.take_if(|whole| !self.dispatcher.borrow().is_outlier(whole.server))
@@ -179,6 +180,13 @@
         answer.into_response()
     }
 
+    /// Takes note of an attempt that failed at `server`, and counts it.
+    pub(crate) fn spend(&self, admitted: &Admitted, server: ServerIdx, failure: LegFailure) {
+        self.note_failure(admitted, server, failure);
+        admitted.spend(server, failure);
+    }
+
+    /// Takes note of a failure of `server`.
     pub(crate) fn note_failure(&self, admitted: &Admitted, server: ServerIdx, failure: LegFailure) {
         let now = self.clock.now();
         let set_aside = self.dispatcher.borrow_mut().failed(now, server, failure.weight());
--- a/crates/relay/src/pursuit.rs
+++ b/crates/relay/src/pursuit.rs
@@ -22,13 +22,13 @@
 
 /// Time after which a request that was sent on counts as taken. A rejection takes a round trip of a
 /// few milliseconds; two servers may work on one request for 400 ms at most.
-pub(crate) const HANDOVER: Duration = Duration::from_millis(150);
+const HANDOVER: Duration = Duration::from_millis(150);
 
 /// What an attempt brings.
 pub(crate) type Outcome<D> = Result<Answered<D>, LegFailure>;
 
-/// An attempt under way.
-type Answer<'a, D> = Pin<Box<dyn Future<Output = Outcome<D>> + 'a>>;
+/// An attempt under way, up to a `T`.
+pub(crate) type Answer<'a, T> = Pin<Box<dyn Future<Output = Result<T, LegFailure>> + 'a>>;
 
 /// What the attempts at a request have come to.
 pub(crate) struct Pursued<D: Dialect> {
@@ -39,14 +39,14 @@
     pub(crate) is_spent: bool,
 }
 
-/// What came of asking another server while one was silent.
-enum Asked<'a, D: Dialect> {
-    /// The silent one has answered, or failed.
-    Awake(Outcome<D>),
+/// What came of asking another server, for a `T`, while one was silent that owes an `S`.
+pub(crate) enum Asked<'a, S, T> {
+    /// The silent one has sent something, or failed.
+    Awake(S),
     /// Another has answered, or failed and may have run the request.
-    Answered(ServerIdx, Outcome<D>),
+    Answered(ServerIdx, Result<T, LegFailure>),
     /// Another works on it.
-    Taken(ServerIdx, Answer<'a, D>),
+    Taken(ServerIdx, Answer<'a, T>),
     /// No other takes it, and why.
     Kept(&'static str),
 }
@@ -59,18 +59,18 @@
         flight: Flight<D>,
     ) -> Pursued<D> {
         let mut server = flight.server;
-        let mut answer: Answer<'a, D> = Box::pin(Self::attempt(admitted, flight));
+        let mut answer: Answer<'a, _> = Box::pin(Self::attempt(admitted, flight));
         let mut is_spent = false;
         loop {
             if let Ok(outcome) = timeout(admitted.silence_limit(), &mut answer).await {
                 return Pursued { server, outcome, is_spent };
             }
             if !is_spent {
-                self.note_failure(admitted, server, LegFailure::Silent);
-                admitted.spend(server, LegFailure::Silent);
+                self.spend(admitted, server, LegFailure::Silent);
                 is_spent = true;
             }
-            match self.ask_another(admitted, &mut answer).await {
+            let begin = |reached| -> Answer<'a, _> { Box::pin(Self::finish(admitted, reached)) };
+            match self.ask_another(admitted, &mut answer, begin).await {
                 Asked::Awake(outcome) => {
                     self.log_kept(admitted, server, "awake");
                     return Pursued { server, outcome, is_spent };
@@ -87,16 +87,18 @@
         }
     }
 
-    /// Asks other servers while `silent` goes on.
-    async fn ask_another<'a>(
-        self: &'a Rc<Self>,
-        admitted: &'a Admitted,
-        silent: &mut Answer<'_, D>,
-    ) -> Asked<'a, D> {
+    /// Asks other servers, each with `begin`, while a `silent` one may go on. Once another may have
+    /// begun, `silent` isn't waited for any more; the caller is to close its connection then.
+    pub(crate) async fn ask_another<'a, S, T>(
+        self: &Rc<Self>,
+        admitted: &Admitted,
+        mut silent: impl Future<Output = S> + Unpin,
+        begin: impl Fn(Reached<D>) -> Answer<'a, T>,
+    ) -> Asked<'a, S, T> {
         loop {
             let found = tokio::select! {
                 biased;
-                outcome = &mut *silent => return Asked::Awake(outcome),
+                sent = &mut silent => return Asked::Awake(sent),
                 found = self.reach(admitted) => found,
             };
             let (server, reached) = match found {
@@ -105,7 +107,7 @@
             };
             let failure = match reached {
                 Ok(reached) => {
-                    let mut answer: Answer<'a, D> = Box::pin(Self::finish(admitted, reached));
+                    let mut answer = begin(reached);
                     match timeout(HANDOVER, &mut answer).await {
                         Ok(Err(failure)) if !failure.may_have_run() => failure,
                         Ok(outcome) => return Asked::Answered(server, outcome),
@@ -114,8 +116,7 @@
                 }
                 Err(failure) => failure,
             };
-            self.note_failure(admitted, server, failure);
-            admitted.spend(server, failure);
+            self.spend(admitted, server, failure);
         }
     }
 
@@ -135,6 +136,6 @@
 }
 
 /// Short name of why no other server takes a request.
-pub(crate) fn cause_of(refused: Option<Refused>) -> &'static str {
+fn cause_of(refused: Option<Refused>) -> &'static str {
     refused.map_or("no_attempt_left", |refused| refused.reason.name())
 }
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -1,21 +1,17 @@
 //! How a stream goes on at another server, where its route allows that.
 //!
-//! A server that broke off is left at once. One that is only silent is kept until another has taken
-//! the request, since it may go on, and a refusal elsewhere is no reason to end the answer. Two
-//! servers never both go on: once the request is with another, the silent one isn't read any more
-//! unless that other proves that it doesn't run it.
+//! A server that broke off is left at once. One that is only silent is kept as `pursuit` has it.
 
 use {
     crate::{
         admitted::Admitted,
         dialect::Dialect,
-        leg::{Leg, LegFailure, Reached},
-        pursuit::{HANDOVER, cause_of},
+        leg::{LegFailure, Reached},
+        pursuit::{Answer, Asked},
         relay::Relay,
         stream::{Pauses, Stream},
     },
     glade_catalog::Repeat,
-    glade_dispatch::ServerIdx,
     std::{pin::pin, rc::Rc},
     tokio::time::timeout,
 };
@@ -45,70 +41,39 @@
         admitted: &mut Admitted,
     ) -> Option<Self> {
         admitted.begin_anew(relay.clock.now());
+        let admitted = &*admitted;
         let (last_id, pauses) = (self.last_id, self.pauses());
-        loop {
-            let found = tokio::select! {
-                biased;
-                next = self.leg.next_event() => {
-                    relay.log_kept(admitted, self.server(), "awake");
-                    self.awake(next);
-                    return Some(self);
-                }
-                found = relay.reach(admitted) => found,
-            };
-            let (server, reached) = match found {
-                Ok(found) => found,
-                // The silent server is all there is.
-                Err(refused) => {
-                    relay.log_kept(admitted, self.server(), cause_of(refused));
-                    return Some(self);
-                }
-            };
-            let failure = match reached {
-                Ok(reached) => match offer(self.leg, reached, admitted, last_id).await {
-                    Offered::Taken(Ok(stream)) => {
-                        relay.log_resumed(admitted, server, last_id);
-                        return Some(stream.continuing(&pauses));
-                    }
-                    Offered::Taken(Err(failure)) => {
-                        spend(relay, admitted, server, failure);
-                        return go_on(relay, admitted, last_id, &pauses).await;
-                    }
-                    Offered::Rejected(leg, failure) => {
-                        self.leg = leg;
-                        failure
-                    }
-                },
-                Err(failure) => failure,
-            };
-            spend(relay, admitted, server, failure);
-        }
-    }
-}
-
-/// What became of a request that was sent on while its first server is silent.
-enum Offered<D: Dialect> {
-    /// The other server works on it, or may have.
-    Taken(Result<Stream<D>, LegFailure>),
-    /// The other server has proved that it doesn't run it. The silent one may go on.
-    Rejected(Leg<D>, LegFailure),
-}
-
-/// Sends the request on. The `silent` server's connection is closed as soon as the other counts as
-/// having taken the request.
-async fn offer<D: Dialect>(
-    silent: Leg<D>,
-    reached: Reached<D>,
-    admitted: &Admitted,
-    last_id: Option<u64>,
-) -> Offered<D> {
-    let mut beginning = pin!(begin(reached, admitted, last_id));
-    match timeout(HANDOVER, &mut beginning).await {
-        Ok(Err(failure)) if !failure.may_have_run() => Offered::Rejected(silent, failure),
-        Ok(begun) => Offered::Taken(begun),
-        Err(_elapsed) => {
-            drop(silent);
-            Offered::Taken(beginning.await)
+        let begin = |reached| -> Answer<'_, Self> { Box::pin(begin(reached, admitted, last_id)) };
+        let asked = relay.ask_another(admitted, pin!(self.leg.next_event()), begin).await;
+        let (server, begun) = match asked {
+            Asked::Awake(next) => {
+                relay.log_kept(admitted, self.server(), "awake");
+                self.awake(next);
+                return Some(self);
+            }
+            Asked::Kept(cause) => {
+                relay.log_kept(admitted, self.server(), cause);
+                return Some(self);
+            }
+            Asked::Answered(server, begun) => {
+                drop(self.leg);
+                (server, begun)
+            }
+            Asked::Taken(server, answer) => {
+                // Closes the silent server's connection, so that it stops.
+                drop(self.leg);
+                (server, answer.await)
+            }
+        };
+        match begun {
+            Ok(stream) => {
+                relay.log_resumed(admitted, server, last_id);
+                Some(stream.continuing(&pauses))
+            }
+            Err(failure) => {
+                relay.spend(admitted, server, failure);
+                go_on(relay, admitted, last_id, &pauses).await
+            }
         }
     }
 }
@@ -116,7 +81,7 @@
 /// Goes on after `last_id` at another server; `None` if there is none in time.
 async fn go_on<D: Dialect>(
     relay: &Rc<Relay<D>>,
-    admitted: &mut Admitted,
+    admitted: &Admitted,
     last_id: Option<u64>,
     pauses: &Pauses,
 ) -> Option<Stream<D>> {
@@ -131,7 +96,7 @@
                 relay.log_resumed(admitted, server, last_id);
                 return Some(stream.continuing(pauses));
             }
-            Err(failure) => spend(relay, admitted, server, failure),
+            Err(failure) => relay.spend(admitted, server, failure),
         }
     }
 }
@@ -152,13 +117,3 @@
     };
     timeout(admitted.silence_limit(), first_event).await.unwrap_or(Err(LegFailure::Silent))
 }
-
-fn spend<D: Dialect>(
-    relay: &Relay<D>,
-    admitted: &mut Admitted,
-    server: ServerIdx,
-    failure: LegFailure,
-) {
-    relay.note_failure(admitted, server, failure);
-    admitted.spend(server, failure);
-}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -10,7 +10,6 @@
         relay::Relay,
     },
     bytes::Bytes,
-    glade_catalog::Repeat,
     glade_dispatch::ServerIdx,
     hyper::http::response::Parts,
     std::{
@@ -26,11 +25,6 @@
 /// Events under way between a server's connection and the caller's.
 const EVENTS_IN_HAND: usize = 4;
 
-/// Longest pauses between events that pass before another server is asked to go on.
-const SILENT_PAUSES: u32 = 3;
-/// Shortest silence after which another server is asked.
-const SILENT_MIN: Duration = Duration::from_millis(800);
-
 /// What a server sends next: an event, the clean end (`None`), or a failure.
 pub(crate) type Next = Result<Option<Event>, LegFailure>;
 
@@ -132,16 +126,16 @@
                 End::CallerLeft => None,
                 End::Silent => {
                     if !self.is_spent {
-                        relay.note_failure(&admitted, self.server(), LegFailure::Silent);
-                        admitted.spend(self.server(), LegFailure::Silent);
+                        relay.spend(&admitted, self.server(), LegFailure::Silent);
                         self.is_spent = true;
                     }
                     unless_closed(&caller, self.hand_over(&relay, &mut admitted)).await
                 }
                 End::Lost(failure) => {
-                    relay.note_failure(&admitted, self.server(), failure);
-                    if !self.is_spent {
-                        admitted.spend(self.server(), failure);
+                    if self.is_spent {
+                        relay.note_failure(&admitted, self.server(), failure);
+                    } else {
+                        relay.spend(&admitted, self.server(), failure);
                     }
                     unless_closed(&caller, self.resume(&relay, &mut admitted)).await
                 }
@@ -171,7 +165,7 @@
     ) -> End {
         let out_of_time = sleep(admitted.time_left(relay.clock.now()));
         tokio::pin!(out_of_time);
-        let silence = silence_limit(admitted);
+        let silence = admitted.pause_silence_limit();
         loop {
             let next = match self.next.take() {
                 Some(next) => next,
@@ -241,15 +235,6 @@
     }
 }
 
-/// Longest silence of a server in the middle of a stream before another is asked to go on.
-fn silence_limit(admitted: &Admitted) -> Duration {
-    let route = &admitted.received.route;
-    if route.repeat != Repeat::Resumable || !admitted.may_try_again() {
-        return Duration::MAX;
-    }
-    (route.pause_limit.unwrap_or_default() * SILENT_PAUSES).max(SILENT_MIN)
-}
-
 /// True if an event numbered `id` may come after the one numbered `last`.
 fn follows(last: Option<u64>, id: Option<u64>) -> bool {
     match (last, id) {
--- a/crates/residency/src/steward/adapters.rs
+++ b/crates/residency/src/steward/adapters.rs
@@ -147,7 +147,7 @@
         let mut copies = BTreeMap::new();
         let slots = self.slots.values().filter(|slot| slot.record.service == service.name);
         for slot in slots.filter(|slot| slot.usable) {
-            for adapter in slot.adapters().filter(|adapter| is_adapter(adapter)) {
+            for adapter in slot.adapters() {
                 if slot.has_ready_base(base_of(adapter)) {
                     *copies.entry(adapter.clone()).or_default() += 1;
                 }
--- a/crates/residency/tests/steward.rs
+++ b/crates/residency/tests/steward.rs
@@ -102,6 +102,13 @@
         }
     }
 
+    /// Runs while a node has `requests` for `model` under way.
+    fn run_asked(&mut self, time: Duration, model: &str, requests: u32) {
+        self.run(time, |world| {
+            world.steward.on_demand(world.now, &VmId::new("a"), &demand(model, requests));
+        });
+    }
+
     fn adapter_holders(&self, name: &str) -> usize {
         self.engines.iter().filter(|engine| engine.adapters.contains(&model(name))).count()
     }
@@ -126,23 +133,25 @@
     World::new(catalog(models), engines, faults, seed)
 }
 
+/// The small world once the holder knows its engines.
+fn settled_world() -> World {
+    let mut world = small_world(Faults::default(), 1);
+    world.run(Duration::from_secs(1), |_| {});
+    world
+}
+
 #[test]
 fn demand_that_moves_is_followed_within_seconds() {
     let mut world = small_world(Faults::default(), 1);
-    world.run(Duration::from_secs(2), |world| {
-        world.steward.on_demand(world.now, &VmId::new("a"), &demand("m0", 4));
-    });
+    world.run_asked(Duration::from_secs(2), "m0", 4);
     assert_eq!(world.holders("m0"), 3);
-    world.run(Duration::from_secs(8), |world| {
-        world.steward.on_demand(world.now, &VmId::new("a"), &demand("m4", 8));
-    });
+    world.run_asked(Duration::from_secs(8), "m4", 8);
     assert!(world.holders("m4") >= 2, "{:?}", world.engines);
 }
 
 #[test]
 fn a_wished_adapter_arrives_within_a_tenth_of_a_second() {
-    let mut world = small_world(Faults::default(), 1);
-    world.run(Duration::from_secs(1), |_| {});
+    let mut world = settled_world();
     world.steward.on_wish(world.now, &model("m3/a2"));
     world.run(Duration::from_millis(100), |_| {});
     assert!(world.engines[1].adapters.contains(&model("m3/a2")), "{:?}", world.engines[1]);
@@ -152,36 +161,27 @@
 /// one of the engines that held the model.
 #[test]
 fn an_adapter_in_demand_is_put_beside_every_copy_of_its_model() {
-    let mut world = small_world(Faults::default(), 1);
-    world.run(Duration::from_secs(1), |_| {});
+    let mut world = settled_world();
     world.steward.on_wish(world.now, &model("m0/a1"));
     // One of the engines has a load of three seconds before it.
-    world.run(Duration::from_secs(5), |world| {
-        world.steward.on_demand(world.now, &VmId::new("a"), &demand("m0/a1", 4));
-    });
+    world.run_asked(Duration::from_secs(5), "m0/a1", 4);
     assert_eq!(world.adapter_holders("m0/a1"), 3, "{:?}", world.engines);
 }
 
 #[test]
 fn an_adapter_that_is_hardly_asked_for_has_one_copy() {
-    let mut world = small_world(Faults::default(), 1);
-    world.run(Duration::from_secs(1), |_| {});
+    let mut world = settled_world();
     world.steward.on_wish(world.now, &model("m0/a1"));
-    world.run(Duration::from_secs(2), |world| {
-        world.steward.on_demand(world.now, &VmId::new("a"), &demand("m0/a1", 0));
-    });
+    world.run_asked(Duration::from_secs(2), "m0/a1", 0);
     assert_eq!(world.adapter_holders("m0/a1"), 1);
 }
 
 #[test]
 fn copies_leave_a_place_for_an_adapter_that_is_nowhere() {
-    let mut world = small_world(Faults::default(), 1);
-    world.run(Duration::from_secs(1), |_| {});
+    let mut world = settled_world();
     for adapter in ["m0/a1", "m0/a2"] {
         world.steward.on_wish(world.now, &model(adapter));
-        world.run(Duration::from_secs(1), |world| {
-            world.steward.on_demand(world.now, &VmId::new("a"), &demand(adapter, 4));
-        });
+        world.run_asked(Duration::from_secs(1), adapter, 4);
     }
     world.steward.on_wish(world.now, &model("m3/a1"));
     world.run(Duration::from_millis(100), |_| {});
@@ -190,8 +190,7 @@
 
 #[test]
 fn adapters_beyond_the_places_take_the_place_of_the_stalest() {
-    let mut world = small_world(Faults::default(), 1);
-    world.run(Duration::from_secs(1), |_| {});
+    let mut world = settled_world();
     for adapter in ["m3/a1", "m3/a2", "m4/a1"] {
         world.steward.on_wish(world.now, &model(adapter));
         world.run(Duration::from_millis(400), |_| {});
@@ -206,9 +205,7 @@
     let mut world = small_world(Faults::default(), 1);
     for round in 0..60 {
         let busy = format!("m{}", round % 8);
-        world.run(Duration::from_millis(500), |world| {
-            world.steward.on_demand(world.now, &VmId::new("a"), &demand(&busy, 8));
-        });
+        world.run_asked(Duration::from_millis(500), &busy, 8);
         if round % 7 == 6 {
             world.hand_over(2 + round);
         }
@@ -229,16 +226,13 @@
 fn an_order_without_an_answer_is_given_again_until_it_holds() {
     let faults = Faults { lost: 30, unanswered: 30, late: 0 };
     let mut world = small_world(faults, 3);
-    world.run(Duration::from_secs(20), |world| {
-        world.steward.on_demand(world.now, &VmId::new("a"), &demand("m4", 8));
-    });
+    world.run_asked(Duration::from_secs(20), "m4", 8);
     assert!(world.holders("m4") >= 2, "{:?}", world.engines);
 }
 
 #[test]
 fn a_fenced_holder_gives_no_more_orders() {
-    let mut world = small_world(Faults::default(), 1);
-    world.run(Duration::from_secs(1), |_| {});
+    let mut world = settled_world();
     for engine in &mut world.engines {
         engine.fence = 9;
     }
@@ -253,8 +247,7 @@
 
 #[test]
 fn orders_stop_before_the_lease_ends() {
-    let mut world = small_world(Faults::default(), 1);
-    world.run(Duration::from_secs(1), |_| {});
+    let mut world = settled_world();
     world.steward.renew(world.now + Duration::from_millis(100));
     world.steward.on_wish(world.now, &model("m3/a2"));
     world.run(Duration::from_millis(300), |_| {});
--- a/crates/system/tests/node.rs
+++ b/crates/system/tests/node.rs
@@ -78,12 +78,10 @@
     assert!(site.log.runs().iter().any(|run| run.resumed_after.is_some()));
 }
 
-/// mix at Kalahari, seed 36701137966: an engine that read other prompts was left for its silence, the
-/// next one shed, and the answer was broken off.
-#[test]
-fn a_stream_that_pauses_goes_on_where_it_is_if_no_other_engine_takes_it() {
+/// An engine pauses after `events`, and the only other one rejects: the answer is whole, of one run.
+fn assert_kept_at_an_engine_that_pauses_after(events: u64) {
     let site = Site::start(1, &[&["m0"], &["m0"]]);
-    site.engine_fault(0, EngineFault::PausesAfter(4));
+    site.engine_fault(0, EngineFault::PausesAfter(events));
     site.engine_fault(1, EngineFault::Rejects);
     let id = site.request_id();
     let reply = site.send(0, CHAT, Some("m0"), &id).expect("an answer");
@@ -92,18 +90,18 @@
     assert_eq!(site.log.runs_of(&id).len(), 1);
 }
 
+/// mix at Kalahari, seed 36701137966: an engine that read other prompts was left for its silence, the
+/// next one shed, and the answer was broken off.
+#[test]
+fn a_stream_that_pauses_goes_on_where_it_is_if_no_other_engine_takes_it() {
+    assert_kept_at_an_engine_that_pauses_after(4);
+}
+
 /// scale-1 at the grown Kalahari: one request in a hundred was given up after its engine had been silent
 /// for a second and a half, because no other took it.
 #[test]
 fn a_request_stays_with_a_silent_engine_if_no_other_takes_it() {
-    let site = Site::start(1, &[&["m0"], &["m0"]]);
-    site.engine_fault(0, EngineFault::PausesAfter(0));
-    site.engine_fault(1, EngineFault::Rejects);
-    let id = site.request_id();
-    let reply = site.send(0, CHAT, Some("m0"), &id).expect("an answer");
-    assert_eq!(reply.event_ids(), whole_stream(), "{:?}", site.log.runs_of(&id));
-    assert!(reply.whole);
-    assert_eq!(site.log.runs_of(&id).len(), 1);
+    assert_kept_at_an_engine_that_pauses_after(0);
 }
 
 #[test]
