Nodes count their messages by kind

Cause: at 295 VMs a node's control takes most of its processor time, and nothing said which messages it goes into. Change: messages and bytes between nodes by kind, both ways, and views handed to traffic, on the metrics port. No behaviour changed; figures follow with the first profile.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -22,6 +22,7 @@
         registry_news::RegistryNews,
         roll_call::answer_roll_call,
         store_health::StoreHealth,
+        work::Work,
     },
     glade_adapter::{config, registry, store::PlatformStore},
     glade_catalog::Catalog,
@@ -89,6 +90,7 @@
     /// Other nodes have told of their loads since the last view.
     loads_dirty: bool,
     rng: fastrand::Rng,
+    work: Work,
 }
 
 /// A running control thread. It ends with the process.
@@ -112,17 +114,20 @@
     clock: Arc<dyn Clock>,
     me: PeerInfo,
     published: Published,
+    work: Work,
 ) -> Result<ControlHandle, Box<dyn std::error::Error>> {
     let (events, inbox) = channel(EVENTS_MAX);
     let handle = ControlHandle { events: events.clone() };
     let deliver = handle.clone();
-    let post = Inbox::bind(settings.listen.peers, move |envelope: PeerEnvelope| {
+    let received = work.clone();
+    let post = Inbox::bind(settings.listen.peers, move |envelope: PeerEnvelope, bytes| {
+        received.on_received(envelope.message.kind(), bytes);
         deliver.tell(Event::Peer(Box::new(envelope)));
     })?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let run = move || {
         let _post = post;
-        let control = Control::new(settings, clock, me, published, events);
+        let control = Control::new(settings, clock, me, published, work, events);
         LocalSet::new().block_on(&runtime, control.run(inbox));
     };
     thread::Builder::new().name("control".to_owned()).spawn(run)?;
@@ -135,6 +140,7 @@
         clock: Arc<dyn Clock>,
         me: PeerInfo,
         published: Published,
+        work: Work,
         events: Sender<Event>,
     ) -> Self {
         let now = clock.now();
@@ -155,7 +161,7 @@
             store,
             health: StoreHealth::default(),
             prompts: PromptExchange::new(&me),
-            post: Post::new(me),
+            post: Post::new(me, work.clone()),
             desk,
             catalog: None,
             catalog_elsewhere: 0,
@@ -174,6 +180,7 @@
             dirty: true,
             loads_dirty: false,
             rng,
+            work,
         }
     }
 
@@ -377,6 +384,7 @@
 
     /// Tells traffic what is believed now.
     fn publish(&self, now: Instant) {
+        self.work.on_view();
         let entrances = self.entrances.current(now, self.own_entrance(), &self.post);
         let live_vms = (entrances.near.len() + entrances.far.len()).max(1) as u32;
         let others = self.loads.others(now, &self.post);
--- a/crates/node/src/fixtures.rs
+++ b/crates/node/src/fixtures.rs
@@ -5,6 +5,7 @@
         peer_message::{Beat, PeerInfo},
         post::Post,
         store_health::StoreView,
+        work::Work,
     },
     glade_platform::Revision,
     glade_types::{DataCentre, Incarnation, VmId},
@@ -50,7 +51,7 @@
 
 /// What the node at `position` of `nodes` believes if it hears all that it is meant to hear.
 pub(crate) fn post_of(now: Instant, nodes: &[PeerInfo], position: usize) -> Post {
-    let mut post = Post::new(nodes[position].clone());
+    let mut post = Post::new(nodes[position].clone(), Work::default());
     let others = || nodes.iter().filter(|info| info.vm != nodes[position].vm);
     others().for_each(|info| post.peers.on_info(now, info));
     post.plan(now);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,5 +34,6 @@
 mod status_page;
 mod store_health;
 mod told_prompt;
+mod work;
 
 pub use crate::node::{Node, NodeError};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,6 +10,7 @@
         reloader::{Reloader, repeat_limit},
         standing::Standing,
         status_page::{Page, bind_page},
+        work::Work,
     },
     bytes::Bytes,
     glade_adapter::headers::PlatformDialect,
@@ -111,11 +112,15 @@
             version = env!("CARGO_PKG_VERSION");
             "started"
         );
+        let metrics = Rc::new(Metrics::open("persimmonglade-node"));
+        let work = Work::default();
+        work.show(&metrics);
         let control =
-            spawn_control(Arc::clone(&settings), Arc::clone(&clock), me, published.clone())
+            spawn_control(Arc::clone(&settings), Arc::clone(&clock), me, published.clone(), work)
                 .map_err(|err| NodeError::Control(err.to_string()))?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        LocalSet::new().block_on(&runtime, serve(settings, file, clock, published, heard, control))
+        LocalSet::new()
+            .block_on(&runtime, serve(settings, file, clock, metrics, published, heard, control))
     }
 }
 
@@ -136,6 +141,7 @@
     settings: Arc<NodeSettings>,
     file: PathBuf,
     clock: Arc<dyn Clock>,
+    metrics: Rc<Metrics>,
     published: Published,
     heard: Receiver<Vec<PromptSent>>,
     control: ControlHandle,
@@ -154,7 +160,6 @@
     let questions: Page = Rc::new(move |req| answering.answer(req));
     bind_page(listen.readiness, Rc::clone(&questions)).await.map_err(bound(listen.readiness))?;
     bind_page(listen.directory, questions).await.map_err(bound(listen.directory))?;
-    let metrics = Rc::new(Metrics::open("persimmonglade-node"));
     bind_page(listen.metrics, metrics_page(&metrics)).await.map_err(bound(listen.metrics))?;
     let view = Arc::clone(&published.view);
     let newsroom = control.clone();
--- a/crates/node/src/peer_message.rs
+++ b/crates/node/src/peer_message.rs
@@ -124,6 +124,27 @@
     },
 }
 
+impl PeerMessage {
+    /// Position of the message's kind in [`crate::work::KINDS`].
+    pub(crate) fn kind(&self) -> usize {
+        match self {
+            Self::Beat(_) => 0,
+            Self::Loads { .. } => 1,
+            Self::Prompts(_) => 2,
+            Self::Entrances(_) => 3,
+            Self::Nodes(_) => 4,
+            Self::Registry(_) => 5,
+            Self::RegistryWanted => 6,
+            Self::CatalogWanted => 7,
+            Self::CatalogIs(_) => 8,
+            Self::Demand(_) => 9,
+            Self::Wish(_) => 10,
+            Self::ServerGone(_) => 11,
+            Self::Residents { .. } => 12,
+        }
+    }
+}
+
 /// A message with its sender.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/node/src/post.rs
+++ b/crates/node/src/post.rs
@@ -5,6 +5,7 @@
         mesh::Mesh,
         peer_message::{Beat, PeerEnvelope, PeerInfo, PeerMessage},
         peers::Peers,
+        work::Work,
     },
     glade_platform::Revision,
     glade_types::VmId,
@@ -22,12 +23,13 @@
     pub(crate) peers: Peers,
     pub(crate) mesh: Mesh,
     outbox: Outbox,
+    work: Work,
 }
 
 impl Post {
     /// Returns a post that knows no other node.
-    pub(crate) fn new(me: PeerInfo) -> Self {
-        Self { me, peers: Peers::default(), mesh: Mesh::alone(), outbox: Outbox::new() }
+    pub(crate) fn new(me: PeerInfo, work: Work) -> Self {
+        Self { me, peers: Peers::default(), mesh: Mesh::alone(), outbox: Outbox::new(), work }
     }
 
     /// Takes note of nodes that somebody has told of.
@@ -39,8 +41,9 @@
 
     /// Sends `message` to the node at `addr`; one that can't be queued is dropped.
     pub(crate) fn send(&mut self, addr: SocketAddr, message: PeerMessage) {
+        let kind = message.kind();
         let envelope = PeerEnvelope { from: self.me.clone(), message };
-        self.send_frame(addr, &frame::encode(&envelope));
+        self.send_frame(addr, kind, &frame::encode(&envelope));
     }
 
     /// Sends `message` to all cores, and to this node's leaves.
@@ -92,11 +95,12 @@
         if to.is_empty() {
             return;
         }
+        let kind = message.kind();
         let envelope = PeerEnvelope { from: self.me.clone(), message };
         let bytes = frame::encode(&envelope);
         for vm in to {
             if let Some(addr) = self.peers.addr(vm).filter(|_| self.peers.hears(now, vm)) {
-                self.send_frame(addr, &bytes);
+                self.send_frame(addr, kind, &bytes);
             }
         }
     }
@@ -133,7 +137,8 @@
         }
     }
 
-    fn send_frame(&mut self, addr: SocketAddr, bytes: &[u8]) {
+    fn send_frame(&mut self, addr: SocketAddr, kind: usize, bytes: &[u8]) {
+        self.work.on_sent(kind, bytes.len());
         if let Err(err) = self.outbox.send_frame(addr, bytes) {
             log::debug!(reason = err.to_string().as_str(); "peer_message_dropped");
         }
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -1,7 +1,10 @@
 //! A meter whose readings are rendered on request.
 
 use {
-    opentelemetry::metrics::{Meter, MeterProvider},
+    opentelemetry::{
+        KeyValue,
+        metrics::{Meter, MeterProvider},
+    },
     opentelemetry_sdk::metrics::SdkMeterProvider,
     prometheus::{Encoder, Registry, TextEncoder},
 };
@@ -62,6 +65,26 @@
             .build();
     }
 
+    /// Adds a counter with a reading for each value of `label`, read when metrics are rendered. No
+    /// reading ever decreases.
+    pub fn counter_by(
+        &self,
+        name: &'static str,
+        description: &'static str,
+        label: &'static str,
+        read: impl Fn() -> Vec<(&'static str, u64)> + Send + Sync + 'static,
+    ) {
+        self.meter
+            .u64_observable_counter(name)
+            .with_description(description)
+            .with_callback(move |observer| {
+                for (value, count) in read() {
+                    observer.observe(count, &[KeyValue::new(label, value)]);
+                }
+            })
+            .build();
+    }
+
     /// All readings in Prometheus' text form.
     pub fn render(&self) -> String {
         let mut buf = Vec::new();
@@ -93,4 +116,13 @@
         assert!(text.contains("lease_held 3"), "{text}");
         assert!(text.contains("orders_total 7"), "{text}");
     }
+
+    #[test]
+    fn a_counter_has_a_reading_for_each_value_of_its_label() {
+        let metrics = Metrics::open("test");
+        metrics.counter_by("messages", "Messages.", "kind", || vec![("beat", 3), ("loads", 4)]);
+        let text = metrics.render();
+        assert!(text.contains(r#"messages_total{kind="beat"} 3"#), "{text}");
+        assert!(text.contains(r#"messages_total{kind="loads"} 4"#), "{text}");
+    }
 }
--- a/crates/wire/src/post.rs
+++ b/crates/wire/src/post.rs
@@ -36,14 +36,15 @@
 }
 
 impl Inbox {
-    /// Listens on `addr` and hands every message to `deliver`, on a thread of its own.
+    /// Listens on `addr` and hands every message to `deliver`, with its length in bytes, on a thread
+    /// of its own.
     ///
     /// # Errors
     ///
     /// [`WireError::Bind`] if the address is taken.
     pub fn bind<M: DeserializeOwned>(
         addr: SocketAddr,
-        mut deliver: impl FnMut(M) + Send + 'static,
+        mut deliver: impl FnMut(M, usize) + Send + 'static,
     ) -> Result<Self, WireError> {
         let failed = |err: nng::Error| WireError::Bind { addr, reason: err.to_string() };
         let socket = Socket::new(Protocol::Pull0).map_err(failed)?;
@@ -57,7 +58,7 @@
                 while !stopped.load(Ordering::Relaxed) {
                     match socket.recv() {
                         Ok(msg) => match frame::decode(msg.as_slice()) {
-                            Ok(message) => deliver(message),
+                            Ok(message) => deliver(message, msg.len()),
                             Err(err) => log::debug!("peer message dropped: {err}"),
                         },
                         Err(nng::Error::TimedOut) => {}
