--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -143,7 +143,7 @@
 
 fn bind_inbox(settings: &Settings, events: &SyncSender<EntryEvent>) -> Result<Inbox, WireError> {
     let events = events.clone();
-    Inbox::bind(settings.vm.entry_peer, move |envelope: Envelope, _bytes| {
+    Inbox::bind(settings.vm.entry_peer, move |envelope: Envelope| {
         if events.try_send(Event::Message(envelope).into()).is_err() {
             log::warn!("control thread is behind; peer message dropped");
         }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -11,9 +11,10 @@
         entrance_exchange::EntranceExchange,
         event::{Event, Followed},
         feed::{Feed, FeedPosition},
+        leaf_registry::LeafRegistry,
         load_exchange::LoadExchange,
         order_desk::{OrderDesk, OrderTerms},
-        peer_message::{Beat, PeerEnvelope, PeerInfo, PeerMessage},
+        peer_message::{Beat, PeerInfo, PeerMessage, PeerParcel},
         post::Post,
         prompt_exchange::PromptExchange,
         published::Published,
@@ -31,8 +32,9 @@
     glade_platform::Change,
     glade_relay::News,
     glade_settings::NodeSettings,
-    glade_wire::Inbox,
+    glade_wire::{Inbox, Outbox},
     std::{
+        cell::Cell,
         net::SocketAddr,
         rc::Rc,
         sync::Arc,
@@ -45,7 +47,7 @@
             watch,
         },
         task::{LocalSet, spawn_local},
-        time::{MissedTickBehavior, interval, sleep},
+        time::sleep,
     },
 };
 
@@ -58,6 +60,9 @@
 /// The same in a mesh with leaves, whose cores beat to many.
 const LARGE_BEAT_EVERY: Duration = Duration::from_millis(350);
 
+/// Time after a node's start for which others may tell it what it would read from the store.
+const START_PATIENCE: Duration = Duration::from_millis(1200);
+
 /// State of the control thread.
 struct Control {
     settings: Arc<NodeSettings>,
@@ -72,8 +77,16 @@
     /// Latest version that another node has named.
     catalog_elsewhere: u64,
     registry: Registry,
+    /// What this node's leaves know of the registry, if it speaks for them.
+    leaf_registry: LeafRegistry,
     registry_position: FeedPosition,
     config_position: FeedPosition,
+    /// Shared with those who follow tables.
+    in_large_mesh: Rc<Cell<bool>>,
+    /// The rows of all nodes were read.
+    is_enrolled: bool,
+    /// When this node reads the platform's tables even if it can't tell whether others do.
+    reads_from: Instant,
     /// Whether this node reads the platform's tables itself.
     reads: watch::Sender<Reading>,
     loads: LoadExchange,
@@ -120,9 +133,10 @@
     let handle = ControlHandle { events: events.clone() };
     let deliver = handle.clone();
     let received = work.clone();
-    let post = Inbox::bind(settings.listen.peers, move |envelope: PeerEnvelope, bytes| {
-        received.on_received(envelope.message.kind(), bytes);
-        deliver.tell(Event::Peer(Box::new(envelope)));
+    let post = Inbox::bind_frames(settings.listen.peers, move |bytes| {
+        let parcel = PeerParcel::decode(bytes, &received)?;
+        deliver.tell(Event::Peer(Box::new(parcel)));
+        Ok(())
     })?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let run = move || {
@@ -161,14 +175,18 @@
             store,
             health: StoreHealth::default(),
             prompts: PromptExchange::new(&me),
-            post: Post::new(me, work.clone()),
+            post: Post::new(me, Box::new(Outbox::new()), work.clone()),
             desk,
             catalog: None,
             catalog_elsewhere: 0,
             registry: Registry::default(),
+            leaf_registry: LeafRegistry::default(),
             registry_position: FeedPosition::new(),
             config_position: FeedPosition::new(),
-            reads: watch::Sender::new(Reading::First),
+            in_large_mesh: Rc::default(),
+            is_enrolled: false,
+            reads_from: now + START_PATIENCE,
+            reads: watch::Sender::new(Reading::Off),
             loads: LoadExchange::new(now),
             demand: DemandPool::new(now),
             entrances: EntranceExchange::new(now),
@@ -186,37 +204,43 @@
 
     async fn run(mut self, mut inbox: Receiver<Event>) {
         self.spawn_feeds();
+        let now = self.clock.now();
         for seed in self.settings.seeds.clone() {
-            self.post.greet(seed);
+            self.post.greet(now, seed);
         }
-        let mut ticks = interval(TICK);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut tick_at = now;
         loop {
-            let pass_on_after =
-                self.prompts.due().map(|due| due.saturating_duration_since(self.clock.now()));
+            let now = self.clock.now();
+            self.post.flush(now);
+            let due = self.prompts.due().into_iter().chain(self.post.due()).min();
+            let wake_at = due.map_or(tick_at, |due| due.min(tick_at));
             tokio::select! {
                 event = inbox.recv() => {
                     let Some(event) = event else { return };
                     let now = self.clock.now();
-                    let only_prompts = event.is_prompts();
+                    let is_routine = event.is_routine();
                     self.on_event(now, event);
-                    // Prompts are frequent, and nothing follows from them here.
-                    if !only_prompts {
+                    if !is_routine {
                         self.act(now);
                     }
                 }
-                () = sleep(pass_on_after.unwrap_or_default()), if pass_on_after.is_some() => {
-                    self.prompts.pass_on(self.clock.now(), &mut self.post);
-                }
-                _ = ticks.tick() => {
-                    let now = self.clock.now();
-                    self.on_tick(now);
-                    self.act(now);
-                }
+                () = sleep(wake_at.saturating_duration_since(now)) => {}
             }
+            let now = self.clock.now();
+            if now >= tick_at {
+                self.on_tick(now);
+                self.act(now);
+                tick_at = now + self.tick_every();
+            }
+            self.prompts.pass_on(now, &mut self.post);
         }
     }
 
+    /// Period of this node's own work: leaves of a large mesh decide nothing for others.
+    fn tick_every(&self) -> Duration {
+        if self.post.mesh.is_core { TICK } else { TICK.max(self.post.leaf_gather_time()) }
+    }
+
     fn spawn_feeds(&mut self) {
         let followed = [
             (config::TABLE, Followed::Configuration, &self.config_position),
@@ -229,6 +253,7 @@
                 followed,
                 position: position.clone(),
                 reads: self.reads.subscribe(),
+                in_large_mesh: Rc::clone(&self.in_large_mesh),
                 events: self.events.clone(),
                 clock: Arc::clone(&self.clock),
                 rng: self.rng.fork(),
@@ -269,15 +294,16 @@
             Event::StoreLost(..) => {}
             Event::NodeRows(rows) => {
                 self.post.learn(now, &rows);
+                self.is_enrolled = true;
                 self.beat_at = now;
             }
-            Event::Peer(envelope) => self.on_peer(now, *envelope),
+            Event::Peer(parcel) => self.on_parcel(now, *parcel),
             Event::Traffic(report) => self.on_traffic(now, report),
             Event::Prompts(sent) => self.prompts.on_own(now, sent, &mut self.post),
             Event::News(News::ModelMissing(model)) => self.on_wish(now, model),
             Event::News(News::ServerGone(key)) => {
                 if self.on_gone(now, &key) {
-                    self.post.spread(now, PeerMessage::ServerGone(key));
+                    self.post.spread(now, &PeerMessage::ServerGone(key));
                 }
             }
             Event::LeaseRead(_, answer) => self.desk.on_lease_read(now, answer),
@@ -288,7 +314,7 @@
             Event::EngineReported(server, report) => {
                 self.desk.on_reported(now, &server, report.as_ref());
             }
-            Event::Seeds(seeds) => seeds.into_iter().for_each(|seed| self.post.greet(seed)),
+            Event::Seeds(seeds) => seeds.into_iter().for_each(|seed| self.post.greet(now, seed)),
             Event::Leave => {
                 self.leaving = true;
                 self.desk.leave(now);
@@ -304,10 +330,15 @@
         if self.registry.sweep(now) {
             self.on_records(now);
         }
+        self.loads.exchange(now, &mut self.post);
         self.desk.tick(now, self.post.mesh.is_core, &self.post.peers, &self.health);
         self.pass_demand(now);
         if now >= self.beat_at {
-            self.post.plan(now);
+            if self.post.plan(now) {
+                self.on_role(now);
+            }
+            self.in_large_mesh.set(!self.post.mesh.is_small);
+            self.note_leaves(now);
             let is_small = self.post.mesh.is_small;
             self.beat_at = now + if is_small { BEAT_EVERY } else { LARGE_BEAT_EVERY };
             self.beat(now);
@@ -320,16 +351,21 @@
 
     /// Begins or ends reading the platform's tables.
     fn choose_readers(&mut self, now: Instant) {
+        let reads = self.reading(now);
+        self.reads.send_if_modified(|known| std::mem::replace(known, reads) != reads);
+    }
+
+    fn reading(&self, now: Instant) -> Reading {
         let is_holder = self.desk.is_holder();
         let away = self.health.is_away();
         let mesh = &self.post.mesh;
         let has_core = mesh.near_cores.iter().any(|vm| self.post.peers.hears(now, vm));
-        let reads = if mesh.is_core || !has_core {
-            reading(now, &self.post.me.vm, is_holder, away, &self.post.peers)
-        } else {
-            Reading::Off
-        };
-        self.reads.send_if_modified(|known| std::mem::replace(known, reads) != reads);
+        let is_new = now < self.reads_from;
+        // A leaf that has just started gives its cores time to tell it everything.
+        if is_new && (!self.is_enrolled || !mesh.is_core) || !mesh.is_core && has_core {
+            return Reading::Off;
+        }
+        reading(now, &self.post.me.vm, is_holder, away, &self.post.peers)
     }
 
     /// What follows from what is believed now.
@@ -343,7 +379,7 @@
             self.registry.on_digests(now, news.epoch, news.engines.clone());
             self.dirty = true;
             let message = PeerMessage::Residents { epoch: news.epoch, engines: news.engines };
-            self.post.spread(now, message);
+            self.post.spread(now, &message);
         }
         if self.dirty {
             self.dirty = false;
@@ -366,7 +402,7 @@
             reads: self.reads.borrow().is_on() && !self.health.is_away(),
             registry_revision: self.registry.revision(),
         };
-        self.post.beat(&beat);
+        self.post.beat(now, &beat, self.leaf_registry.revision());
     }
 
     fn catalog_version(&self) -> u64 {
--- a/crates/node/src/control/peer_side.rs
+++ b/crates/node/src/control/peer_side.rs
@@ -2,8 +2,12 @@
 
 use {
     super::Control,
-    crate::peer_message::{Beat, PeerEnvelope, PeerInfo, PeerMessage},
+    crate::{
+        peer_message::{Beat, PeerInfo, PeerMessage, PeerParcel},
+        registry_news::RegistryNews,
+    },
     glade_catalog::{Catalog, ServerKey},
+    glade_types::VmId,
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
@@ -14,43 +18,35 @@
 const NODES_EVERY: Duration = Duration::from_secs(8);
 
 impl Control {
-    pub(super) fn on_peer(&mut self, now: Instant, envelope: PeerEnvelope) {
-        let PeerEnvelope { from, message } = envelope;
+    pub(super) fn on_parcel(&mut self, now: Instant, parcel: PeerParcel) {
+        let PeerParcel { from, messages } = parcel;
         if from.vm == self.post.me.vm {
             return;
         }
+        messages.into_iter().for_each(|message| self.on_message(now, &from, message));
+    }
+
+    fn on_message(&mut self, now: Instant, from: &PeerInfo, message: PeerMessage) {
         match message {
-            PeerMessage::Beat(beat) => self.on_beat(now, &from, beat),
+            PeerMessage::Beat(beat) => self.on_beat(now, from, beat),
             PeerMessage::Loads { scope, loads } => {
-                self.post.peers.on_loads(now, &from, scope, loads);
+                self.post.peers.on_loads(now, from, scope, loads);
                 self.loads_dirty = true;
             }
             PeerMessage::Prompts(told) => {
-                let news = self.prompts.on_told(now, &from, &told, &self.post);
+                let news = self.prompts.on_told(now, from, &told, &self.post);
                 if self.published.prompts.try_send(news).is_err() {
                     log::debug!("traffic_behind");
                 }
             }
-            PeerMessage::Entrances(list) => self.dirty |= self.entrances.on_list(now, &from, list),
-            PeerMessage::Nodes(infos) => self.on_nodes(now, &from, infos),
-            PeerMessage::Registry(news) => {
-                let is_known = news.revision <= self.registry.revision();
-                if !self.on_registry(now, news.clone()) {
-                    self.post.send(from.peers, PeerMessage::RegistryWanted);
-                } else if !is_known {
-                    self.post.pass_on(now, &from.vm, PeerMessage::Registry(news));
-                }
-            }
+            PeerMessage::Entrances(list) => self.dirty |= self.entrances.on_list(now, from, list),
+            PeerMessage::Nodes(infos) => self.on_nodes(now, from, infos),
+            PeerMessage::Registry(news) => self.on_told_registry(now, from, news),
             PeerMessage::RegistryWanted => {
-                let all = self.registry.all();
-                self.post.send(from.peers, PeerMessage::Registry(all));
-            }
-            PeerMessage::CatalogWanted => {
-                if let Some(catalog) = &self.catalog {
-                    let message = PeerMessage::CatalogIs(Box::new(Catalog::clone(catalog)));
-                    self.post.send(from.peers, message);
-                }
+                let all = self.registry_for(&from.vm);
+                self.post.send(now, from.peers, &PeerMessage::Registry(all));
             }
+            PeerMessage::CatalogWanted => self.send_catalog(now, from.peers),
             PeerMessage::CatalogIs(catalog) => self.on_catalog(now, *catalog, "peer"),
             PeerMessage::Demand(report) if self.desk.is_holder() => {
                 self.desk.on_demand(now, &from.vm, &report);
@@ -67,12 +63,12 @@
             PeerMessage::Demand(_) | PeerMessage::Wish(_) => {}
             PeerMessage::ServerGone(key) => {
                 if self.on_gone(now, &key) {
-                    self.post.pass_on(now, &from.vm, PeerMessage::ServerGone(key));
+                    self.post.pass_on(now, &from.vm, &PeerMessage::ServerGone(key));
                 }
             }
             PeerMessage::Residents { epoch, engines } => {
                 self.registry.on_digests(now, epoch, engines.clone());
-                self.post.pass_on(now, &from.vm, PeerMessage::Residents { epoch, engines });
+                self.post.pass_on(now, &from.vm, &PeerMessage::Residents { epoch, engines });
                 self.dirty = true;
             }
         }
@@ -80,7 +76,9 @@
 
     pub(super) fn on_beat(&mut self, now: Instant, from: &PeerInfo, beat: Beat) {
         self.desk.on_beat(now, &beat);
-        let knows_more = beat.registry_revision > self.registry.revision();
+        // Two cores may have told their leaves of the same changes at different revisions.
+        let counts = self.post.mesh.is_core || self.post.speaker(now) == Some(&from.vm);
+        let knows_more = counts && beat.registry_revision > self.registry.revision();
         let named = beat.catalog_version;
         let is_ahead = named > self.catalog_version();
         let news = self.post.peers.on_beat(now, from, beat);
@@ -91,27 +89,56 @@
             self.fetch_catalog(now, from.peers);
         }
         if knows_more {
-            self.post.send(from.peers, PeerMessage::RegistryWanted);
+            self.post.send(now, from.peers, &PeerMessage::RegistryWanted);
         }
         if news.is_new {
             log::info!(peer = from.vm.as_str(), incarnation = from.incarnation.0; "peer_heard");
-            self.welcome(now, from.peers);
+            self.welcome(now, &from.vm, from.peers);
         }
     }
 
-    /// Tells a process that has just started, at `addr`, what it must know.
-    pub(super) fn welcome(&mut self, now: Instant, addr: SocketAddr) {
+    /// Tells a process that has just started, on `vm` at `addr`, what it must know.
+    pub(super) fn welcome(&mut self, now: Instant, vm: &VmId, addr: SocketAddr) {
         if !self.post.mesh.is_core {
             return;
         }
         let known = self.post.peers.infos().cloned().collect();
-        self.post.send(addr, PeerMessage::Nodes(known));
+        self.post.send(now, addr, &PeerMessage::Nodes(known));
         if self.post.mesh.is_small {
             self.desk.repeat_residents(now);
             return;
         }
+        if self.post.mesh.is_first {
+            let all = self.registry_for(vm);
+            self.post.send(now, addr, &PeerMessage::Registry(all));
+            self.send_catalog(now, addr);
+        }
         let (epoch, engines) = self.registry.digests(now);
-        self.post.send(addr, PeerMessage::Residents { epoch, engines });
+        self.post.send(now, addr, &PeerMessage::Residents { epoch, engines });
+    }
+
+    /// Sends the configuration in force to the node at `addr`, if there is one.
+    fn send_catalog(&mut self, now: Instant, addr: SocketAddr) {
+        if let Some(catalog) = &self.catalog {
+            let message = PeerMessage::CatalogIs(Box::new(Catalog::clone(catalog)));
+            self.post.send(now, addr, &message);
+        }
+    }
+
+    /// All of the registry that `vm` must know.
+    fn registry_for(&self, vm: &VmId) -> RegistryNews {
+        let all = self.registry.all();
+        if self.post.mesh.leaves.contains(vm) { self.leaf_registry.all(&all) } else { all }
+    }
+
+    /// Takes what another node tells of the registry.
+    fn on_told_registry(&mut self, now: Instant, from: &PeerInfo, news: RegistryNews) {
+        let is_known = news.revision <= self.registry.revision();
+        if !self.on_registry(now, news.clone()) {
+            self.post.send(now, from.peers, &PeerMessage::RegistryWanted);
+        } else if !is_known {
+            self.post.pass_outwards(now, &from.vm, &PeerMessage::Registry(news));
+        }
     }
 
     /// Takes nodes that another one knows; the first core tells its data centre of those elsewhere.
@@ -119,8 +146,8 @@
         self.post.learn(now, &infos);
         let mesh = &self.post.mesh;
         if mesh.is_first && !mesh.is_small && from.data_centre != self.post.me.data_centre {
-            self.post.tell_near_cores(now, PeerMessage::Nodes(infos.clone()));
-            self.post.tell_leaves(now, PeerMessage::Nodes(infos));
+            self.post.tell_near_cores(now, &PeerMessage::Nodes(infos.clone()));
+            self.post.tell_leaves(now, &PeerMessage::Nodes(infos));
         }
     }
 
@@ -135,9 +162,18 @@
         let heard = post.peers.live(now).map(|(info, _)| info);
         let near = heard.filter(|info| info.data_centre == *here);
         let message = PeerMessage::Nodes(near.chain([&post.me]).cloned().collect());
-        post.tell_near_cores(now, message.clone());
-        post.tell_leaves(now, message.clone());
-        post.tell_far_firsts(now, message);
+        post.tell_near_cores(now, &message);
+        post.tell_leaves(now, &message);
+        post.tell_far_firsts(now, &message);
+    }
+
+    /// This node has become a core, or is none any more: leaves aren't told all of the registry.
+    pub(super) fn on_role(&mut self, now: Instant) {
+        if self.post.mesh.is_core && !self.post.mesh.is_small {
+            self.registry.doubt();
+            self.registry_position.reset();
+            self.choose_readers(now);
+        }
     }
 
     /// Takes note that a server's process is gone. Returns false if that was known.
--- a/crates/node/src/control/store_side.rs
+++ b/crates/node/src/control/store_side.rs
@@ -9,7 +9,7 @@
     },
     glade_adapter::config,
     glade_catalog::Catalog,
-    glade_platform::{ChangeFeed, Key, StoredRow},
+    glade_platform::{ChangeFeed, Key, Revision, StoredRow},
     std::{
         net::SocketAddr,
         rc::Rc,
@@ -74,16 +74,20 @@
     pub(super) fn on_read_registry(&mut self, now: Instant, news: RegistryNews) {
         let is_known = news.revision <= self.registry.revision();
         if self.on_registry(now, news.clone()) && !is_known && !news.is_empty() {
-            self.post.spread(now, PeerMessage::Registry(news));
+            self.post.tell_cores(now, &PeerMessage::Registry(news));
         }
     }
 
     /// Takes news of the registry. Returns false if earlier changes are missing.
     pub(super) fn on_registry(&mut self, now: Instant, news: RegistryNews) -> bool {
         let is_empty = news.is_empty();
+        let for_leaves = self.speaks_for_leaves().then(|| news.clone());
         if !self.registry.on_news(now, news) {
             return false;
         }
+        if let Some(news) = for_leaves {
+            self.tell_leaves_of_registry(now, &news);
+        }
         self.registry_position.reach(self.registry.revision());
         if !is_empty {
             self.on_records(now);
@@ -91,6 +95,29 @@
         true
     }
 
+    /// True if this node may have to tell leaves of the registry.
+    fn speaks_for_leaves(&self) -> bool {
+        self.post.mesh.is_core && !self.post.mesh.is_small
+    }
+
+    /// Takes stock of what leaves must know, once this node has leaves.
+    pub(super) fn note_leaves(&mut self, now: Instant) {
+        let is_unknown = self.leaf_registry.revision() == Revision::ABSENT;
+        if is_unknown && self.speaks_for_leaves() && self.registry.revision() != Revision::ABSENT {
+            let all = self.registry.all();
+            self.tell_leaves_of_registry(now, &all);
+        }
+    }
+
+    /// Tells this node's leaves what they must know of `news`, if it speaks for them.
+    fn tell_leaves_of_registry(&mut self, now: Instant, news: &RegistryNews) {
+        if let Some(news) = self.leaf_registry.take(news)
+            && self.post.mesh.is_first
+        {
+            self.post.tell_leaves(now, &PeerMessage::Registry(news));
+        }
+    }
+
     pub(super) fn on_records(&mut self, now: Instant) {
         self.desk.on_records(now, self.catalog.as_deref(), &self.registry);
         self.dirty = true;
@@ -108,7 +135,7 @@
         }
         self.catalog_asked_at = Some(now);
         if self.health.is_away() || !self.post.mesh.is_core {
-            self.post.send(addr, PeerMessage::CatalogWanted);
+            self.post.send(now, addr, &PeerMessage::CatalogWanted);
             return;
         }
         let (store, events) = (Rc::clone(&self.store), self.events.clone());
--- a/crates/node/src/control/traffic_side.rs
+++ b/crates/node/src/control/traffic_side.rs
@@ -12,14 +12,19 @@
 
 impl Control {
     pub(super) fn on_traffic(&mut self, now: Instant, report: TrafficReport) {
-        self.loads.exchange(now, report.loads, &mut self.post);
+        if let Some(loads) = report.loads {
+            self.loads.take_own(loads);
+            if self.post.mesh.is_small {
+                self.loads.exchange(now, &mut self.post);
+            }
+        }
         if report.demand.models.is_empty() {
             return;
         }
         if self.desk.is_holder() {
             self.desk.on_demand(now, &self.post.me.vm, &report.demand);
         } else if !self.post.mesh.is_core {
-            self.post.tell_speaker(now, PeerMessage::Demand(report.demand));
+            self.post.tell_speaker(now, &PeerMessage::Demand(report.demand));
         } else if self.post.mesh.is_small {
             self.tell_holder(now, PeerMessage::Demand(report.demand));
         } else {
@@ -50,14 +55,14 @@
         } else if self.post.mesh.is_core {
             self.tell_holder(now, PeerMessage::Wish(model));
         } else {
-            self.post.tell_speaker(now, PeerMessage::Wish(model));
+            self.post.tell_speaker(now, &PeerMessage::Wish(model));
         }
     }
 
     /// Sends `message` to the holder of the lease, if one is heard.
     pub(super) fn tell_holder(&mut self, now: Instant, message: PeerMessage) {
         if let Some(holder) = self.post.peers.holder(now).map(|(info, _)| info.peers) {
-            self.post.send(holder, message);
+            self.post.send(now, holder, &message);
         }
     }
 }
--- a/crates/node/src/entrance_exchange.rs
+++ b/crates/node/src/entrance_exchange.rs
@@ -57,9 +57,9 @@
         self.told.clone_from(&list);
         self.told_at = now;
         let to_far = Entrances { near: list.near.clone(), far: Vec::new() };
-        post.tell_far_firsts(now, PeerMessage::Entrances(to_far));
-        post.tell_near_cores(now, PeerMessage::Entrances(list.clone()));
-        post.tell_leaves(now, PeerMessage::Entrances(list));
+        post.tell_far_firsts(now, &PeerMessage::Entrances(to_far));
+        post.tell_near_cores(now, &PeerMessage::Entrances(list.clone()));
+        post.tell_leaves(now, &PeerMessage::Entrances(list));
     }
 
     /// Where callers can connect; `own` is this node's port while it takes callers.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,7 +1,7 @@
 //! What the control thread is told.
 
 use {
-    crate::peer_message::{PeerEnvelope, PeerInfo, PeerMessage},
+    crate::peer_message::{PeerInfo, PeerParcel},
     glade_catalog::{DemandReport, EngineOrder, EngineReport, OrderAnswer, ServerKey},
     glade_dispatch::{PromptSent, ServerLoad},
     glade_platform::{Changes, Revision, Snapshot, StoreError, StoredRow, TxnAnswer},
@@ -29,8 +29,8 @@
     StoreLost(Instant, String),
     /// The rows of all nodes that were ever started.
     NodeRows(Vec<PeerInfo>),
-    /// Another node has sent a message.
-    Peer(Box<PeerEnvelope>),
+    /// Another node has sent messages.
+    Peer(Box<PeerParcel>),
     /// What traffic has under way and has seen since it last said so.
     Traffic(TrafficReport),
     /// Traffic has sent prompts.
@@ -52,11 +52,11 @@
 }
 
 impl Event {
-    /// True if it only tells of prompts.
-    pub(crate) fn is_prompts(&self) -> bool {
+    /// True if it asks for no decision before the next tick.
+    pub(crate) fn is_routine(&self) -> bool {
         match self {
-            Self::Prompts(_) => true,
-            Self::Peer(envelope) => matches!(envelope.message, PeerMessage::Prompts(_)),
+            Self::Prompts(_) | Self::Traffic(_) => true,
+            Self::Peer(parcel) => parcel.is_routine(),
             _ => false,
         }
     }
@@ -74,6 +74,7 @@
 /// What traffic tells the control thread.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TrafficReport {
-    pub(crate) loads: Vec<ServerLoad>,
+    /// What is under way at each server, if that has changed.
+    pub(crate) loads: Option<Vec<ServerLoad>>,
     pub(crate) demand: DemandReport,
 }
--- a/crates/node/src/feed.rs
+++ b/crates/node/src/feed.rs
@@ -21,6 +21,9 @@
 const GATHERING_PAUSE: Duration = Duration::from_millis(100);
 /// The same for a reader that only stands by: its news is used if the other one's doesn't come.
 const STANDBY_PAUSE: Duration = Duration::from_millis(350);
+/// By how much both are longer in a large mesh, whose servers change many times a second and whose
+/// bounds are longer.
+const LARGE_FACTOR: u32 = 3;
 /// Shortest pause after a failed call.
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls. The configuration must be in force 2 s after the store is back.
@@ -40,6 +43,11 @@
         self.0.get()
     }
 
+    /// Nothing counts as known any more.
+    pub(crate) fn reset(&self) {
+        self.0.set(Revision::ABSENT);
+    }
+
     /// Everything up to `revision` is known.
     pub(crate) fn reach(&self, revision: Revision) {
         self.0.set(self.0.get().max(revision));
@@ -54,6 +62,8 @@
     pub(crate) position: FeedPosition,
     /// Whether this node reads the table itself at present.
     pub(crate) reads: watch::Receiver<Reading>,
+    /// The node is one of many.
+    pub(crate) in_large_mesh: Rc<Cell<bool>>,
     pub(crate) events: Sender<Event>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) rng: fastrand::Rng,
@@ -78,8 +88,7 @@
                     }
                     needs_snapshot = false;
                     if is_news {
-                        let stands_by = *self.reads.borrow() == Reading::StandsBy;
-                        sleep(if stands_by { STANDBY_PAUSE } else { GATHERING_PAUSE }).await;
+                        sleep(self.pause()).await;
                     }
                     continue;
                 }
@@ -98,6 +107,13 @@
         }
     }
 
+    /// Pause after changes.
+    fn pause(&self) -> Duration {
+        let stands_by = *self.reads.borrow() == Reading::StandsBy;
+        let pause = if stands_by { STANDBY_PAUSE } else { GATHERING_PAUSE };
+        if self.in_large_mesh.get() { pause * LARGE_FACTOR } else { pause }
+    }
+
     async fn read(&self, after: Revision, needs_snapshot: bool) -> Result<Event, FeedError> {
         if needs_snapshot {
             let snapshot = self.store.snapshot(self.table).await.map_err(FeedError::Store)?;
--- a/crates/node/src/fixtures.rs
+++ b/crates/node/src/fixtures.rs
@@ -3,15 +3,33 @@
 use {
     crate::{
         peer_message::{Beat, PeerInfo},
-        post::Post,
+        post::{Carrier, Post},
         store_health::StoreView,
         work::Work,
     },
     glade_platform::Revision,
     glade_types::{DataCentre, Incarnation, VmId},
-    std::time::Instant,
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Instant},
 };
 
+/// A parcel with the address that it went to.
+type Sent = (SocketAddr, Vec<u8>);
+
+/// Keeps parcels in the place of a network.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Carried {
+    /// The parcels in order.
+    pub(crate) parcels: Rc<RefCell<Vec<Sent>>>,
+}
+
+impl Carrier for Carried {
+    fn carry(&mut self, addr: SocketAddr, parcel: &[u8]) {
+        self.parcels.borrow_mut().push((addr, parcel.to_vec()));
+    }
+
+    fn redial(&mut self, _addr: SocketAddr) {}
+}
+
 /// A node of `place` whose ports follow from its number there.
 pub(crate) fn node(place: u8, number: u8, cpu_millis: u32) -> PeerInfo {
     PeerInfo {
@@ -41,17 +59,33 @@
     }
 }
 
-/// Two data centres of `each` nodes. Nodes 1 and 2 of each are larger than the others.
-pub(crate) fn deployment(each: u8) -> Vec<PeerInfo> {
+/// `places` data centres of `each` nodes. Nodes 1 and 2 of each are larger than the others.
+pub(crate) fn wide_deployment(places: u8, each: u8) -> Vec<PeerInfo> {
     let cpu = |number| if number <= 2 { 500 - u32::from(number) } else { 250 };
-    (1..=2)
+    (1..=places)
         .flat_map(|place| (1..=each).map(move |number| node(place, number, cpu(number))))
         .collect()
 }
 
+/// Two data centres of `each` nodes. Nodes 1 and 2 of each are larger than the others.
+pub(crate) fn deployment(each: u8) -> Vec<PeerInfo> {
+    wide_deployment(2, each)
+}
+
 /// What the node at `position` of `nodes` believes if it hears all that it is meant to hear.
 pub(crate) fn post_of(now: Instant, nodes: &[PeerInfo], position: usize) -> Post {
-    let mut post = Post::new(nodes[position].clone(), Work::default());
+    carried_post_of(now, nodes, position).0
+}
+
+/// The same, with what it sends.
+pub(crate) fn carried_post_of(
+    now: Instant,
+    nodes: &[PeerInfo],
+    position: usize,
+) -> (Post, Carried) {
+    let carried = Carried::default();
+    let carrier = Box::new(carried.clone());
+    let mut post = Post::new(nodes[position].clone(), carrier, Work::default());
     let others = || nodes.iter().filter(|info| info.vm != nodes[position].vm);
     others().for_each(|info| post.peers.on_info(now, info));
     post.plan(now);
@@ -60,7 +94,7 @@
         post.peers.on_beat(now, info, beat(1, mesh.cores.contains(&info.vm)));
     }
     post.plan(now);
-    post
+    (post, carried)
 }
 
 /// The name of node `number` of `place`.
--- a/crates/node/src/load_exchange.rs
+++ b/crates/node/src/load_exchange.rs
@@ -23,8 +23,8 @@
 /// Longest period of sums.
 const SUM_EVERY_MAX: Duration = Duration::from_secs(1);
 /// Time that the period lasts for each server with a load. A load takes about 13 bytes, so a node hears
-/// 10 KB a second of sums, under half of what its control may use.
-const SUM_EVERY_PER_SERVER: Duration = Duration::from_micros(1300);
+/// 8 KB a second of sums, a third of what its control may use.
+const SUM_EVERY_PER_SERVER: Duration = Duration::from_micros(1600);
 /// Sums for each one to the other data centres, where every byte costs.
 const SUMS_PER_FAR_SUM: u32 = 2;
 /// Period at which a node repeats what hasn't changed, in case a message was lost.
@@ -49,13 +49,17 @@
         Self { own: Vec::new(), told: Vec::new(), told_at: now, sum_at: now, sums: 0 }
     }
 
-    /// Takes what this node has under way, and tells others what is due.
-    pub(crate) fn exchange(&mut self, now: Instant, own: Vec<ServerLoad>, post: &mut Post) {
+    /// Takes what this node has under way.
+    pub(crate) fn take_own(&mut self, own: Vec<ServerLoad>) {
         self.own = own;
+    }
+
+    /// Tells others what is due.
+    pub(crate) fn exchange(&mut self, now: Instant, post: &mut Post) {
         if post.mesh.is_small {
             if self.is_news(now) {
                 let message = self.own_message(now);
-                post.spread(now, message);
+                post.spread(now, &message);
             }
             return;
         }
@@ -66,7 +70,7 @@
             self.sum_at = now + SUM_EVERY_MIN;
             if self.is_news(now) {
                 let message = self.own_message(now);
-                post.tell_near_cores(now, message);
+                post.tell_near_cores(now, &message);
             }
             return;
         }
@@ -74,13 +78,13 @@
         if self.sums.is_multiple_of(SUMS_PER_FAR_SUM) {
             let loads = as_list(self.near_sum(now, post));
             let message = PeerMessage::Loads { scope: LoadScope::DataCentre, loads };
-            post.tell_far_firsts(now, message);
+            post.tell_far_firsts(now, &message);
         }
         let loads = as_list(self.full_sum(now, post));
         self.sum_at = now + sum_every(loads.len());
         let message = PeerMessage::Loads { scope: LoadScope::All, loads };
-        post.tell_near_cores(now, message.clone());
-        post.tell_leaves(now, message);
+        post.tell_near_cores(now, &message);
+        post.tell_leaves(now, &message);
     }
 
     /// What all other nodes have under way.
--- a/crates/node/src/load_exchange/tests.rs
+++ b/crates/node/src/load_exchange/tests.rs
@@ -25,7 +25,8 @@
     let (now, nodes) = (Instant::now(), deployment(4));
     let mut post = post_of(now, &nodes, 0);
     let mut exchange = LoadExchange::new(now);
-    exchange.exchange(now, vec![load(1, 9)], &mut post);
+    exchange.take_own(vec![load(1, 9)]);
+    exchange.exchange(now, &mut post);
     tell(now, &mut post, &nodes[2], LoadScope::Own, &[load(1, 2)]);
     tell(now, &mut post, &nodes[5], LoadScope::Own, &[load(1, 3), load(2, 1)]);
     let others = exchange.others(now, &post);
@@ -37,7 +38,8 @@
     let (now, nodes) = (Instant::now(), deployment(10));
     let mut post = post_of(now, &nodes, 0);
     let mut exchange = LoadExchange::new(now);
-    exchange.exchange(now, vec![load(1, 4)], &mut post);
+    exchange.take_own(vec![load(1, 4)]);
+    exchange.exchange(now, &mut post);
     tell(now, &mut post, &nodes[3], LoadScope::Own, &[load(1, 2)]);
     tell(now, &mut post, &nodes[10], LoadScope::DataCentre, &[load(1, 30)]);
     assert_eq!(in_flight(&exchange.others(now, &post), 1), 32);
@@ -60,7 +62,8 @@
     let mut post = post_of(now, &nodes, 5);
     let mut exchange = LoadExchange::new(now);
     let later = now + SUM_EVERY_MIN;
-    exchange.exchange(later, vec![load(1, 4)], &mut post);
+    exchange.take_own(vec![load(1, 4)]);
+    exchange.exchange(later, &mut post);
     tell(later, &mut post, &nodes[0], LoadScope::All, &[load(1, 24), load(2, 3)]);
     let others = exchange.others(later, &post);
     assert_eq!((in_flight(&others, 1), in_flight(&others, 2)), (20, 3));
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -61,7 +61,7 @@
         }
         let mut mesh = Self::default();
         for (place, nodes) in &mut by_place {
-            nodes.sort_by_key(|info| {
+            nodes.sort_by_cached_key(|info| {
                 (Reverse(info.cpu_millis), Reverse(rendezvous_score("core", info.vm.as_str())))
             });
             let is_up = |info: &&&PeerInfo| info.vm == me.vm || !peers.is_missed(now, &info.vm);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -256,18 +256,23 @@
     }
 }
 
-/// Tells the control thread what traffic has under way.
+/// Tells the control thread what traffic has under way, as that changes.
 async fn report_traffic(relay: RelayHandle<PlatformDialect>, control: ControlHandle) {
     let mut ticks = interval(LOADS_EVERY);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut told = Vec::new();
     for count in 0_u32.. {
         ticks.tick().await;
-        let loads = relay.loads();
+        let now_loads = relay.loads();
+        let loads = (now_loads != told).then(|| now_loads.clone());
+        told = now_loads;
         let demand = if count.is_multiple_of(LOADS_PER_DEMAND) {
             relay.take_demand()
         } else {
             DemandReport::default()
         };
-        control.tell(Event::Traffic(TrafficReport { loads, demand }));
+        if loads.is_some() || !demand.models.is_empty() {
+            control.tell(Event::Traffic(TrafficReport { loads, demand }));
+        }
     }
 }
--- a/crates/node/src/peer_message.rs
+++ b/crates/node/src/peer_message.rs
@@ -3,13 +3,14 @@
 use {
     crate::{
         published::Entrances, registry_news::RegistryNews, store_health::StoreView,
-        told_prompt::ToldPrompt,
+        told_prompt::ToldPrompt, work::Work,
     },
     glade_catalog::{Catalog, DemandReport, ServerKey},
     glade_dispatch::ServerLoad,
     glade_platform::Revision,
     glade_residency::EngineDigest,
     glade_types::{DataCentre, Incarnation, ModelName, VmId},
+    glade_wire::{WireError, frame},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -125,6 +126,18 @@
 }
 
 impl PeerMessage {
+    /// True if it asks for no decision before the next tick.
+    fn is_routine(&self) -> bool {
+        matches!(
+            self,
+            Self::Loads { .. }
+                | Self::Prompts(_)
+                | Self::Demand(_)
+                | Self::Nodes(_)
+                | Self::Entrances(_)
+        )
+    }
+
     /// Position of the message's kind in [`crate::work::KINDS`].
     pub(crate) fn kind(&self) -> usize {
         match self {
@@ -145,10 +158,31 @@
     }
 }
 
-/// A message with its sender.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub(crate) struct PeerEnvelope {
+/// Messages of one sender that arrived together.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct PeerParcel {
     pub(crate) from: PeerInfo,
-    pub(crate) message: PeerMessage,
+    pub(crate) messages: Vec<PeerMessage>,
+}
+
+impl PeerParcel {
+    /// Decodes a parcel, and counts what it holds.
+    ///
+    /// # Errors
+    ///
+    /// The bytes have another version or aren't a parcel.
+    pub(crate) fn decode(bytes: &[u8], work: &Work) -> Result<Self, WireError> {
+        let (from, parts) = frame::decode_parcel::<PeerInfo, PeerMessage>(bytes)?;
+        work.on_parcel_received(bytes.len());
+        let count = |(message, length): (PeerMessage, usize)| {
+            work.on_received(message.kind(), length);
+            message
+        };
+        Ok(Self { from, messages: parts.into_iter().map(count).collect() })
+    }
+
+    /// True if nothing of it asks for a decision before the next tick.
+    pub(crate) fn is_routine(&self) -> bool {
+        self.messages.iter().all(PeerMessage::is_routine)
+    }
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -144,15 +144,15 @@
         missed_at.is_some_and(|at| now.saturating_duration_since(at) < MISSED_TIME)
     }
 
-    /// Numbers the next beat to each peer that `mesh` links: its address, the number, and the highest
-    /// number heard.
-    pub(crate) fn next_beats(&mut self, mesh: &Mesh) -> Vec<(SocketAddr, u64, u64)> {
+    /// Numbers the next beat to each peer that `mesh` links: its name and address, the number, and the
+    /// highest number heard.
+    pub(crate) fn next_beats(&mut self, mesh: &Mesh) -> Vec<(VmId, SocketAddr, u64, u64)> {
         self.by_vm
             .iter_mut()
             .filter(|(vm, _)| mesh.talks_to(vm))
-            .map(|(_, peer)| {
+            .map(|(vm, peer)| {
                 peer.sent_seq += 1;
-                (peer.info.peers, peer.sent_seq, peer.heard_seq)
+                (vm.clone(), peer.info.peers, peer.sent_seq, peer.heard_seq)
             })
             .collect()
     }
--- a/crates/node/src/post.rs
+++ b/crates/node/src/post.rs
@@ -1,9 +1,14 @@
 //! Messages to other nodes.
+//!
+//! What goes to the same node at about the same time goes in one parcel: a node of a large mesh is
+//! woken by each parcel that arrives, and that costs it more than what the parcel holds. The time for
+//! which messages are gathered grows with the number of nodes, so that the parcels that a leaf hears
+//! don't.
 
 use {
     crate::{
         mesh::Mesh,
-        peer_message::{Beat, PeerEnvelope, PeerInfo, PeerMessage},
+        peer_message::{Beat, PeerInfo, PeerMessage},
         peers::Peers,
         work::Work,
     },
@@ -11,25 +16,84 @@
     glade_types::VmId,
     glade_wire::{Outbox, frame},
     std::{
+        collections::HashMap,
+        fmt,
         net::SocketAddr,
         time::{Duration, Instant},
     },
 };
 
+/// Time for which a leaf and its cores gather messages for each other, for each node of the mesh.
+const GATHER_PER_NODE: Duration = Duration::from_micros(330);
+/// Shortest such time: in `tests/loads.rs` of the dispatcher, word of prompts after 30 ms is worth
+/// nearly as much as after 10.
+const GATHER_MIN: Duration = Duration::from_millis(20);
+/// Longest such time; a drain must be known to all nodes within seconds, over three ways.
+const GATHER_MAX: Duration = Duration::from_millis(100);
+/// Time for which cores gather messages for each other.
+const GATHER_CORES: Duration = Duration::from_millis(10);
+/// Bytes from which a parcel is sent without waiting for more.
+const PARCEL_FULL_BYTES: usize = 32 << 10;
+
+/// What takes parcels to their nodes.
+pub(crate) trait Carrier: fmt::Debug {
+    /// Queues a parcel for the node at `addr`; one that can't be queued is dropped.
+    fn carry(&mut self, addr: SocketAddr, parcel: &[u8]);
+
+    /// Opens the connection to `addr` anew.
+    fn redial(&mut self, addr: SocketAddr);
+}
+
+impl Carrier for Outbox {
+    fn carry(&mut self, addr: SocketAddr, parcel: &[u8]) {
+        if let Err(err) = self.send_frame(addr, parcel) {
+            log::debug!(reason = err.to_string().as_str(); "peer_message_dropped");
+        }
+    }
+
+    fn redial(&mut self, addr: SocketAddr) {
+        Self::redial(self, addr);
+    }
+}
+
+/// Messages that wait for others to the same node.
+#[derive(Debug)]
+struct Parcel {
+    bytes: Vec<u8>,
+    due: Instant,
+}
+
+/// When a message is sent.
+#[derive(Clone, Copy, Debug)]
+enum When {
+    /// With others to the same node.
+    Gathered,
+    /// Now, with those that wait already.
+    AtOnce,
+}
+
 /// The other nodes and the way to them.
 #[derive(Debug)]
 pub(crate) struct Post {
     pub(crate) me: PeerInfo,
     pub(crate) peers: Peers,
     pub(crate) mesh: Mesh,
-    outbox: Outbox,
+    carrier: Box<dyn Carrier>,
+    parcels: HashMap<SocketAddr, Parcel>,
     work: Work,
 }
 
 impl Post {
     /// Returns a post that knows no other node.
-    pub(crate) fn new(me: PeerInfo, work: Work) -> Self {
-        Self { me, peers: Peers::default(), mesh: Mesh::alone(), outbox: Outbox::new(), work }
+    pub(crate) fn new(me: PeerInfo, carrier: Box<dyn Carrier>, work: Work) -> Self {
+        Self {
+            me,
+            peers: Peers::default(),
+            mesh: Mesh::alone(),
+            carrier,
+            parcels: HashMap::new(),
+            work,
+        }
     }
 
     /// Takes note of nodes that somebody has told of.
@@ -39,93 +103,189 @@
         }
     }
 
-    /// Sends `message` to the node at `addr`; one that can't be queued is dropped.
-    pub(crate) fn send(&mut self, addr: SocketAddr, message: PeerMessage) {
-        let kind = message.kind();
-        let envelope = PeerEnvelope { from: self.me.clone(), message };
-        self.send_frame(addr, kind, &frame::encode(&envelope));
+    /// Sends `message` to the node at `addr` at once, behind what waits for it already. One that
+    /// can't be queued there is dropped.
+    pub(crate) fn send(&mut self, now: Instant, addr: SocketAddr, message: &PeerMessage) {
+        self.put(now, addr, message.kind(), &frame::encode_part(message));
     }
 
     /// Sends `message` to all cores, and to this node's leaves.
-    pub(crate) fn spread(&mut self, now: Instant, message: PeerMessage) {
-        let to: Vec<VmId> = self.mesh.cores.iter().chain(&self.mesh.leaves).cloned().collect();
+    pub(crate) fn spread(&mut self, now: Instant, message: &PeerMessage) {
+        self.tell_cores(now, message);
+        self.tell_leaves(now, message);
+    }
+
+    /// Sends `message` to all cores.
+    pub(crate) fn tell_cores(&mut self, now: Instant, message: &PeerMessage) {
+        let to: Vec<VmId> = self.mesh.cores.iter().cloned().collect();
         self.send_to(now, &to, message);
     }
 
     /// Sends `message` to this node's leaves.
-    pub(crate) fn tell_leaves(&mut self, now: Instant, message: PeerMessage) {
+    pub(crate) fn tell_leaves(&mut self, now: Instant, message: &PeerMessage) {
         let to: Vec<VmId> = self.mesh.leaves.iter().cloned().collect();
         self.send_to(now, &to, message);
     }
 
     /// Sends `message` to the other cores of this node's data centre.
-    pub(crate) fn tell_near_cores(&mut self, now: Instant, message: PeerMessage) {
+    pub(crate) fn tell_near_cores(&mut self, now: Instant, message: &PeerMessage) {
         let to = self.mesh.near_cores.clone();
         self.send_to(now, &to, message);
     }
 
     /// Sends `message` to the cores that speak for the other data centres.
-    pub(crate) fn tell_far_firsts(&mut self, now: Instant, message: PeerMessage) {
+    pub(crate) fn tell_far_firsts(&mut self, now: Instant, message: &PeerMessage) {
         let to = self.mesh.far_firsts.clone();
         self.send_to(now, &to, message);
     }
 
+    /// The node that speaks for this one, if another does.
+    pub(crate) fn speaker(&self, now: Instant) -> Option<&VmId> {
+        self.mesh.near_cores.iter().find(|vm| self.peers.hears(now, vm))
+    }
+
     /// Sends `message` to the node that speaks for this one, if another does.
-    pub(crate) fn tell_speaker(&mut self, now: Instant, message: PeerMessage) {
-        let heard = |vm: &&VmId| self.peers.hears(now, vm);
-        let speaker = self.mesh.near_cores.iter().find(heard).cloned();
+    pub(crate) fn tell_speaker(&mut self, now: Instant, message: &PeerMessage) {
+        let speaker = self.speaker(now).cloned();
         self.send_to(now, speaker.as_slice(), message);
     }
 
+    /// Sends `message` to the node that speaks for this one at once, with what waits for it already.
+    pub(crate) fn hurry_speaker(&mut self, now: Instant, message: &PeerMessage) {
+        let speaker = self.speaker(now).cloned();
+        self.send_when(now, speaker.as_slice(), message, When::AtOnce);
+    }
+
+    /// Sends `message`, which was gathered for long enough, to this node's leaves at once, with what
+    /// waits for them already.
+    pub(crate) fn hurry_leaves(&mut self, now: Instant, message: &PeerMessage) {
+        let to: Vec<VmId> = self.mesh.leaves.iter().cloned().collect();
+        self.send_when(now, &to, message, When::AtOnce);
+    }
+
     /// Passes on what `from` has sent, to where it can't send it itself.
-    pub(crate) fn pass_on(&mut self, now: Instant, from: &VmId, message: PeerMessage) {
-        let mut to: Vec<VmId> = Vec::new();
+    pub(crate) fn pass_on(&mut self, now: Instant, from: &VmId, message: &PeerMessage) {
+        self.pass_outwards(now, from, message);
+        if self.mesh.passes_inwards(from) {
+            let others = self.mesh.leaves.iter().filter(|vm| *vm != from);
+            let to: Vec<VmId> = others.cloned().collect();
+            self.send_to(now, &to, message);
+        }
+    }
+
+    /// Passes on what `from` has sent, to the cores that it can't send it to itself.
+    pub(crate) fn pass_outwards(&mut self, now: Instant, from: &VmId, message: &PeerMessage) {
         if self.mesh.passes_outwards(from) {
             let far = |vm: &&VmId| !self.mesh.near_cores.contains(vm);
-            to.extend(self.mesh.cores.iter().filter(far).cloned());
+            let to: Vec<VmId> = self.mesh.cores.iter().filter(far).cloned().collect();
+            self.send_to(now, &to, message);
         }
-        if self.mesh.passes_inwards(from) {
-            to.extend(self.mesh.leaves.iter().filter(|vm| *vm != from).cloned());
-        }
-        self.send_to(now, &to, message);
     }
 
-    /// Sends `message` to those of `to` that are heard.
-    fn send_to(&mut self, now: Instant, to: &[VmId], message: PeerMessage) {
+    /// Sends `message` to those of `to` that are heard, with other messages to them.
+    fn send_to(&mut self, now: Instant, to: &[VmId], message: &PeerMessage) {
+        self.send_when(now, to, message, When::Gathered);
+    }
+
+    fn send_when(&mut self, now: Instant, to: &[VmId], message: &PeerMessage, when: When) {
         if to.is_empty() {
             return;
         }
-        let kind = message.kind();
-        let envelope = PeerEnvelope { from: self.me.clone(), message };
-        let bytes = frame::encode(&envelope);
+        let part = frame::encode_part(message);
         for vm in to {
             if let Some(addr) = self.peers.addr(vm).filter(|_| self.peers.hears(now, vm)) {
-                self.send_frame(addr, kind, &bytes);
+                let wait = match when {
+                    When::Gathered => self.gather_time(vm),
+                    When::AtOnce => Duration::ZERO,
+                };
+                self.put(now + wait, addr, message.kind(), &part);
             }
         }
     }
 
-    /// Works out anew who this node talks to.
-    pub(crate) fn plan(&mut self, now: Instant) {
+    /// Time for which messages to `vm` wait for others.
+    fn gather_time(&self, vm: &VmId) -> Duration {
+        if self.mesh.is_small {
+            Duration::ZERO
+        } else if self.mesh.is_core && self.mesh.cores.contains(vm) {
+            GATHER_CORES
+        } else {
+            self.leaf_gather_time()
+        }
+    }
+
+    /// Time for which a leaf and its cores gather messages for each other; zero where there are no
+    /// leaves.
+    pub(crate) fn leaf_gather_time(&self) -> Duration {
+        if self.mesh.is_small {
+            return Duration::ZERO;
+        }
+        let nodes = u32::try_from(self.peers.count() + 1).unwrap_or(u32::MAX);
+        GATHER_PER_NODE.saturating_mul(nodes).clamp(GATHER_MIN, GATHER_MAX)
+    }
+
+    /// Puts an encoded message into the parcel for `addr`, which is sent by `due`.
+    fn put(&mut self, due: Instant, addr: SocketAddr, kind: usize, part: &[u8]) {
+        self.work.on_sent(kind, part.len());
+        let parcel = self
+            .parcels
+            .entry(addr)
+            .or_insert_with(|| Parcel { bytes: frame::encode(&self.me), due });
+        parcel.bytes.extend_from_slice(part);
+        parcel.due = parcel.due.min(due);
+        if parcel.bytes.len() >= PARCEL_FULL_BYTES {
+            self.dispatch(addr);
+        }
+    }
+
+    /// When a parcel is to be sent next.
+    pub(crate) fn due(&self) -> Option<Instant> {
+        self.parcels.values().map(|parcel| parcel.due).min()
+    }
+
+    /// Sends the parcels that have waited for long enough.
+    pub(crate) fn flush(&mut self, now: Instant) {
+        let due = self.parcels.iter().filter(|(_, parcel)| parcel.due <= now);
+        let due: Vec<SocketAddr> = due.map(|(addr, _)| *addr).collect();
+        due.into_iter().for_each(|addr| self.dispatch(addr));
+    }
+
+    /// Sends the parcel for `addr`.
+    fn dispatch(&mut self, addr: SocketAddr) {
+        let Some(parcel) = self.parcels.remove(&addr) else { return };
+        self.work.on_parcel_sent(parcel.bytes.len());
+        self.carrier.carry(addr, &parcel.bytes);
+    }
+
+    /// Works out anew who this node talks to. Returns true if it has become a core, or is none any more.
+    pub(crate) fn plan(&mut self, now: Instant) -> bool {
         self.peers.link(now, &self.mesh);
         let mesh = Mesh::plan(now, &self.me, &self.peers);
-        if mesh.is_core != self.mesh.is_core {
+        let has_role = mesh.is_core != self.mesh.is_core;
+        if has_role {
             log::info!(core = mesh.is_core, nodes = self.peers.count() as u64 + 1; "mesh_role");
         }
         self.mesh = mesh;
+        has_role
     }
 
-    /// Sends a sign of life to every node that this one talks to.
-    pub(crate) fn beat(&mut self, beat: &Beat) {
-        for (addr, seq, heard_seq) in self.peers.next_beats(&self.mesh) {
-            self.send(addr, PeerMessage::Beat(Beat { seq, heard_seq, ..beat.clone() }));
+    /// Sends a sign of life to every node that this one talks to; leaves know the registry up to
+    /// `leaf_revision` if they know everything that they are told.
+    pub(crate) fn beat(&mut self, now: Instant, beat: &Beat, leaf_revision: Revision) {
+        for (vm, addr, seq, heard_seq) in self.peers.next_beats(&self.mesh) {
+            let is_leaf = self.mesh.leaves.contains(&vm);
+            let registry_revision = if is_leaf { leaf_revision } else { beat.registry_revision };
+            let beat = Beat { seq, heard_seq, registry_revision, ..beat.clone() };
+            let message = PeerMessage::Beat(beat);
+            let part = frame::encode_part(&message);
+            self.put(now + self.gather_time(&vm), addr, message.kind(), &part);
         }
     }
 
     /// Sends a first sign of life to a node of which only the address is known.
-    pub(crate) fn greet(&mut self, addr: SocketAddr) {
+    pub(crate) fn greet(&mut self, now: Instant, addr: SocketAddr) {
         if addr != self.me.peers {
-            self.send(addr, PeerMessage::Beat(Beat::greeting()));
+            self.send(now, addr, &PeerMessage::Beat(Beat::greeting()));
         }
     }
 
@@ -133,14 +293,7 @@
     pub(crate) fn redial_unheard(&mut self, now: Instant) {
         for addr in self.peers.unheard(now) {
             log::debug!(peer = addr.to_string().as_str(); "peer_redialled");
-            self.outbox.redial(addr);
-        }
-    }
-
-    fn send_frame(&mut self, addr: SocketAddr, kind: usize, bytes: &[u8]) {
-        self.work.on_sent(kind, bytes.len());
-        if let Err(err) = self.outbox.send_frame(addr, bytes) {
-            log::debug!(reason = err.to_string().as_str(); "peer_message_dropped");
+            self.carrier.redial(addr);
         }
     }
 }
@@ -168,3 +321,6 @@
         self.store.answered.map(|silence| silence + age)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/prompt_exchange.rs
+++ b/crates/node/src/prompt_exchange.rs
@@ -3,8 +3,9 @@
 //!
 //! Loads are told by period, which is longer than an engine takes to read a few prompts. Prompts are told
 //! at once where all talk to all. In a larger mesh a node tells the first core of its data centre, which
-//! gathers them for a moment and tells its own nodes and the first cores elsewhere; these tell their
-//! nodes. Word that gets lost, or is too much for a message, is missed until the next loads are told.
+//! gathers them for as long as it gathers all messages to leaves, and tells its own nodes and the first
+//! cores elsewhere; these tell their nodes. Word that gets lost, or is too much for a message, is missed
+//! until the next loads are told.
 
 use {
     crate::{
@@ -19,15 +20,11 @@
     },
 };
 
-/// Time for which a core gathers prompts for its data centre. `tests/loads.rs` of the dispatcher is
-/// served nearly as well with word after 30 ms as after 10. Each message costs a node about 0.04 ms, by
-/// the processor time of quiet-1 at the grown Jëf-Jël with and without.
-const GATHER_NEAR: Duration = Duration::from_millis(20);
-/// The same for other data centres, where more ways are still to come.
+/// Time for which a core gathers prompts for other data centres, where more ways are still to come.
 const GATHER_FAR: Duration = Duration::from_millis(10);
-/// Most prompts of a message, the longest: 10 bytes each, so at most 20 KB a second for a node, and 6
-/// at the rates of the users' larger deployments.
-const PROMPTS_MAX: usize = 40;
+/// Most prompts of a message, the longest: 10 bytes each, and at most ten messages a second where nodes
+/// are so many that there are more.
+const PROMPTS_MAX: usize = 100;
 
 /// Prompts that a core has yet to pass on.
 #[derive(Debug, Default)]
@@ -54,13 +51,13 @@
     pub(crate) fn on_own(&mut self, now: Instant, prompts: Vec<PromptSent>, post: &mut Post) {
         let told = prompts.into_iter().map(|prompt| ToldPrompt { by: self.me, prompt });
         if post.mesh.is_small {
-            post.spread(now, PeerMessage::Prompts(told.collect()));
+            post.spread(now, &PeerMessage::Prompts(told.collect()));
         } else if post.mesh.is_first {
             let told: Vec<ToldPrompt> = told.collect();
-            self.near.add(now + GATHER_NEAR, &told);
+            self.near.add(now + post.leaf_gather_time(), &told);
             self.far.add(now + GATHER_FAR, &told);
         } else {
-            post.tell_speaker(now, PeerMessage::Prompts(told.collect()));
+            post.hurry_speaker(now, &PeerMessage::Prompts(told.collect()));
         }
     }
 
@@ -73,7 +70,7 @@
         post: &Post,
     ) -> Vec<PromptSent> {
         if post.mesh.is_first && !post.mesh.is_small {
-            self.near.add(now + GATHER_NEAR, told);
+            self.near.add(now + post.leaf_gather_time(), told);
             if from.data_centre == post.me.data_centre {
                 self.far.add(now + GATHER_FAR, told);
             }
@@ -89,12 +86,12 @@
     /// Passes on what has been gathered for long enough.
     pub(crate) fn pass_on(&mut self, now: Instant, post: &mut Post) {
         if let Some(prompts) = self.far.take_due(now) {
-            post.tell_far_firsts(now, PeerMessage::Prompts(prompts));
+            post.tell_far_firsts(now, &PeerMessage::Prompts(prompts));
         }
         if let Some(prompts) = self.near.take_due(now) {
             let message = PeerMessage::Prompts(prompts);
-            post.tell_near_cores(now, message.clone());
-            post.tell_leaves(now, message);
+            post.tell_near_cores(now, &message);
+            post.hurry_leaves(now, &message);
         }
     }
 }
--- a/crates/node/src/prompt_exchange/tests.rs
+++ b/crates/node/src/prompt_exchange/tests.rs
@@ -27,8 +27,8 @@
     exchange.on_told(now, &nodes[4], &[told(5, 1, 900)], &post);
     assert_eq!(exchange.due(), Some(now + GATHER_FAR));
     assert!(exchange.far.take_due(now + GATHER_FAR).is_some());
-    assert_eq!(exchange.due(), Some(now + GATHER_NEAR));
-    assert_eq!(exchange.near.take_due(now + GATHER_NEAR), Some(vec![told(5, 1, 900)]));
+    assert_eq!(exchange.due(), Some(now + post.leaf_gather_time()));
+    assert_eq!(exchange.near.take_due(now + post.leaf_gather_time()), Some(vec![told(5, 1, 900)]));
     assert_eq!(exchange.due(), None);
 }
 
@@ -39,7 +39,7 @@
     let mut exchange = PromptExchange::new(&nodes[0]);
     exchange.on_told(now, &nodes[10], &[told(5, 1, 900)], &post);
     assert_eq!(exchange.far.due, None);
-    assert_eq!(exchange.near.due, Some(now + GATHER_NEAR));
+    assert_eq!(exchange.near.due, Some(now + post.leaf_gather_time()));
 }
 
 #[test]
@@ -55,10 +55,10 @@
 fn of_too_many_prompts_the_longest_are_told() {
     let now = Instant::now();
     let mut gathered = Gathered::default();
-    let prompts: Vec<ToldPrompt> = (0..100).map(|n| told(1, n, n)).collect();
+    let prompts: Vec<ToldPrompt> = (0..250).map(|n| told(1, n, n)).collect();
     gathered.add(now, &prompts);
     assert_eq!(gathered.take_due(now - GATHER_FAR), None, "not yet");
     let taken = gathered.take_due(now).expect("it is time");
     assert_eq!(taken.len(), PROMPTS_MAX);
-    assert!(taken.iter().all(|told| told.prompt.tokens >= 60));
+    assert!(taken.iter().all(|told| told.prompt.tokens >= 150));
 }
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -80,6 +80,12 @@
         true
     }
 
+    /// What is known may be incomplete; the next that tells all of it is believed.
+    pub(crate) fn doubt(&mut self) {
+        self.revision = Revision::ABSENT;
+        self.entries.values_mut().for_each(|entry| entry.revision = Revision::ABSENT);
+    }
+
     /// The registry as this node knows it.
     pub(crate) fn all(&self) -> RegistryNews {
         let entry = |entry: &Entry| ServerEntry {
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -42,6 +42,9 @@
     }
 }
 
+/// One of the counts.
+type Count = fn(&Counts) -> &AtomicU64;
+
 /// Counts of one process, shared by its threads.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Work {
@@ -52,6 +55,9 @@
 struct Counts {
     sent: [Tally; KINDS.len()],
     received: [Tally; KINDS.len()],
+    /// What carries the messages.
+    parcels_sent: Tally,
+    parcels_received: Tally,
     views: AtomicU64,
 }
 
@@ -66,6 +72,16 @@
         self.counts.received[kind].add(bytes);
     }
 
+    /// A parcel of messages was sent to one node.
+    pub(crate) fn on_parcel_sent(&self, bytes: usize) {
+        self.counts.parcels_sent.add(bytes);
+    }
+
+    /// A parcel of messages has arrived.
+    pub(crate) fn on_parcel_received(&self, bytes: usize) {
+        self.counts.parcels_received.add(bytes);
+    }
+
     /// Traffic was handed another view.
     pub(crate) fn on_view(&self) {
         self.counts.views.fetch_add(1, Ordering::Relaxed);
@@ -73,42 +89,48 @@
 
     /// Shows the counts among `metrics`.
     pub(crate) fn show(&self, metrics: &Metrics) {
-        let tallies = |of: fn(&Counts) -> &[Tally], read: fn(&Tally) -> &AtomicU64| {
+        self.show_kinds(metrics, "peer_messages_sent", "Messages to other nodes.", |counts| {
+            counts.sent.each_ref().map(|tally| &tally.messages)
+        });
+        self.show_kinds(metrics, "peer_bytes_sent", "Bytes of these.", |counts| {
+            counts.sent.each_ref().map(|tally| &tally.bytes)
+        });
+        self.show_kinds(metrics, "peer_messages_received", "Messages of others.", |counts| {
+            counts.received.each_ref().map(|tally| &tally.messages)
+        });
+        self.show_kinds(metrics, "peer_bytes_received", "Bytes of these.", |counts| {
+            counts.received.each_ref().map(|tally| &tally.bytes)
+        });
+        let totals: [(&'static str, &'static str, Count); 5] = [
+            ("peer_parcels_sent", "Parcels of messages to other nodes.", |counts| {
+                &counts.parcels_sent.messages
+            }),
+            ("peer_parcel_bytes_sent", "Bytes of these.", |counts| &counts.parcels_sent.bytes),
+            ("peer_parcels_received", "Parcels of messages of others.", |counts| {
+                &counts.parcels_received.messages
+            }),
+            ("peer_parcel_bytes_received", "Bytes of these.", |counts| {
+                &counts.parcels_received.bytes
+            }),
+            ("views_published", "Views handed to traffic.", |counts| &counts.views),
+        ];
+        for (name, description, of) in totals {
             let counts = Arc::clone(&self.counts);
-            move || {
-                let values = of(&counts).iter().map(|tally| read(tally).load(Ordering::Relaxed));
-                KINDS.into_iter().zip(values).collect::<Vec<_>>()
-            }
-        };
-        let (sent, received): (fn(&Counts) -> &[Tally], fn(&Counts) -> &[Tally]) =
-            (|counts| &counts.sent, |counts| &counts.received);
-        metrics.counter_by(
-            "peer_messages_sent",
-            "Messages to other nodes.",
-            "kind",
-            tallies(sent, |tally| &tally.messages),
-        );
-        metrics.counter_by(
-            "peer_bytes_sent",
-            "Bytes of messages to other nodes.",
-            "kind",
-            tallies(sent, |tally| &tally.bytes),
-        );
-        metrics.counter_by(
-            "peer_messages_received",
-            "Messages of other nodes.",
-            "kind",
-            tallies(received, |tally| &tally.messages),
-        );
-        metrics.counter_by(
-            "peer_bytes_received",
-            "Bytes of messages of other nodes.",
-            "kind",
-            tallies(received, |tally| &tally.bytes),
-        );
+            metrics.counter(name, description, move || of(&counts).load(Ordering::Relaxed));
+        }
+    }
+
+    fn show_kinds(
+        &self,
+        metrics: &Metrics,
+        name: &'static str,
+        description: &'static str,
+        of: fn(&Counts) -> [&AtomicU64; KINDS.len()],
+    ) {
         let counts = Arc::clone(&self.counts);
-        metrics.counter("views_published", "Views handed to traffic.", move || {
-            counts.views.load(Ordering::Relaxed)
+        metrics.counter_by(name, description, "kind", move || {
+            let values = of(&counts).map(|count| count.load(Ordering::Relaxed));
+            KINDS.into_iter().zip(values).collect()
         });
     }
 }
--- a/crates/wire/src/post.rs
+++ b/crates/wire/src/post.rs
@@ -36,15 +36,27 @@
 }
 
 impl Inbox {
-    /// Listens on `addr` and hands every message to `deliver`, with its length in bytes, on a thread
-    /// of its own.
+    /// Listens on `addr` and hands every message to `deliver`, on a thread of its own.
     ///
     /// # Errors
     ///
     /// [`WireError::Bind`] if the address is taken.
     pub fn bind<M: DeserializeOwned>(
         addr: SocketAddr,
-        mut deliver: impl FnMut(M, usize) + Send + 'static,
+        mut deliver: impl FnMut(M) + Send + 'static,
+    ) -> Result<Self, WireError> {
+        Self::bind_frames(addr, move |bytes| frame::decode(bytes).map(&mut deliver))
+    }
+
+    /// Listens on `addr` and hands the bytes of every frame to `take`, on a thread of its own. What
+    /// `take` can't decode is dropped.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError::Bind`] if the address is taken.
+    pub fn bind_frames(
+        addr: SocketAddr,
+        mut take: impl FnMut(&[u8]) -> Result<(), WireError> + Send + 'static,
     ) -> Result<Self, WireError> {
         let failed = |err: nng::Error| WireError::Bind { addr, reason: err.to_string() };
         let socket = Socket::new(Protocol::Pull0).map_err(failed)?;
@@ -57,10 +69,11 @@
             .spawn(move || {
                 while !stopped.load(Ordering::Relaxed) {
                     match socket.recv() {
-                        Ok(msg) => match frame::decode(msg.as_slice()) {
-                            Ok(message) => deliver(message, msg.len()),
-                            Err(err) => log::debug!("peer message dropped: {err}"),
-                        },
+                        Ok(msg) => {
+                            if let Err(err) = take(msg.as_slice()) {
+                                log::debug!("peer message dropped: {err}");
+                            }
+                        }
                         Err(nng::Error::TimedOut) => {}
                         Err(err) => log::warn!("inbox: {err}"),
                     }
