--- a/crates/dispatch/src/cost.rs
+++ b/crates/dispatch/src/cost.rs
@@ -8,9 +8,15 @@
     std::time::Instant,
 };
 
-/// Extra cost of a server in another data centre, in seconds: both ways between two of them, and
-/// the price of the bytes.
+/// Extra cost of a server in another data centre, in seconds: both ways between two of them.
 const FAR_COST_S: f64 = 0.006;
+/// Extra cost of each kilobyte that goes to or comes from there, as a part of the request's latency
+/// objective: who can wait pays for distance first.
+const FAR_KB_SHARE: f64 = 0.015;
+/// Bytes on the way: of heads, of a token of a prompt, of an event of an answer.
+const HEAD_BYTES: f64 = 800.0;
+const PROMPT_TOKEN_BYTES: f64 = 1.0;
+const EVENT_BYTES: f64 = 200.0;
 /// Part of the longest pause between events that may go into reading prompts; the rest is for the
 /// event itself.
 const READING_SHARE: f64 = 0.87;
@@ -60,10 +66,18 @@
     };
     // The last part breaks ties between servers that have nothing to read.
     let crowding_s = (harm_each_s + 0.001) * f64::from(load.in_flight);
-    let far_s = if server.view.near { 0.0 } else { FAR_COST_S };
+    let far_s = if server.view.near { 0.0 } else { far_cost_s(need) };
     predicted_s(now, server, need) + crowding_s + far_s + server.health.cost_s()
 }
 
+/// Cost of the way to another data centre and back, in seconds.
+fn far_cost_s(need: &Need) -> f64 {
+    let events = f64::from(need.output_tokens) / f64::from(need.tokens_per_event.max(1));
+    let prompt = f64::from(need.prompt_tokens) * PROMPT_TOKEN_BYTES;
+    let kilobytes = (HEAD_BYTES + prompt + events * EVENT_BYTES) / 1000.0;
+    FAR_COST_S + FAR_KB_SHARE * kilobytes * need.objective.as_secs_f64()
+}
+
 /// A number that orders servers differently for each draw.
 pub(crate) fn shuffled(draw: u32, idx: ServerIdx) -> u64 {
     // The constants of SplitMix64.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -25,6 +25,9 @@
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_millis(500);
 /// Time that the holder of the lease is given to decide about a model that no engine holds.
 const PLACEMENT_TIME: Duration = Duration::from_millis(400);
+/// Part of a request's patience for which it waits for the same, where that is longer: a load that has
+/// to wait for others still ends in time for it.
+const PLACEMENT_SHARE: f64 = 0.33;
 /// Time that the holder of the lease is given to bring an adapter to an engine with its model.
 const ADAPTER_TIME: Duration = Duration::from_millis(1500);
 /// Time that is left to a request whose model has just arrived for its first byte: reading a prompt of
@@ -91,6 +94,8 @@
     pub failed_share: f64,
     /// Mean time to its first byte, in seconds.
     pub answer_s: f64,
+    /// It is in this VM's data centre.
+    pub near: bool,
 }
 
 /// Decides for all requests of one VM.
@@ -315,7 +320,7 @@
                 let wait = at.saturating_duration_since(now);
                 refuse(Refusal::NotResident, wait.max(RETRY_AFTER_DEFAULT))
             }
-            None if now < need.arrived_at + PLACEMENT_TIME => Verdict::Wait { missing: true },
+            None if now < placement_until(need) => Verdict::Wait { missing: true },
             None => refuse(Refusal::NotResident, need.model_load.max(RETRY_AFTER_DEFAULT)),
         }
     }
@@ -511,6 +516,7 @@
             others: server.others_load(now),
             failed_share: server.health.failed_share(),
             answer_s: server.speed.answer_s(),
+            near: server.view.near,
         }
     }
 
@@ -555,6 +561,14 @@
     }
 }
 
+/// Until when a request waits for the holder of the lease to decide about its model. A load that begins
+/// later would end when nobody waits any more.
+fn placement_until(need: &Need) -> Instant {
+    let patience = need.give_up_at.saturating_duration_since(need.arrived_at);
+    let last = patience.saturating_sub(need.model_load + FIRST_READ);
+    need.arrived_at + PLACEMENT_TIME.max(patience.mul_f64(PLACEMENT_SHARE).min(last))
+}
+
 /// When something that was expected at `at` is likely to be there. What is overdue is expected to be
 /// late for as long again.
 fn likely_at(now: Instant, at: Instant) -> Instant {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -218,9 +218,10 @@
                 event = inbox.recv() => {
                     let Some(event) = event else { return };
                     let now = self.clock.now();
-                    let is_routine = event.is_routine();
+                    let can_wait = event.is_prompts()
+                        || !self.post.mesh.is_small && event.is_routine();
                     self.on_event(now, event);
-                    if !is_routine {
+                    if !can_wait {
                         self.act(now);
                     }
                 }
--- a/crates/node/src/control/peer_side.rs
+++ b/crates/node/src/control/peer_side.rs
@@ -19,7 +19,12 @@
 
 impl Control {
     pub(super) fn on_parcel(&mut self, now: Instant, parcel: PeerParcel) {
-        let PeerParcel { from, messages } = parcel;
+        let known = parcel.introduction().or_else(|| self.post.peers.by_mark(parcel.from));
+        let Some(from) = known.cloned() else {
+            log::debug!(mark = parcel.from; "peer_unknown");
+            return;
+        };
+        let PeerParcel { messages, .. } = parcel;
         if from.vm == self.post.me.vm {
             return;
         }
@@ -28,6 +33,8 @@
 
     fn on_message(&mut self, now: Instant, from: &PeerInfo, message: PeerMessage) {
         match message {
+            // Read before the others.
+            PeerMessage::Introduction(_) => {}
             PeerMessage::Beat(beat) => self.on_beat(now, from, beat),
             PeerMessage::Loads { scope, loads } => {
                 self.post.peers.on_loads(now, from, scope, loads);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,7 +1,7 @@
 //! What the control thread is told.
 
 use {
-    crate::peer_message::{PeerInfo, PeerParcel},
+    crate::peer_message::{PeerInfo, PeerMessage, PeerParcel},
     glade_catalog::{DemandReport, EngineOrder, EngineReport, OrderAnswer, ServerKey},
     glade_dispatch::{PromptSent, ServerLoad},
     glade_platform::{Changes, Revision, Snapshot, StoreError, StoredRow, TxnAnswer},
@@ -52,6 +52,17 @@
 }
 
 impl Event {
+    /// True if it only tells of prompts, from which nothing follows.
+    pub(crate) fn is_prompts(&self) -> bool {
+        match self {
+            Self::Prompts(_) => true,
+            Self::Peer(parcel) => {
+                parcel.messages.iter().all(|message| matches!(message, PeerMessage::Prompts(_)))
+            }
+            _ => false,
+        }
+    }
+
     /// True if it asks for no decision before the next tick.
     pub(crate) fn is_routine(&self) -> bool {
         match self {
--- a/crates/node/src/peer_message.rs
+++ b/crates/node/src/peer_message.rs
@@ -9,7 +9,7 @@
     glade_dispatch::ServerLoad,
     glade_platform::Revision,
     glade_residency::EngineDigest,
-    glade_types::{DataCentre, Incarnation, ModelName, VmId},
+    glade_types::{DataCentre, Incarnation, ModelName, VmId, stable_hash},
     glade_wire::{WireError, frame},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -33,6 +33,14 @@
     pub(crate) cpu_millis: u32,
 }
 
+impl PeerInfo {
+    /// Mark of the process in parcels; two have the same one with a chance of one in 2^64.
+    pub(crate) fn mark(&self) -> u64 {
+        let name = format!("{} {}", self.vm, self.incarnation.0);
+        stable_hash(name.as_bytes())
+    }
+}
+
 /// A node's claim to be the one that gives orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -87,6 +95,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum PeerMessage {
+    /// Who sends the parcel. Goes with signs of life and to nodes that may not know the sender.
+    Introduction(PeerInfo),
     /// A sign of life.
     Beat(Beat),
     /// What nodes have under way now.
@@ -130,7 +140,9 @@
     fn is_routine(&self) -> bool {
         matches!(
             self,
-            Self::Loads { .. }
+            Self::Introduction(_)
+                | Self::Beat(_)
+                | Self::Loads { .. }
                 | Self::Prompts(_)
                 | Self::Demand(_)
                 | Self::Nodes(_)
@@ -141,6 +153,7 @@
     /// Position of the message's kind in [`crate::work::KINDS`].
     pub(crate) fn kind(&self) -> usize {
         match self {
+            Self::Introduction(_) => 13,
             Self::Beat(_) => 0,
             Self::Loads { .. } => 1,
             Self::Prompts(_) => 2,
@@ -161,7 +174,8 @@
 /// Messages of one sender that arrived together.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct PeerParcel {
-    pub(crate) from: PeerInfo,
+    /// Mark of the sender.
+    pub(crate) from: u64,
     pub(crate) messages: Vec<PeerMessage>,
 }
 
@@ -172,7 +186,7 @@
     ///
     /// The bytes have another version or aren't a parcel.
     pub(crate) fn decode(bytes: &[u8], work: &Work) -> Result<Self, WireError> {
-        let (from, parts) = frame::decode_parcel::<PeerInfo, PeerMessage>(bytes)?;
+        let (from, parts) = frame::decode_parcel::<u64, PeerMessage>(bytes)?;
         work.on_parcel_received(bytes.len());
         let count = |(message, length): (PeerMessage, usize)| {
             work.on_received(message.kind(), length);
@@ -181,6 +195,14 @@
         Ok(Self { from, messages: parts.into_iter().map(count).collect() })
     }
 
+    /// The sender, if it says who it is.
+    pub(crate) fn introduction(&self) -> Option<&PeerInfo> {
+        self.messages.iter().find_map(|message| match message {
+            PeerMessage::Introduction(info) => Some(info),
+            _ => None,
+        })
+    }
+
     /// True if nothing of it asks for a decision before the next tick.
     pub(crate) fn is_routine(&self) -> bool {
         self.messages.iter().all(PeerMessage::is_routine)
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Debug)]
 struct Peer {
     info: PeerInfo,
+    /// Mark of its process in parcels.
+    mark: u64,
     /// Process that this one has replaced; its late beats are ignored.
     replaced: Option<Incarnation>,
     heard_at: Option<Instant>,
@@ -226,6 +228,11 @@
         })
     }
 
+    /// The node whose process has this mark.
+    pub(crate) fn by_mark(&self, mark: u64) -> Option<&PeerInfo> {
+        self.by_vm.values().find(|peer| peer.mark == mark).map(|peer| &peer.info)
+    }
+
     /// Address of the node called `vm`, if it is known.
     pub(crate) fn addr(&self, vm: &VmId) -> Option<SocketAddr> {
         self.by_vm.get(vm).map(|peer| peer.info.peers)
@@ -247,6 +254,7 @@
 impl Peer {
     fn new(now: Instant, info: PeerInfo) -> Self {
         Self {
+            mark: info.mark(),
             info,
             replaced: None,
             heard_at: None,
--- a/crates/node/src/post.rs
+++ b/crates/node/src/post.rs
@@ -76,6 +76,8 @@
 #[derive(Debug)]
 pub(crate) struct Post {
     pub(crate) me: PeerInfo,
+    /// Mark of this process.
+    mark: u64,
     pub(crate) peers: Peers,
     pub(crate) mesh: Mesh,
     carrier: Box<dyn Carrier>,
@@ -87,6 +89,7 @@
     /// Returns a post that knows no other node.
     pub(crate) fn new(me: PeerInfo, carrier: Box<dyn Carrier>, work: Work) -> Self {
         Self {
+            mark: me.mark(),
             me,
             peers: Peers::default(),
             mesh: Mesh::alone(),
@@ -106,9 +109,16 @@
     /// Sends `message` to the node at `addr` at once, behind what waits for it already. One that
     /// can't be queued there is dropped.
     pub(crate) fn send(&mut self, now: Instant, addr: SocketAddr, message: &PeerMessage) {
+        self.introduce(now, addr);
         self.put(now, addr, message.kind(), &frame::encode_part(message));
     }
 
+    /// Says who this node is in the parcel for `addr`, which is sent by `due`.
+    fn introduce(&mut self, due: Instant, addr: SocketAddr) {
+        let message = PeerMessage::Introduction(self.me.clone());
+        self.put(due, addr, message.kind(), &frame::encode_part(&message));
+    }
+
     /// Sends `message` to all cores, and to this node's leaves.
     pub(crate) fn spread(&mut self, now: Instant, message: &PeerMessage) {
         self.tell_cores(now, message);
@@ -230,7 +240,7 @@
         let parcel = self
             .parcels
             .entry(addr)
-            .or_insert_with(|| Parcel { bytes: frame::encode(&self.me), due });
+            .or_insert_with(|| Parcel { bytes: frame::encode(&self.mark), due });
         parcel.bytes.extend_from_slice(part);
         parcel.due = parcel.due.min(due);
         if parcel.bytes.len() >= PARCEL_FULL_BYTES {
@@ -277,8 +287,9 @@
             let registry_revision = if is_leaf { leaf_revision } else { beat.registry_revision };
             let beat = Beat { seq, heard_seq, registry_revision, ..beat.clone() };
             let message = PeerMessage::Beat(beat);
-            let part = frame::encode_part(&message);
-            self.put(now + self.gather_time(&vm), addr, message.kind(), &part);
+            let due = now + self.gather_time(&vm);
+            self.introduce(due, addr);
+            self.put(due, addr, message.kind(), &frame::encode_part(&message));
         }
     }
 
--- a/crates/node/src/post/tests.rs
+++ b/crates/node/src/post/tests.rs
@@ -154,3 +154,23 @@
         assert!(cut.is_err() || cut.is_ok_and(|parcel| parcel.messages.is_empty()), "{length}");
     }
 }
+
+#[test]
+fn a_sign_of_life_says_whose_it_is() {
+    let (now, nodes) = (Instant::now(), deployment(4));
+    let (mut post, carried) = carried_post_of(now, &nodes, 0);
+    post.beat(now, &beat(2, true), Revision::ABSENT);
+    post.flush(now);
+    let parcels = carried.parcels.borrow();
+    let parcel = PeerParcel::decode(&parcels[0].1, &Work::default()).expect("a parcel");
+    assert_eq!(parcel.introduction(), Some(&nodes[0]));
+    let reader = carried_post_of(now, &nodes, 1).0;
+    assert_eq!(reader.peers.by_mark(parcel.from), Some(&nodes[0]));
+}
+
+#[test]
+fn another_process_of_the_same_vm_has_another_mark() {
+    let node = &deployment(4)[0];
+    let later = PeerInfo { incarnation: glade_types::Incarnation(2), ..node.clone() };
+    assert_ne!(node.mark(), later.mark());
+}
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -12,7 +12,7 @@
 };
 
 /// Kinds of message, in the order of [`crate::peer_message::PeerMessage::kind`].
-pub(crate) const KINDS: [&str; 13] = [
+pub(crate) const KINDS: [&str; 14] = [
     "beat",
     "loads",
     "prompts",
@@ -26,6 +26,7 @@
     "wish",
     "server_gone",
     "residents",
+    "introduction",
 ];
 
 /// Messages of one kind and their bytes.
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -29,6 +29,7 @@
             others = basis.others.in_flight,
             recent = basis.own.recent_tokens + basis.others.recent_tokens,
             unread = basis.own.unread_tokens + basis.others.unread_tokens,
+            near = basis.near,
             failed_share = basis.failed_share;
             "request_sent"
         );
--- a/crates/residency/src/plan.rs
+++ b/crates/residency/src/plan.rs
@@ -37,6 +37,9 @@
 /// Load of an engine that a load from the weight store instead of one from a copy at hand weighs as
 /// much as, when an engine is chosen.
 const STORE_LOAD_COST: f64 = 0.5;
+/// Load of an engine that another copy of the model in the same data centre weighs as much as, when an
+/// engine is chosen: requests from elsewhere go a long way to it.
+const SAME_PLACE_COST: f64 = 0.1;
 /// Distress below which a move leaves the last load from the weight store to others.
 const RESERVED_DISTRESS: f64 = 0.5;
 /// Moves decided at once.
@@ -64,6 +67,8 @@
 /// What is known of one engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineSite {
+    /// Position of its data centre.
+    pub data_centre: usize,
     /// Room for weights.
     pub capacity_mb: f64,
     /// Whether it can take an order now.
@@ -118,10 +123,13 @@
     input: &'a PlanInput,
     holds: Vec<Vec<usize>>,
     free: Vec<bool>,
+    /// Room for weights at each engine.
+    room_mb: Vec<f64>,
     copies: Vec<u32>,
     store_loads: usize,
-    /// Models for which no move was found.
-    stuck: Vec<bool>,
+    /// Distress that another copy of each model takes away; nothing of models for which no move was
+    /// found.
+    gains: Vec<f64>,
 }
 
 impl<'a> Pass<'a> {
@@ -130,14 +138,21 @@
         for model in input.engines.iter().flat_map(|engine| &engine.holds) {
             copies[*model] += 1;
         }
-        Self {
+        let room = |engine: &EngineSite| {
+            let held = engine.holds.iter().map(|model| input.models[*model].size_mb);
+            engine.capacity_mb - held.sum::<f64>()
+        };
+        let mut pass = Self {
             input,
+            room_mb: input.engines.iter().map(room).collect(),
             holds: input.engines.iter().map(|engine| engine.holds.clone()).collect(),
             free: input.engines.iter().map(|engine| engine.free_for_order).collect(),
             copies,
             store_loads: input.store_loads,
-            stuck: vec![false; input.models.len()],
-        }
+            gains: Vec::new(),
+        };
+        pass.gains = (0..input.models.len()).map(|model| pass.gain(model)).collect();
+        pass
     }
 
     fn most_urgent_move(&mut self) -> Option<Move> {
@@ -145,16 +160,15 @@
             let model = self.neediest()?;
             match self.best_place(model) {
                 Some(found) => return Some(found),
-                None => self.stuck[model] = true,
+                None => self.gains[model] = 0.0,
             }
         }
     }
 
     /// The model that gains most from another copy.
     fn neediest(&self) -> Option<usize> {
-        (0..self.input.models.len())
-            .filter(|model| !self.stuck[*model])
-            .map(|model| (self.gain(model), model))
+        let gains = self.gains.iter().copied().zip(0..);
+        gains
             .filter(|(gain, _)| *gain > 0.0)
             .max_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, model)| model)
@@ -204,16 +218,23 @@
 
     /// The engine where another copy of `model` costs least.
     fn best_place(&self, model: usize) -> Option<Move> {
+        let size_mb = self.input.models[model].size_mb;
+        // Nothing is dropped for so small a gain.
+        let needs_room = self.gains[model] <= DROP_MARGIN;
+        let beside = self.copies_by_place(model);
         (0..self.holds.len())
-            .filter(|engine| self.free[*engine] && !self.holds[*engine].contains(&model))
-            .filter_map(|engine| self.place(engine, model))
+            .filter(|engine| self.free[*engine])
+            .filter(|engine| !needs_room || self.room_mb[*engine] >= size_mb)
+            .filter(|engine| !self.holds[*engine].contains(&model))
+            .filter_map(|engine| self.place(engine, model, &beside))
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, found)| found)
     }
 
-    /// A copy of `model` on `engine`, with its cost, if it is worth it.
-    fn place(&self, engine: usize, model: usize) -> Option<(f64, Move)> {
-        let gain = self.gain(model);
+    /// A copy of `model` on `engine`, with its cost, if it is worth it; `beside` are the copies of each
+    /// data centre.
+    fn place(&self, engine: usize, model: usize, beside: &[u32]) -> Option<(f64, Move)> {
+        let gain = self.gains[model];
         let site = &self.input.engines[engine];
         let from_store = !site.at_hand.contains(&model);
         let kept_back = usize::from(gain < RESERVED_DISTRESS);
@@ -221,8 +242,7 @@
             return None;
         }
         let size = |model: usize| self.input.models[model].size_mb;
-        let held: f64 = self.holds[engine].iter().map(|held| size(*held)).sum();
-        let mut room = site.capacity_mb - held;
+        let mut room = self.room_mb[engine];
         let mut drop = Vec::new();
         let mut harm = 0.0;
         while room < size(model) {
@@ -233,11 +253,25 @@
         }
         let is_worth_it = drop.is_empty() || gain > harm + DROP_MARGIN;
         let store_cost = if from_store { STORE_LOAD_COST } else { 0.0 };
-        let cost = self.engine_load(engine) + store_cost + harm;
+        let place_cost = SAME_PLACE_COST * f64::from(beside[site.data_centre]);
+        let cost = self.engine_load(engine) + store_cost + place_cost + harm;
         let found = Move { engine, load: model, drop, from_store };
         is_worth_it.then_some((cost, found))
     }
 
+    /// Copies of `model` in each data centre.
+    fn copies_by_place(&self, model: usize) -> Vec<u32> {
+        let sites = self.input.engines.iter().zip(&self.holds);
+        let mut copies = Vec::new();
+        for (site, holds) in sites {
+            if copies.len() <= site.data_centre {
+                copies.resize(site.data_centre + 1, 0);
+            }
+            copies[site.data_centre] += u32::from(holds.contains(&model));
+        }
+        copies
+    }
+
     /// The model on `engine` whose copy is missed least, with the distress that its loss adds.
     fn victim(&self, engine: usize, dropped: &[usize]) -> Option<(f64, usize)> {
         let fresh = &self.input.engines[engine].fresh;
@@ -265,12 +299,19 @@
     }
 
     fn apply(&mut self, found: &Move) {
+        let size_mb = |model: usize| self.input.models[model].size_mb;
         for dropped in &found.drop {
             self.copies[*dropped] -= 1;
             self.holds[found.engine].retain(|held| held != dropped);
+            self.room_mb[found.engine] += size_mb(*dropped);
         }
         self.holds[found.engine].push(found.load);
         self.copies[found.load] += 1;
+        self.room_mb[found.engine] -= size_mb(found.load);
+        for model in found.drop.iter().chain([&found.load]) {
+            // A model that was stuck stays so, unless it has just lost a copy.
+            self.gains[*model] = self.gain(*model);
+        }
         self.free[found.engine] = false;
         if found.from_store {
             self.store_loads -= 1;
--- a/crates/residency/src/steward.rs
+++ b/crates/residency/src/steward.rs
@@ -13,11 +13,11 @@
     },
     glade_catalog::{
         Catalog, DemandReport, EngineClass, EngineOrder, EngineReport, ModelSpec, OrderAnswer,
-        ServerKey, ServerRecord, Service, base_of, is_adapter, is_adapter_of,
+        ServerKey, ServerRecord, Service, base_of, is_adapter,
     },
-    glade_types::{ModelName, VmId},
+    glade_types::{DataCentre, ModelName, VmId},
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
         net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
@@ -48,6 +48,15 @@
     },
 }
 
+/// Demand for one base model.
+#[derive(Clone, Copy, Debug, Default)]
+struct BaseDemand {
+    /// Engines that its requests would keep busy.
+    load: f64,
+    /// Requests under way or waiting.
+    in_flight: f64,
+}
+
 /// Acts for all engines while its node holds the lease.
 #[derive(Clone, Debug)]
 pub struct Steward {
@@ -222,9 +231,10 @@
 
     /// Takes note of models without a copy.
     fn note_uncovered(&mut self, now: Instant, class: &EngineClass, keys: &[ServerKey]) {
+        let held: HashSet<&ModelName> =
+            keys.iter().flat_map(|key| self.slots[key].bases()).collect();
         for model in &class.models {
-            let held = keys.iter().any(|key| self.slots[key].bases().contains(&&model.name));
-            if held {
+            if held.contains(&model.name) {
                 self.uncovered_since.remove(&model.name);
             } else {
                 self.uncovered_since.entry(model.name.clone()).or_insert(now);
@@ -242,11 +252,19 @@
     fn plan_input(&self, now: Instant, class: &EngineClass, keys: &[ServerKey]) -> PlanInput {
         let adapter_mb = class.models.iter().map(|model| model.adapter_mb).fold(0.0, f64::max);
         let reserved_mb = adapter_mb * f64::from(class.adapter_slots);
-        let position = |name: &ModelName| class.models.iter().position(|model| model.name == *name);
+        let positions: HashMap<&ModelName, usize> =
+            class.models.iter().map(|model| &model.name).zip(0..).collect();
+        let position = |name: &ModelName| positions.get(name).copied();
+        let places: BTreeSet<&DataCentre> =
+            keys.iter().map(|key| &self.slots[key].record.data_centre).collect();
         let engine = |key: &ServerKey| {
             let slot = &self.slots[key];
             let record = &slot.record;
             EngineSite {
+                data_centre: places
+                    .iter()
+                    .take_while(|place| **place < &record.data_centre)
+                    .count(),
                 capacity_mb: class.weights_capacity_mb - reserved_mb,
                 free_for_order: slot.is_free(),
                 fresh: slot.fresh_bases(now).into_iter().filter_map(position).collect(),
@@ -259,32 +277,48 @@
                     .collect(),
             }
         };
+        let demand = self.demand_by_base(now, class);
+        let need = |(rank, model): (usize, &ModelSpec)| {
+            self.need(now, rank, model, demand.get(model.name.as_str()).copied())
+        };
         PlanInput {
-            models: class
-                .models
-                .iter()
-                .enumerate()
-                .map(|(rank, model)| self.need(now, class, rank, model))
-                .collect(),
+            models: class.models.iter().enumerate().map(need).collect(),
             engines: keys.iter().map(engine).collect(),
             store_loads: self.pacer.available(now),
             settle_time: SETTLE_TIME,
         }
     }
 
-    fn need(&self, now: Instant, class: &EngineClass, rank: usize, model: &ModelSpec) -> ModelNeed {
-        let related = || self.demand.models().filter(|name| base_of(name) == model.name.as_str());
+    /// Demand for base models, that for their adapters included.
+    fn demand_by_base(&self, now: Instant, class: &EngineClass) -> HashMap<&str, BaseDemand> {
         let slots = class.batch_slots;
+        let mut by_base: HashMap<&str, BaseDemand> = HashMap::new();
+        for name in self.demand.models() {
+            let base = by_base.entry(base_of(name)).or_default();
+            base.load += self.demand.coming_load(now, name, TOKENS_PER_S, slots);
+            base.in_flight += self.demand.in_flight(now, name);
+        }
+        for wish in self.wishes.keys().filter(|wish| is_adapter(wish)) {
+            by_base.entry(base_of(wish)).or_default();
+        }
+        by_base
+    }
+
+    fn need(
+        &self,
+        now: Instant,
+        rank: usize,
+        model: &ModelSpec,
+        demand: Option<BaseDemand>,
+    ) -> ModelNeed {
+        let BaseDemand { load, in_flight } = demand.unwrap_or_default();
         ModelNeed {
             model: model.name.clone(),
             size_mb: model.weights_mb,
-            load: related()
-                .map(|name| self.demand.coming_load(now, name, TOKENS_PER_S, slots))
-                .sum(),
-            in_flight: related().map(|name| self.demand.in_flight(now, name)).sum(),
+            load,
+            in_flight,
             uncovered: self.uncovered(now, &model.name),
-            asked_for: related().next().is_some()
-                || self.wishes.keys().any(|wish| is_adapter_of(wish, &model.name)),
+            asked_for: demand.is_some(),
             // Operators list first what they expect to be used most.
             prior: rank as u32,
         }
--- a/crates/residency/tests/placement.rs
+++ b/crates/residency/tests/placement.rs
@@ -23,6 +23,7 @@
 
 fn engine(holds: &[usize], at_hand: &[usize]) -> EngineSite {
     EngineSite {
+        data_centre: 0,
         capacity_mb: ROOM_MB,
         free_for_order: true,
         holds: holds.to_vec(),
@@ -138,3 +139,17 @@
     assert!(!moves.is_empty());
     assert!(moves.iter().all(|found| found.drop == [1]), "{moves:?}");
 }
+
+/// Load: a model that is asked for from everywhere has one copy; several engines are as idle.
+#[test]
+fn a_second_copy_goes_to_another_data_centre() {
+    let there = |place, holds: &[usize]| EngineSite { data_centre: place, ..engine(holds, &[]) };
+    let input = PlanInput {
+        models: vec![need(0, 1.5)],
+        engines: vec![there(0, &[]), there(0, &[0]), there(1, &[])],
+        store_loads: 4,
+        settle_time: Duration::ZERO,
+    };
+    let moves = plan(&input);
+    assert_eq!(moves.first().map(|found| found.engine), Some(2), "{moves:?}");
+}
