--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 DEPLOYMENT ?= kalahari
 STEPS ?= 200000
 
-.PHONY: build test lint demo fuzz soak bench bench-policy bench-capacity cmake
+.PHONY: build test lint demo fuzz soak bench bench-policy cmake
 
 build: cmake
 	$(CARGO) build --workspace --release
@@ -33,13 +33,10 @@
 	$(CARGO) build --workspace --release --quiet
 	target/release/persimmonglade-soak --seed $(SEED)
 
-# The slopes that docs/CAPACITY.md is worked out from.
-bench-capacity: cmake
-	$(CARGO) run --release --quiet --package glade-capacity
-
 # Times of single decisions, by criterion.
 bench: cmake
-	$(CARGO) bench --package glade-capacity
+	$(CARGO) bench --package glade-dispatch --bench decide
+	$(CARGO) bench --package glade-residency --bench plan
 
 demo: build
 	sh scripts/demo.sh
--- /dev/null
+++ b/crates/dispatch/benches/decide.rs
@@ -0,0 +1,83 @@
+//! Time of one choice of a server at the sizes of docs/CAPACITY.md.
+#![allow(missing_docs)]
+
+use {
+    criterion::{Criterion, criterion_group, criterion_main},
+    glade_catalog::{ServerKey, ServerRecord, ServerState},
+    glade_dispatch::{Dispatcher, Load, Need, RepeatLimit, ServerView, View},
+    glade_types::{BackendId, DataCentre, ModelName, ServiceName},
+    std::{
+        collections::HashMap,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Engines of which `holders` hold the model that is asked for, before many nodes.
+fn dispatcher(engines: usize, holders: usize) -> Dispatcher {
+    let server = |position: usize| ServerView {
+        record: Arc::new(ServerRecord {
+            key: ServerKey { id: BackendId::new(&format!("e{position}")), born_ms: 1 },
+            service: ServiceName::new("pool"),
+            addr: ([127, 0, 0, 1], 1).into(),
+            data_centre: DataCentre::new("dc-1"),
+            slots: 16,
+            state: ServerState::Ready,
+            warming_up: Duration::ZERO,
+            residents: Vec::new(),
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+        }),
+        usable: true,
+        near: position.is_multiple_of(5),
+        holds: Arc::new((position < holders).then(|| ModelName::new("m1")).into_iter().collect()),
+        others: Load { in_flight: 8, unread_tokens: 900, recent_tokens: 900, held_tokens: 9_000 },
+    };
+    let view = View {
+        catalog: None,
+        is_outdated: false,
+        servers: (0..engines).map(server).collect(),
+        arriving: HashMap::new(),
+        live_vms: 300,
+    };
+    let limit = RepeatLimit { share: 0.2, window: Duration::from_secs(10), reserve: 600.0 };
+    let mut dispatcher = Dispatcher::new(limit, 1);
+    dispatcher.sync(&view);
+    dispatcher
+}
+
+fn need(now: Instant) -> Need {
+    Need {
+        service: ServiceName::new("pool"),
+        model: Some(ModelName::new("m1")),
+        prompt_tokens: 800,
+        output_tokens: 200,
+        output_tokens_max: 500,
+        tokens_per_event: 12,
+        shared_prompt: None,
+        rank: 1,
+        objective: Duration::from_millis(500),
+        pause_limit: Some(Duration::from_millis(400)),
+        arrived_at: now,
+        model_load: Duration::from_millis(1200),
+        give_up_at: now + Duration::from_secs(3),
+        draw: 7,
+    }
+}
+
+fn choices(c: &mut Criterion) {
+    let now = Instant::now();
+    let need = need(now);
+    for (engines, holders) in [(12, 2), (160, 4), (160, 40), (880, 147)] {
+        let dispatcher = dispatcher(engines, holders);
+        let name = format!("choice among {holders} of {engines} engines");
+        c.bench_function(&name, |b| b.iter(|| dispatcher.decide(now, &need, &[])));
+    }
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default().sample_size(20).measurement_time(Duration::from_secs(3));
+    targets = choices
+}
+criterion_main!(benches);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -22,7 +22,7 @@
         readers::{Reading, reading},
         registry::Registry,
         registry_news::RegistryNews,
-        roll_call::answer_roll_call,
+        roll_call::{FIRST_START_SPREAD, RollCall},
         store_health::StoreHealth,
         work::Work,
     },
@@ -163,6 +163,8 @@
         events: Sender<Event>,
     ) -> Self {
         let now = clock.now();
+        let spread = if settings.first_start { FIRST_START_SPREAD } else { Duration::ZERO };
+        let reads_from = now + spread + START_PATIENCE;
         let store = Rc::new(PlatformStore::new(settings.store));
         let mut rng = fastrand::Rng::new();
         let terms = OrderTerms {
@@ -192,7 +194,7 @@
             config_position: FeedPosition::new(),
             in_large_mesh: Rc::default(),
             is_enrolled: false,
-            reads_from: now + START_PATIENCE,
+            reads_from,
             reads: watch::Sender::new(Reading::Off),
             loads: LoadExchange::new(now),
             demand: DemandPool::new(now),
@@ -268,8 +270,14 @@
             };
             spawn_local(feed.run());
         }
-        let (store, events) = (Rc::clone(&self.store), self.events.clone());
-        spawn_local(answer_roll_call(store, self.post.me.clone(), events, self.rng.fork()));
+        let roll_call = RollCall {
+            store: Rc::clone(&self.store),
+            me: self.post.me.clone(),
+            is_first_start: self.settings.first_start,
+            events: self.events.clone(),
+            rng: self.rng.fork(),
+        };
+        spawn_local(roll_call.answer());
     }
 
     fn on_event(&mut self, now: Instant, event: Event) {
--- a/crates/node/src/roll_call.rs
+++ b/crates/node/src/roll_call.rs
@@ -2,8 +2,7 @@
 
 use {
     crate::{event::Event, peer_message::PeerInfo},
-    glade_adapter::store::PlatformStore,
-    glade_platform::{ChangeFeed, Key, TableService, Txn, Write},
+    glade_platform::{ChangeFeed, Key, StoreError, TableService, Txn, Write},
     std::{rc::Rc, time::Duration},
     tokio::{sync::mpsc::Sender, time::sleep},
 };
@@ -14,41 +13,79 @@
 const BACKOFF_MIN: Duration = Duration::from_millis(200);
 /// Longest pause after failed calls.
 const BACKOFF_MAX: Duration = Duration::from_secs(2);
+/// Time over which the nodes of a whole deployment write their rows when it starts for the first time:
+/// the store writes a few hundred rows a second and refuses more.
+pub(crate) const FIRST_START_SPREAD: Duration = Duration::from_millis(1500);
 
-/// Writes this node's row and reads all others', once. Of two nodes that start together, the later
-/// one to write finds the earlier one's row, and greets it.
-pub(crate) async fn answer_roll_call(
-    store: Rc<PlatformStore>,
-    me: PeerInfo,
-    events: Sender<Event>,
-    mut rng: fastrand::Rng,
-) {
-    let value = serde_json::to_vec(&me).expect("plain structure");
-    let key = Key::new(&format!("{TABLE}/{}", me.vm));
-    let mut backoff = BACKOFF_MIN;
-    let mut written = false;
-    loop {
-        if !written {
-            let put = Write::Put { key: key.clone(), value: value.clone() };
-            let txn = Txn { conditions: Vec::new(), writes: vec![put] };
-            match store.transact(&txn).await {
-                Ok(_) => written = true,
-                Err(err) => log::info!(reason = err.to_string().as_str(); "roll_call_failed"),
+/// Has a node listed in the store, and reads who else is.
+pub(crate) struct RollCall<S> {
+    pub(crate) store: Rc<S>,
+    pub(crate) me: PeerInfo,
+    /// The whole deployment starts for the first time.
+    pub(crate) is_first_start: bool,
+    pub(crate) events: Sender<Event>,
+    pub(crate) rng: fastrand::Rng,
+}
+
+impl<S: TableService + ChangeFeed> RollCall<S> {
+    /// Writes this node's row, unless it stands there from an earlier start, and reads all others',
+    /// once. Of two nodes that start together, the later one to write finds the earlier one's row, and
+    /// greets it.
+    pub(crate) async fn answer(mut self) {
+        let listed = if self.is_first_start {
+            sleep(FIRST_START_SPREAD.mul_f64(self.rng.f64())).await;
+            None
+        } else {
+            Some(self.read().await).filter(|rows| self.is_in(rows))
+        };
+        let rows = match listed {
+            Some(rows) => rows,
+            None => {
+                self.write().await;
+                self.read().await
             }
+        };
+        // The control thread ends only with the process.
+        let _ = self.events.send(Event::NodeRows(rows)).await;
+    }
+
+    /// True if others find this VM by `rows`, whichever process they were written by.
+    fn is_in(&self, rows: &[PeerInfo]) -> bool {
+        let is_here = |row: &PeerInfo| {
+            PeerInfo { incarnation: self.me.incarnation, ..row.clone() } == self.me
+        };
+        rows.iter().any(is_here)
+    }
+
+    async fn write(&mut self) {
+        let value = serde_json::to_vec(&self.me).expect("plain structure");
+        let key = Key::new(&format!("{TABLE}/{}", self.me.vm));
+        let txn = Txn { conditions: Vec::new(), writes: vec![Write::Put { key, value }] };
+        let mut backoff = BACKOFF_MIN;
+        while let Err(err) = self.store.transact(&txn).await {
+            self.pause(&mut backoff, &err).await;
         }
-        if written {
-            match store.snapshot(TABLE).await {
+    }
+
+    async fn read(&mut self) -> Vec<PeerInfo> {
+        let mut backoff = BACKOFF_MIN;
+        loop {
+            match self.store.snapshot(TABLE).await {
                 Ok(snapshot) => {
                     let info = |value: &[u8]| serde_json::from_slice(value).ok();
-                    let rows = snapshot.rows.iter().filter_map(|row| info(&row.value)).collect();
-                    // The control thread ends only with the process.
-                    let _ = events.send(Event::NodeRows(rows)).await;
-                    return;
+                    return snapshot.rows.iter().filter_map(|row| info(&row.value)).collect();
                 }
-                Err(err) => log::info!(reason = err.to_string().as_str(); "roll_call_failed"),
+                Err(err) => self.pause(&mut backoff, &err).await,
             }
         }
-        sleep(backoff.mul_f64(0.5 + rng.f64())).await;
-        backoff = (backoff * 2).min(BACKOFF_MAX);
+    }
+
+    async fn pause(&mut self, backoff: &mut Duration, err: &StoreError) {
+        log::info!(reason = err.to_string().as_str(); "roll_call_failed");
+        sleep(backoff.mul_f64(0.5 + self.rng.f64())).await;
+        *backoff = (*backoff * 2).min(BACKOFF_MAX);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -65,6 +65,8 @@
     pub region: String,
     /// Its share of a processor core.
     pub cpu_share: f64,
+    /// The whole deployment starts for the first time, all VMs within a moment.
+    pub first_start: bool,
     /// Addresses that the node listens on.
     pub listen: NodeListen,
     /// Address of the platform's store.
@@ -129,6 +131,7 @@
             data_centre: DataCentre::new(&raw.vm.data_centre),
             region: raw.vm.region,
             cpu_share: raw.vm.cpu_share,
+            first_start: raw.vm.first_start,
             listen,
             store: raw.platform.store,
             seeds: raw.seeds.unwrap_or_default(),
--- a/crates/settings/src/raw_node.rs
+++ b/crates/settings/src/raw_node.rs
@@ -22,6 +22,8 @@
     pub(crate) data_centre: String,
     pub(crate) region: String,
     pub(crate) cpu_share: f64,
+    #[serde(default)]
+    pub(crate) first_start: bool,
 }
 
 #[derive(Debug, Deserialize)]
--- a/crates/settings/tests/node.rs
+++ b/crates/settings/tests/node.rs
@@ -33,6 +33,13 @@
     assert!(NodeSettings::parse(&text).expect("good settings").seeds.is_empty());
 }
 
+#[test]
+fn a_start_isnt_the_first_one_unless_it_says_so() {
+    assert!(!NodeSettings::parse(GOOD).expect("good settings").first_start);
+    let text = GOOD.replace("cpu_share: 0.25", "cpu_share: 0.25, first_start: true");
+    assert!(NodeSettings::parse(&text).expect("good settings").first_start);
+}
+
 #[test]
 fn faults_are_named_by_key() {
     let faults = [
--- a/crates/system/tests/node.rs
+++ b/crates/system/tests/node.rs
@@ -338,6 +338,60 @@
     assert_eq!(reply.event_ids(), whole_stream(), "what was in force stays");
 }
 
+/// Users of the large Kalahari site: whenever a settings file changed, chats hung. Changes come in series,
+/// some can't be used, and one comes without a signal.
+#[test]
+fn settings_that_change_under_load_cut_and_delay_nothing() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let path = site.settings_path(0);
+    let usable = std::fs::read_to_string(&path).expect("a settings file");
+    let begin = || {
+        let id = site.request_id();
+        (site.begin(0, CHAT, Some("m0"), &id), id)
+    };
+    let mut streams = Vec::new();
+    for round in 0..6 {
+        streams.extend((0..3).map(|_| begin()));
+        match round % 3 {
+            0 => site.reload_node(0, |text| text.replace("reserve: 50", "reserve: 40")),
+            1 => site.reload_node(0, |_| "vm: [".to_owned()),
+            _ => site.reload_node(0, |_| usable.clone()),
+        }
+        site.pause(Duration::from_millis(60));
+    }
+    std::fs::write(&path, "no settings").expect("the file can be written");
+    streams.extend((0..3).map(|_| begin()));
+    for (stream, id) in streams {
+        let reply = site.finish(stream).expect("an answer");
+        assert!(reply.whole && reply.event_ids() == whole_stream(), "{reply:?}");
+        assert_eq!(site.log.runs_of(&id).len(), 1, "one engine answered all of it");
+    }
+    let log = site.node_log(0);
+    assert!(log.contains("\"reload_failed\"") && !log.contains("\"event\":\"leaving\""));
+}
+
+/// A driver at Kalahari saw no confirmation and claimed again: each of the two claims runs at most once, and
+/// neither is said not to have run.
+#[test]
+fn a_claim_after_an_unseen_answer_is_a_request_of_its_own() {
+    let site = Site::start(2, &[&["m0"]]);
+    for server in &site.plain {
+        server.set_fault(EngineFault::BreaksAfter(0));
+    }
+    let unseen = site.request_id();
+    let reply = site.send(0, CLAIM, None, &unseen).expect("an answer");
+    assert_eq!(reply.status, 502, "it has run: {reply:?}");
+    for server in &site.plain {
+        server.set_fault(EngineFault::None);
+    }
+    let again = site.request_id();
+    let reply = site.send(1, CLAIM, None, &again).expect("an answer");
+    assert!(reply.body.ends_with(&format!("to {again}")), "its own answer: {reply:?}");
+    for id in [&unseen, &again] {
+        assert_eq!(site.log.runs_of(id).len(), 1, "{id}");
+    }
+}
+
 #[test]
 fn a_refused_request_can_be_found_by_its_id() {
     let site = Site::start(1, &[&["m0"]]);
