--- a/crates/node/src/order_desk.rs
+++ b/crates/node/src/order_desk.rs
@@ -390,3 +390,6 @@
         self.repeat_at = now;
     }
 }
+
+#[cfg(test)]
+mod tests;
