--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -41,6 +41,8 @@
 
 /// Time to load a model.
 const LOAD_TIME: Duration = Duration::from_millis(60);
+/// Pause between the bytes of a stream that trickles.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(40);
 /// Time for which an engine sends nothing, longer than a node waits before it asks another.
 const LONG_PAUSE: Duration = Duration::from_millis(1_800);
 /// Events under way to a caller.
@@ -56,6 +58,8 @@
     BreaksAfter(u64),
     /// It sends nothing for a while after this many events of a stream, and then goes on.
     PausesAfter(u64),
+    /// After this many events of a stream it sends a byte now and then, and never a whole event.
+    TricklesAfter(u64),
     /// It runs requests and answers nothing.
     Hangs,
     /// It rejects requests without running them.
@@ -342,6 +346,7 @@
         EngineFault::None
         | EngineFault::BreaksAfter(_)
         | EngineFault::PausesAfter(_)
+        | EngineFault::TricklesAfter(_)
         | EngineFault::Rejects => {}
     }
     let marks = shared.marks(&id, true);
@@ -362,6 +367,13 @@
     Ok(shared.answer(StatusCode::OK, &marks, whole(StatusCode::OK, body).into_body()))
 }
 
+/// Sends single bytes until the caller leaves.
+async fn trickle(sender: &Sender<io::Result<Bytes>>) {
+    while sender.send(Ok(Bytes::from_static(b":"))).await.is_ok() {
+        sleep(TRICKLE_PAUSE).await;
+    }
+}
+
 /// Sends the events of a run, from the one after the last that its caller had.
 async fn stream(
     shared: Arc<Shared>,
@@ -380,6 +392,9 @@
         if fault == EngineFault::PausesAfter(sent as u64) {
             sleep(LONG_PAUSE).await;
         }
+        if fault == EngineFault::TricklesAfter(sent as u64) {
+            return trickle(&sender).await;
+        }
         sleep(shared.spec.pause).await;
         let event = Bytes::from(format!("id: {id}\ndata: token-{id}\n\n"));
         if sender.send(Ok(event)).await.is_err() {
--- a/crates/system/tests/node.rs
+++ b/crates/system/tests/node.rs
@@ -129,6 +129,20 @@
     });
 }
 
+/// Bytes that make up no event don't keep a stream: it goes on at another engine.
+#[test]
+fn a_stream_that_trickles_goes_on_at_another_engine() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    site.engine_fault(0, EngineFault::TricklesAfter(4));
+    site.eventually("a stream is resumed", || {
+        let id = site.request_id();
+        let reply = site.send(0, CHAT, Some("m0"), &id).expect("an answer");
+        assert_eq!(reply.event_ids(), whole_stream(), "{:?}", site.log.runs_of(&id));
+        assert!(reply.whole);
+        site.log.runs_of(&id).iter().any(|run| run.resumed_after == Some(4))
+    });
+}
+
 #[test]
 fn a_stream_that_may_run_once_is_never_passed_off_as_whole() {
     let site = Site::start(1, &[&["m0"], &["m0"]]);
