--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -19,7 +19,7 @@
         post::Post,
         prompt_exchange::PromptExchange,
         published::Published,
-        readers::{Reading, reading},
+        readers::{ReaderPlace, Reading, reading},
         registry::Registry,
         registry_news::RegistryNews,
         roll_call::{FIRST_START_SPREAD, RollCall},
@@ -376,10 +376,13 @@
         let is_holder = self.desk.is_holder();
         let away = self.health.is_away();
         let mesh = &self.post.mesh;
-        let has_core = mesh.near_cores.iter().any(|vm| self.post.peers.hears(now, vm));
-        let is_new = now < self.reads_from;
-        // A leaf that has just started gives its cores time to tell it everything.
-        if is_new && (!self.is_enrolled || !mesh.is_core) || !mesh.is_core && has_core {
+        let place = ReaderPlace {
+            is_core: mesh.is_core,
+            hears_core: mesh.near_cores.iter().any(|vm| self.post.peers.hears(now, vm)),
+            is_enrolled: self.is_enrolled,
+            is_new: now < self.reads_from,
+        };
+        if place.is_told() {
             return Reading::Off;
         }
         reading(now, &self.post.me.vm, is_holder, away, &self.post.peers)
--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -28,6 +28,27 @@
     }
 }
 
+/// A node's place in the mesh, for what concerns reading.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ReaderPlace {
+    /// It is a core.
+    pub(crate) is_core: bool,
+    /// It hears a core of its data centre.
+    pub(crate) hears_core: bool,
+    /// It knows from the store which other nodes there are.
+    pub(crate) is_enrolled: bool,
+    /// It has started so lately that others may yet tell it what it would read.
+    pub(crate) is_new: bool,
+}
+
+impl ReaderPlace {
+    /// True if others tell the node what it would read. Were all nodes that start together to read, they
+    /// would call the store several times each.
+    pub(crate) fn is_told(self) -> bool {
+        if self.is_core { self.is_new && !self.is_enrolled } else { self.is_new || self.hears_core }
+    }
+}
+
 /// Whether the node `me` is to read the platform's tables.
 pub(crate) fn reading(
     now: Instant,
--- a/crates/node/src/readers/tests.rs
+++ b/crates/node/src/readers/tests.rs
@@ -73,3 +73,19 @@
     peers.on_beat(now, &node("vm-2"), beat(true, false, true));
     assert_eq!(reading(now, &me, false, false, &peers), Reading::First);
 }
+
+#[test]
+fn a_leaf_that_has_just_started_waits_to_be_told() {
+    let leaf = ReaderPlace { is_core: false, hears_core: false, is_enrolled: true, is_new: true };
+    assert!(leaf.is_told());
+    assert!(!ReaderPlace { is_new: false, ..leaf }.is_told(), "nobody has told it anything");
+    assert!(ReaderPlace { is_new: false, hears_core: true, ..leaf }.is_told());
+}
+
+#[test]
+fn a_core_reads_as_soon_as_it_knows_that_it_is_one() {
+    let core = ReaderPlace { is_core: true, hears_core: true, is_enrolled: false, is_new: true };
+    assert!(core.is_told(), "each node takes itself for a core before it knows the others");
+    assert!(!ReaderPlace { is_enrolled: true, ..core }.is_told());
+    assert!(!ReaderPlace { is_new: false, ..core }.is_told(), "the store may be away");
+}
