A node that starts while the store is in trouble reads at once

Change: a roll call that fails is told of, and the node reads meanwhile. What a crowd decides differently is a file of its own.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -42,23 +42,12 @@
 /// Nodes that may choose among all servers without choosing the same one; the loads in
 /// `tests/loads.rs` are served best with it.
 const NODES_THAT_AGREE: usize = 8;
-/// Nodes beyond which prompts aren't paced by what others have told, and choices are blurred.
-const CROWD: usize = 12;
 /// How much chance there is in the choices of a crowd: more, the less its nodes know of each other's
 /// prompts. The loads in `tests/loads.rs` are served best with these.
 const BLUR_WITH_WORD: Blur = Blur { cost_s: 0.08, drawn_min: 4 };
 const BLUR_WITHOUT_WORD: Blur = Blur { cost_s: 0.16, drawn_min: 2 };
-/// Time without word of another VM's prompts after which there is taken to be none. In a crowd there
-/// are many in a second.
-const WORD_MAX_AGE: Duration = Duration::from_secs(1);
 /// Most prompts that wait to be told; a VM sends a few in the time that they wait.
 const UNTOLD_MAX: usize = 256;
-/// Requests beyond a server's places that a crowd sends it: they wait there, by their urgency, and go on
-/// sooner than word of a free place gets to the nodes.
-const PLACES_IN_QUEUE: u32 = 2;
-/// Time after which a request that had no turn has another chance: about what word of the others' sends
-/// takes in a large mesh.
-const TURN_TIME: Duration = Duration::from_millis(200);
 /// Part of a server's memory for prompts that is filled before requests wait.
 const MEMORY_SHARE: f64 = 0.9;
 
@@ -107,25 +96,25 @@
 /// Decides for all requests of one VM.
 #[derive(Debug)]
 pub struct Dispatcher {
-    servers: Vec<Server>,
+    pub(crate) servers: Vec<Server>,
     index: HashMap<ServerKey, ServerIdx>,
     by_tag: HashMap<u32, ServerIdx>,
     /// Prompts that were sent and not told to the other VMs.
     untold: Vec<PromptSent>,
     /// When there was last word of other VMs' prompts.
-    word_at: Option<Instant>,
+    pub(crate) word_at: Option<Instant>,
     flights: HashMap<FlightId, Flight>,
-    waiting: BTreeMap<WaitId, (Need, Vec<ServerIdx>)>,
+    pub(crate) waiting: BTreeMap<WaitId, (Need, Vec<ServerIdx>)>,
     /// For which servers they wait, by the tags of their keys, in hundredths of requests.
-    waiting_by_server: HashMap<u32, u32>,
+    pub(crate) waiting_by_server: HashMap<u32, u32>,
     arriving: HashMap<ModelName, Instant>,
     kv_capacity: HashMap<ServiceName, u64>,
     demand: DemandLog,
     repeat_limit: RepeatLimit,
     repeats: HashMap<ServiceName, RepeatBudget>,
-    live_vms: u32,
+    pub(crate) live_vms: u32,
     /// Drawn for this VM: by it a crowd shares out the servers of plain services.
-    own_draw: u32,
+    pub(crate) own_draw: u32,
     next_id: u64,
 }
 
@@ -308,19 +297,6 @@
         Some(fitting[1..].iter().fold((cost(first), first), cheaper).1)
     }
 
-    /// The server of a plain service that this VM's share of the callers goes to.
-    ///
-    /// Such requests take less time than word of them to other nodes. Were the nodes of a crowd to go by
-    /// what they hear, all would send to the same server until it rejects. So each keeps to one as long as
-    /// that one fits, which also lets it use its connections again.
-    fn own_share(&self, fitting: &[(u64, ServerIdx)]) -> Option<ServerIdx> {
-        let own_rank = |idx: &ServerIdx| {
-            let tag = self.servers[idx.get()].view.record.key.tag();
-            shuffled(self.own_draw, ServerIdx(tag))
-        };
-        fitting.iter().map(|(_, idx)| *idx).min_by_key(own_rank)
-    }
-
     /// A refusal, if nobody will wait for `predicted_s` seconds any more.
     fn in_time(&self, now: Instant, need: &Need, predicted_s: f64) -> Option<Verdict> {
         let left_s = need.give_up_at.saturating_duration_since(now).as_secs_f64();
@@ -355,17 +331,6 @@
         }
     }
 
-    /// True if so many nodes send beside this one that what it knows of their prompts is always out of
-    /// date: prompts are read sooner than word of them gets here.
-    fn is_crowd(&self) -> bool {
-        self.live_vms as usize > CROWD
-    }
-
-    /// True if other VMs tell of their prompts.
-    fn has_word(&self, now: Instant) -> bool {
-        self.word_at.is_some_and(|at| now.saturating_duration_since(at) < WORD_MAX_AGE)
-    }
-
     fn has_room(&self, now: Instant, server: &Server, need: &Need) -> bool {
         let load = server.load(now);
         let slots = server.view.record.slots.max(1);
@@ -381,49 +346,6 @@
             && (self.is_crowd() || !stalls_streams(now, server, need))
     }
 
-    /// True if the request is among those for which there is a place, where more wait than there are.
-    ///
-    /// All nodes of a crowd learn of a free place at about the same time. Were all that wait to go, the
-    /// server would reject most of them; so each goes with the chance of places to requests, drawn anew
-    /// once word of the others' sends has come.
-    fn has_turn(&self, now: Instant, server: &Server, need: &Need) -> bool {
-        let load = server.load(now);
-        let slots = server.view.record.slots.max(1);
-        let places = f64::from(slots.saturating_sub(load.in_flight) + PLACES_IN_QUEUE);
-        let own = self.waiting_at(server);
-        let waiting = f64::from(server.view.others.waiting_hundredths + own) / 100.0;
-        let waited = now.saturating_duration_since(need.arrived_at);
-        let turn = (waited.as_millis() / TURN_TIME.as_millis()) as u32;
-        let drawn =
-            fraction(need.draw.rotate_left(turn) ^ turn, ServerIdx(server.view.record.key.tag()));
-        waiting <= places || drawn < places / waiting
-    }
-
-    /// This VM's part of the requests that wait for room on `server`, in hundredths.
-    fn waiting_at(&self, server: &Server) -> u32 {
-        let tag = server.view.record.key.tag();
-        self.waiting_by_server.get(&tag).copied().unwrap_or(0)
-    }
-
-    /// Works out anew for which servers this VM's requests wait.
-    fn count_waiting(&mut self) {
-        self.waiting_by_server.clear();
-        for (need, tried) in self.waiting.values() {
-            let Some(model) = &need.model else { continue };
-            let fits = |(position, server): &(usize, &Server)| {
-                server.view.usable
-                    && server.view.record.service == need.service
-                    && server.view.holds.contains(model)
-                    && !tried.contains(&ServerIdx(*position as u32))
-            };
-            let servers = || self.servers.iter().enumerate().filter(fits);
-            let part = 100 / (servers().count().max(1) as u32);
-            for (_, server) in servers() {
-                *self.waiting_by_server.entry(server.view.record.key.tag()).or_default() += part;
-            }
-        }
-    }
-
     /// Keeps a request until [`Dispatcher::due`] gives a verdict on it.
     pub fn wait(&mut self, need: &Need, tried: &[ServerIdx]) -> WaitId {
         let id = WaitId(self.next_id());
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! virtual time.
 
 mod cost;
+mod crowd;
 mod demand_log;
 mod dispatcher;
 mod health;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -88,7 +88,8 @@
     config_position: FeedPosition,
     /// Shared with those who follow tables.
     in_large_mesh: Rc<Cell<bool>>,
-    /// The rows of all nodes were read.
+    /// The rows of all nodes were read, or the store is in trouble, and every call may be the one that it
+    /// answers.
     is_enrolled: bool,
     /// When this node reads the platform's tables even if it can't tell whether others do.
     reads_from: Instant,
@@ -313,6 +314,10 @@
                 self.is_enrolled = true;
                 self.beat_at = now;
             }
+            Event::RollCallFailed => {
+                self.is_enrolled = true;
+                self.beat_at = now;
+            }
             Event::Peer(parcel) => self.on_parcel(now, *parcel),
             Event::Traffic(report) => self.on_traffic(now, report),
             Event::Prompts(sent) => self.prompts.on_own(now, sent, &mut self.post),
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -29,6 +29,8 @@
     StoreLost(Instant, String),
     /// The rows of all nodes that were ever started.
     NodeRows(Vec<PeerInfo>),
+    /// The store doesn't tell which nodes there are; the call is repeated.
+    RollCallFailed,
     /// Another node has sent messages.
     Peer(Box<PeerParcel>),
     /// What traffic has under way and has seen since it last said so.
--- a/crates/node/src/readers.rs
+++ b/crates/node/src/readers.rs
@@ -35,7 +35,7 @@
     pub(crate) is_core: bool,
     /// It hears a core of its data centre.
     pub(crate) hears_core: bool,
-    /// It knows from the store which other nodes there are.
+    /// It knows from the store which other nodes there are, or the store is in trouble.
     pub(crate) is_enrolled: bool,
     /// It has started so lately that others may yet tell it what it would read.
     pub(crate) is_new: bool,
--- a/crates/node/src/roll_call.rs
+++ b/crates/node/src/roll_call.rs
@@ -82,6 +82,8 @@
 
     async fn pause(&mut self, backoff: &mut Duration, err: &StoreError) {
         log::info!(reason = err.to_string().as_str(); "roll_call_failed");
+        // The control thread ends only with the process.
+        let _ = self.events.send(Event::RollCallFailed).await;
         sleep(backoff.mul_f64(0.5 + self.rng.f64())).await;
         *backoff = (*backoff * 2).min(BACKOFF_MAX);
     }
--- a/crates/node/src/roll_call/tests.rs
+++ b/crates/node/src/roll_call/tests.rs
@@ -22,6 +22,8 @@
     table: Mutex<MemoryTable>,
     writes: Mutex<Vec<Instant>>,
     calls: Mutex<usize>,
+    /// It refuses this many calls more.
+    refusals: Mutex<usize>,
 }
 
 impl SlowStore {
@@ -50,6 +52,11 @@
 
     async fn scan(&self, prefix: &str) -> Result<Vec<StoredRow>, StoreError> {
         self.count();
+        let mut refusals = self.refusals.lock().expect("one thread");
+        if *refusals > 0 {
+            *refusals -= 1;
+            return Err(StoreError::NotSent { reason: "status 503".to_owned() });
+        }
         Ok(self.table.lock().expect("one thread").scan(prefix))
     }
 }
@@ -137,3 +144,21 @@
         assert_eq!(info.peers.port(), 99);
     });
 }
+
+/// trouble-3 at Kalahari: all nodes were killed while the store refused two calls in three, and none read
+/// the configuration before it had read who the others are.
+#[test]
+fn a_store_in_trouble_is_told_of_at_once() {
+    play(async {
+        let (store, nodes) = (Rc::new(SlowStore::default()), wide_deployment(1, 3));
+        start(&store, &nodes, true).await;
+        *store.refusals.lock().expect("one thread") = 2;
+        let (events, mut answers) = channel(8);
+        let (me, rng) = (nodes[0].clone(), fastrand::Rng::with_seed(1));
+        let roll_call = RollCall { store, me, is_first_start: false, events, rng };
+        tokio::task::spawn_local(roll_call.answer());
+        assert!(matches!(answers.recv().await, Some(Event::RollCallFailed)));
+        assert!(matches!(answers.recv().await, Some(Event::RollCallFailed)));
+        assert!(matches!(answers.recv().await, Some(Event::NodeRows(rows)) if rows.len() == 3));
+    });
+}
