--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -84,6 +84,8 @@
     pub(crate) fn doubt(&mut self) {
         self.revision = Revision::ABSENT;
         self.entries.values_mut().for_each(|entry| entry.revision = Revision::ABSENT);
+        // Servers that were found gone stay so until there is word of them.
+        self.gone.values_mut().for_each(|(revision, _)| *revision = Revision::ABSENT);
     }
 
     /// The registry as this node knows it.
--- a/crates/node/src/registry/tests.rs
+++ b/crates/node/src/registry/tests.rs
@@ -153,3 +153,22 @@
     registry.on_digests(now, 1, vec![digest]);
     assert!(holds(&registry).is_empty(), "an earlier holder's word is ignored");
 }
+
+/// A leaf that becomes a core knows what leaves are told, up to the revision of the last such news.
+#[test]
+fn what_is_in_doubt_is_used_until_all_is_told_anew() {
+    let now = Instant::now();
+    let mut registry = one_server(now);
+    registry.on_news(now, written(5, 6, record("e2", ServerState::Ready, &["m"])));
+    registry.on_gone(now, &record("e2", ServerState::Ready, &[]).key);
+    registry.doubt();
+    assert_eq!(usable(&registry, now), ["e1"]);
+    assert!(!registry.on_news(now, written(6, 7, record("e3", ServerState::Ready, &[]))));
+    let mut whole = record("e1", ServerState::Ready, &["m"]);
+    whole.on_disk = vec![ModelName::new("m9")];
+    let all = RegistryNews { after: None, ..written(0, 6, whole) };
+    assert!(registry.on_news(now, all));
+    assert_eq!(registry.revision(), Revision(6));
+    let known: Vec<_> = registry.records(now).map(|(record, _)| record.on_disk.len()).collect();
+    assert_eq!(known, [1], "with its copies, and without the server that is no more");
+}
