One way to put a message for a single node; one check of who speaks for leaves

Cause: send, introduce and beat each encoded a message and put it, and on_role asked again what speaks_for_leaves says. Change: put_message in post.rs serves the three; on_role calls the check.

--- a/crates/node/src/control/peer_side.rs
+++ b/crates/node/src/control/peer_side.rs
@@ -200,7 +200,7 @@
 
     /// This node has become a core, or is none any more: leaves aren't told all of the registry.
     pub(super) fn on_role(&mut self, now: Instant) {
-        if self.post.mesh.is_core && !self.post.mesh.is_small {
+        if self.speaks_for_leaves() {
             self.registry.doubt();
             self.registry_position.reset();
             self.choose_readers(now);
--- a/crates/node/src/control/store_side.rs
+++ b/crates/node/src/control/store_side.rs
@@ -98,7 +98,7 @@
     }
 
     /// True if this node may have to tell leaves of the registry.
-    fn speaks_for_leaves(&self) -> bool {
+    pub(super) fn speaks_for_leaves(&self) -> bool {
         self.post.mesh.is_core && !self.post.mesh.is_small
     }
 
--- a/crates/node/src/post.rs
+++ b/crates/node/src/post.rs
@@ -110,13 +110,12 @@
     /// can't be queued there is dropped.
     pub(crate) fn send(&mut self, now: Instant, addr: SocketAddr, message: &PeerMessage) {
         self.introduce(now, addr);
-        self.put(now, addr, message.kind(), &frame::encode_part(message));
+        self.put_message(now, addr, message);
     }
 
     /// Says who this node is in the parcel for `addr`, which is sent by `due`.
     fn introduce(&mut self, due: Instant, addr: SocketAddr) {
-        let message = PeerMessage::Introduction(self.me.clone());
-        self.put(due, addr, message.kind(), &frame::encode_part(&message));
+        self.put_message(due, addr, &PeerMessage::Introduction(self.me.clone()));
     }
 
     /// Sends `message` to all cores, and to this node's leaves.
@@ -234,6 +233,11 @@
         GATHER_PER_NODE.saturating_mul(nodes).clamp(GATHER_MIN, GATHER_MAX)
     }
 
+    /// Puts a message that goes to one node alone into the parcel for `addr`, which is sent by `due`.
+    fn put_message(&mut self, due: Instant, addr: SocketAddr, message: &PeerMessage) {
+        self.put(due, addr, message.kind(), &frame::encode_part(message));
+    }
+
     /// Puts an encoded message into the parcel for `addr`, which is sent by `due`.
     fn put(&mut self, due: Instant, addr: SocketAddr, kind: usize, part: &[u8]) {
         self.work.on_sent(kind, part.len());
@@ -286,10 +290,9 @@
             let is_leaf = self.mesh.leaves.contains(&vm);
             let registry_revision = if is_leaf { leaf_revision } else { beat.registry_revision };
             let beat = Beat { seq, heard_seq, registry_revision, ..beat.clone() };
-            let message = PeerMessage::Beat(beat);
             let due = now + self.gather_time(&vm);
             self.introduce(due, addr);
-            self.put(due, addr, message.kind(), &frame::encode_part(&message));
+            self.put_message(due, addr, &PeerMessage::Beat(beat));
         }
     }
 
