--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -284,13 +284,15 @@
         with_set_aside: bool,
     ) -> Verdict {
         let reading_us = self.reading_us(need);
-        let mut known = false;
+        let (candidates, is_held) = self.candidates(need, tried);
+        // Servers that are set aside are known all the same.
+        let mut known = is_held;
         let mut base_held = false;
         let mut crowded: Option<Later> = None;
         let mut fitting: Vec<(u64, ServerIdx)> = Vec::new();
         let base = need.model.as_ref().map(base_of);
         let turn = Turn::of(now, need);
-        for idx in self.candidates(need, tried) {
+        for idx in candidates {
             let server = &self.servers[idx.get()];
             if server.view.record.service != need.service
                 || !server.is_usable()
@@ -357,13 +359,14 @@
         self.absent(now, need, base_held)
     }
 
-    /// Servers to look at for `need`: those that hold its model, if any is left to try, or else all.
-    fn candidates(&self, need: &Need, tried: &[ServerIdx]) -> Vec<ServerIdx> {
+    /// Servers to look at for `need`: those that hold its model, if any is left to try, or else all. True if
+    /// they hold it.
+    fn candidates(&self, need: &Need, tried: &[ServerIdx]) -> (Vec<ServerIdx>, bool) {
         let holders = need.model.as_ref().and_then(|model| self.holders.get(model));
         let is_left = |idx: &ServerIdx| !tried.contains(idx) && self.servers[idx.get()].is_usable();
         match holders {
-            Some(holders) if holders.iter().any(is_left) => holders.clone(),
-            _ => self.indices().collect(),
+            Some(holders) if holders.iter().any(is_left) => (holders.clone(), true),
+            _ => (self.indices().collect(), false),
         }
     }
 
