Orders and questions keep to Retry-After; restores of the store in the soak; choice and outcomes on their own

An engine that wants nothing for a time gets neither orders nor questions from the holder meanwhile.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! have. It does no I/O and reads no clock: time is passed in, so that whole days can be played in
 //! virtual time.
 
+mod choice;
 mod coordinator;
 mod cost;
 mod crowd;
@@ -13,6 +14,7 @@
 mod health;
 mod load;
 mod need;
+mod outcomes;
 mod prompt_log;
 mod prompt_sent;
 mod reading_fit;
--- /dev/null
+++ b/crates/dispatch/src/outcomes.rs
@@ -0,0 +1,128 @@
+//! What is learnt from the fate of requests: how fast servers read, whether they answer as they should, and
+//! what they say of themselves.
+
+use {
+    crate::{
+        cost::fraction,
+        dispatcher::{Dispatcher, FlightId},
+        need::Need,
+        reading_fit::{DEFAULT_S_PER_TOKEN, ReadingFit},
+        server::ServerIdx,
+    },
+    glade_catalog::{ServerKey, base_of},
+    std::time::{Duration, Instant},
+};
+
+/// An outlier's share of failures is this many times the median of its service's servers, and this
+/// much more.
+const OUTLIER_RATIO: f64 = 2.0;
+const OUTLIER_MARGIN: f64 = 0.15;
+
+impl Dispatcher {
+    /// Takes note of the first byte of an answer.
+    pub fn answered(&mut self, now: Instant, id: FlightId) {
+        let sent_at = self.flights.get(&id).map(|flight| flight.sent_at);
+        if let Some(sent_at) = sent_at {
+            self.answered_after(id, now.saturating_duration_since(sent_at));
+        }
+    }
+
+    /// Takes note of the first byte of an answer, which came after `time`.
+    pub fn answered_after(&mut self, id: FlightId, time: Duration) {
+        let Some(flight) = self.flights.get_mut(&id) else { return };
+        let row = &mut self.servers[flight.server.get()];
+        row.own.unread_us -= std::mem::take(&mut flight.load.unread_us);
+        row.speed.on_answer(time);
+        let Some(alone) = flight.alone.take() else { return };
+        let event_s = row.speed.step_s() * f64::from(alone.event_tokens);
+        let took_s = (time.as_secs_f64() - event_s).max(0.0);
+        let service = row.view.record.service.clone();
+        let fit = self.reading.entry(service.clone()).or_default();
+        let of_model =
+            self.reading_by_model.entry(alone.model).or_insert_with(|| ReadingFit::like(fit));
+        row.speed.on_read_alone(took_s, of_model.time_s(f64::from(alone.tokens)));
+        of_model.on_read(alone.tokens, took_s);
+        fit.on_read(alone.tokens, took_s);
+        let first_s = fit.first_s();
+        let alike = self.servers.iter_mut().filter(|row| row.view.record.service == service);
+        alike.for_each(|row| row.speed.set_first_s(first_s));
+    }
+
+    /// Time that an engine takes to read the prompt of `need`, in microseconds.
+    pub(crate) fn reading_us(&self, need: &Need) -> u64 {
+        let of_model =
+            need.model.as_ref().and_then(|model| self.reading_by_model.get(base_of(model)));
+        let fit = of_model.or_else(|| self.reading.get(&need.service));
+        let s_per_token = fit.map_or(DEFAULT_S_PER_TOKEN, ReadingFit::s_per_token);
+        (f64::from(need.prompt_tokens) * s_per_token * 1e6) as u64
+    }
+
+    /// Takes note that a server answered a request well, to its last byte.
+    pub fn succeeded(&mut self, id: FlightId) {
+        if let Some(flight) = self.flights.get(&id) {
+            self.servers[flight.server.get()].health.on_success();
+        }
+    }
+
+    /// Takes note that `tokens` were generated in `time` after the first byte, with steps of `step` where
+    /// nothing was read meanwhile.
+    pub fn generated(&mut self, id: FlightId, tokens: u32, time: Duration, step: Option<Duration>) {
+        if let Some(flight) = self.flights.get(&id) {
+            let speed = &mut self.servers[flight.server.get()].speed;
+            speed.on_generated(tokens, time);
+        }
+        self.stepped(id, step);
+    }
+
+    /// Takes note of the time of a step of a request's server in which nothing was read.
+    pub(crate) fn stepped(&mut self, id: FlightId, step: Option<Duration>) {
+        if let (Some(flight), Some(step)) = (self.flights.get(&id), step) {
+            self.servers[flight.server.get()].speed.on_step(step);
+        }
+    }
+
+    /// Takes note that a server failed a request in a way that counts as `weight` failures. Returns
+    /// how long it is set aside for that, if it is.
+    pub fn failed(&mut self, now: Instant, server: ServerIdx, weight: u32) -> Option<Duration> {
+        self.servers[server.get()].health.on_failure(now, weight)
+    }
+
+    /// True if a server fails clearly more often than the others of its service. A failure that is the
+    /// same on all servers is the request's own, and asking another is of no use.
+    pub fn is_outlier(&self, idx: ServerIdx) -> bool {
+        let server = &self.servers[idx.get()];
+        let service = &server.view.record.service;
+        let mut shares: Vec<f64> = self
+            .servers
+            .iter()
+            .filter(|other| other.view.usable && other.view.record.service == *service)
+            .map(|other| other.health.failed_share())
+            .collect();
+        shares.sort_by(f64::total_cmp);
+        let median = shares.get(shares.len() / 2).copied().unwrap_or(0.0);
+        server.health.failed_share() > median * OUTLIER_RATIO + OUTLIER_MARGIN
+    }
+
+    /// Takes note that a server's process is gone. It gets no requests until the registry says
+    /// something new of it.
+    pub fn mark_gone(&mut self, idx: ServerIdx) -> ServerKey {
+        let server = &mut self.servers[idx.get()];
+        server.gone = true;
+        server.view.record.key.clone()
+    }
+
+    /// Takes note that a server has said that it is about to end. It gets no new requests for the rest of
+    /// its life. Returns its key unless that was known.
+    pub fn mark_leaving(&mut self, idx: ServerIdx) -> Option<ServerKey> {
+        let server = &mut self.servers[idx.get()];
+        let is_new = !std::mem::replace(&mut server.leaving, true);
+        is_new.then(|| server.view.record.key.clone())
+    }
+
+    /// Takes note that a server wants no requests from this VM for `time`. Returns how much of that is
+    /// believed.
+    pub fn close(&mut self, now: Instant, idx: ServerIdx, time: Duration) -> Duration {
+        let late = fraction(self.own_draw, idx);
+        self.servers[idx.get()].close(now, time, late)
+    }
+}
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -93,11 +93,13 @@
 
     /// The server wants no requests for `time`. This VM is back after it by the fraction `late` of the
     /// spread.
-    pub(crate) fn close(&mut self, now: Instant, time: Duration, late: f64) {
+    /// Returns how much of the time is believed.
+    pub(crate) fn close(&mut self, now: Instant, time: Duration, late: f64) -> Duration {
         let time = time.min(CLOSED_MAX);
         let spread = time.mul_f64(RETURN_SHARE).min(RETURN_SPREAD_MAX);
         let until = now + time + spread.mul_f64(late);
         self.closed_until = self.closed_until.max(Some(until));
+        time
     }
 
     /// True if the server is known to take requests, also if it wants none now.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -356,6 +356,7 @@
                     self.post.spread(now, &PeerMessage::ServerLeaving(key));
                 }
             }
+            Event::News(News::ServerClosed(key, time)) => self.desk.on_closed(&key, now + time),
             Event::LeaseRead(_, answer) => self.desk.on_lease_read(now, answer),
             Event::LeaseWritten(_, answer) => self.desk.on_lease_written(now, answer),
             Event::OrderAnswered(order, answer) => {
--- a/crates/node/src/order_desk.rs
+++ b/crates/node/src/order_desk.rs
@@ -224,6 +224,13 @@
         }
     }
 
+    /// An engine wants nothing from this VM until then.
+    pub(crate) fn on_closed(&mut self, server: &ServerKey, until: Instant) {
+        if let Some(steward) = &mut self.steward {
+            steward.on_closed(server, until);
+        }
+    }
+
     /// Takes the servers as they are described now.
     pub(crate) fn on_records(
         &mut self,
--- a/crates/relay/src/news.rs
+++ b/crates/relay/src/news.rs
@@ -1,6 +1,8 @@
 //! What traffic tells the control thread at once.
 
-use {glade_catalog::ServerKey, glade_dispatch::StartAsk, glade_types::ModelName};
+use {
+    glade_catalog::ServerKey, glade_dispatch::StartAsk, glade_types::ModelName, std::time::Duration,
+};
 
 /// Something that traffic has found out.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,6 +13,8 @@
     StartWanted(StartAsk),
     /// A server has said that it is about to end.
     ServerLeaving(ServerKey),
+    /// A server wants nothing from this VM for a time.
+    ServerClosed(ServerKey, Duration),
     /// A server's process is gone: nothing listens at its address, or another server does.
     ServerGone(ServerKey),
 }
--- a/crates/residency/src/engine_slot.rs
+++ b/crates/residency/src/engine_slot.rs
@@ -103,6 +103,8 @@
 pub(crate) struct EngineSlot {
     pub(crate) record: Arc<ServerRecord>,
     pub(crate) usable: bool,
+    /// Until when it wants nothing from this VM.
+    closed_until: Option<Instant>,
     /// `None` until a report has told it.
     ledger: Option<Ledger>,
     ask_at: Instant,
@@ -119,6 +121,7 @@
         Self {
             record,
             usable,
+            closed_until: None,
             ledger: None,
             ask_at: now,
             steps: VecDeque::new(),
@@ -137,6 +140,16 @@
         self.usable && self.ledger.is_some() && self.task.is_none() && self.steps.is_empty()
     }
 
+    /// The engine wants nothing from this VM until then.
+    pub(crate) fn close(&mut self, until: Instant) {
+        self.closed_until = self.closed_until.max(Some(until));
+    }
+
+    /// True if the engine wants nothing from this VM now.
+    pub(crate) fn is_closed(&self, now: Instant) -> bool {
+        self.closed_until.is_some_and(|until| now < until)
+    }
+
     /// True if an adapter can be ordered without waiting for a base model.
     pub(crate) fn takes_adapters(&self) -> bool {
         self.usable
@@ -311,7 +324,7 @@
         holder: &glade_types::VmId,
         fence: u64,
     ) -> Option<SlotAction> {
-        if !self.usable {
+        if !self.usable || self.is_closed(now) {
             return None;
         }
         if self.ledger.is_none() {
--- a/crates/residency/src/steward.rs
+++ b/crates/residency/src/steward.rs
@@ -173,6 +173,13 @@
         }
     }
 
+    /// An engine wants nothing from this VM until then, neither orders nor questions.
+    pub fn on_closed(&mut self, server: &ServerKey, until: Instant) {
+        if let Some(slot) = self.slots.get_mut(server) {
+            slot.close(until);
+        }
+    }
+
     /// Decides and returns what is to be done now.
     pub fn tick(&mut self, now: Instant, catalog: &Catalog) -> Vec<Action> {
         self.wishes.retain(|_, at| now.saturating_duration_since(*at) < WISH_TIME);
@@ -266,7 +273,7 @@
                     .take_while(|place| **place < &record.data_centre)
                     .count(),
                 capacity_mb: class.weights_capacity_mb - reserved_mb,
-                free_for_order: slot.is_free(),
+                free_for_order: slot.is_free() && !slot.is_closed(now),
                 fresh: slot.fresh_bases(now).into_iter().filter_map(position).collect(),
                 holds: slot.bases().into_iter().filter_map(position).collect(),
                 at_hand: record
--- a/crates/residency/tests/steward.rs
+++ b/crates/residency/tests/steward.rs
@@ -289,3 +289,37 @@
 fn memory_is_never_overcommitted_seed_1303052809035826658() {
     assert!(!overcommits(1_303_052_809_035_826_658, 206, 0, 32));
 }
+
+#[test]
+fn an_engine_that_wants_nothing_for_a_time_gets_neither_orders_nor_questions() {
+    let engines = vec![FakeEngine::new(0, &["m0"]), FakeEngine::new(1, &["m0"])];
+    let catalog = catalog(vec![spec("m0", 0), spec("m1", 0)]);
+    let mut world = World::new(catalog, engines, Faults::default(), 1);
+    let closed = world.engines[0].key.clone();
+    world.step();
+    let until = world.now + Duration::from_secs(2);
+    world.steward.on_closed(&closed, until);
+    world.steward.on_demand(world.now, &VmId::new("vm-1"), &demand("m1", 10));
+    while world.now < until {
+        let records: Vec<_> = world.engines.iter().map(FakeEngine::record).collect();
+        let usable = records.iter().map(|record| (record, true));
+        world.steward.on_records(world.now, &world.catalog, usable);
+        for action in world.steward.tick(world.now, &world.catalog) {
+            let server = match action {
+                Action::Order(order) => order.server,
+                Action::AskReport { server, .. } => server,
+            };
+            assert_ne!(server, closed, "{:?} before it opens", until - world.now);
+        }
+        world.now += STEP;
+    }
+    let asked = (0..40).any(|_| {
+        world.now += STEP;
+        let actions = world.steward.tick(world.now, &world.catalog);
+        actions.iter().any(|action| match action {
+            Action::Order(order) => order.server == closed,
+            Action::AskReport { server, .. } => *server == closed,
+        })
+    });
+    assert!(asked, "it is used again");
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -11,6 +11,9 @@
 /// Shortest time that a fault lasts.
 const LASTS_MS_MIN: u64 = 200;
 
+/// Mean time from one restore of the store to the copy for the next.
+const RESTORE_GAP: Duration = Duration::from_secs(3);
+
 /// Something that is done to the system from outside.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -66,6 +69,8 @@
     },
     /// The operator writes the configuration anew.
     Configuration,
+    /// A copy of the store is made, and the store goes back to it at the end.
+    Restore,
 }
 
 /// A fault with its time.
@@ -109,6 +114,21 @@
     }
 }
 
+/// Draws restores of the store for `time`, each of which goes back to a copy of its own.
+pub fn plan_restores(rng: &mut fastrand::Rng, time: Duration) -> Vec<Planned> {
+    let mut at = Duration::ZERO;
+    let mut planned = Vec::new();
+    loop {
+        at += RESTORE_GAP.mul_f64(0.2 + rng.f64());
+        let lasts = Duration::from_millis(rng.u64(LASTS_MS_MIN..LASTS_MS_MAX));
+        if at + lasts >= time {
+            return planned;
+        }
+        planned.push(Planned { at, lasts, fault: Fault::Restore });
+        at += lasts;
+    }
+}
+
 fn draw(rng: &mut fastrand::Rng, targets: Targets) -> Fault {
     let node = rng.usize(0..targets.nodes);
     let engine = rng.usize(0..targets.engines);
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -3,10 +3,10 @@
 use {
     crate::{
         checks::{Seen, Violation, check},
-        plan::{Fault, Planned, Targets, plan},
+        plan::{Fault, Targets, plan, plan_restores},
         proxy::{Link, Proxy},
     },
-    glade_standins::site::{EngineFault, StoreFault},
+    glade_standins::site::{EngineFault, SiteServer, StoreFault},
     glade_system::site::{BATCH, BROWSE, CHAT, CLAIM, Site},
     std::{collections::VecDeque, time::Duration},
     tokio::task::JoinHandle,
@@ -110,7 +110,12 @@
     pub fn run(mut self) -> Report {
         let Size { nodes, engines, time, gap, .. } = self.size;
         let targets = Targets { nodes, engines, plain: PLAIN };
-        let mut coming: VecDeque<Planned> = plan(&mut self.rng, targets, time, gap).into();
+        // By a generator of their own, so that a seed's other faults are the same with and without them.
+        let restores = plan_restores(&mut self.rng.clone(), time);
+        let mut coming = plan(&mut self.rng, targets, time, gap);
+        coming.extend(restores);
+        coming.sort_by_key(|planned| planned.at);
+        let mut coming = VecDeque::from(coming);
         // Time goes by ticks, so that a busy machine plays the same faults and requests, only slower.
         let (mut now, mut request_at) = (Duration::ZERO, Duration::ZERO);
         while now < time {
@@ -147,6 +152,7 @@
                 self.version += 1;
                 self.site.configure(self.version);
             }
+            Fault::Restore => self.site.store.copy(),
         }
         self.on.push((until, fault));
     }
@@ -163,11 +169,20 @@
                 Fault::Store(_) => self.site.store_fault(StoreFault::None),
                 Fault::Engine { engine, .. } => self.site.engine_fault(engine, EngineFault::None),
                 Fault::Plain { server, .. } => self.site.plain_fault(server, EngineFault::None),
+                Fault::Restore => self.restore(),
                 Fault::Reload { .. } | Fault::Configuration => {}
             }
         }
     }
 
+    /// The store goes back to its copy; operators and backend servers write again what they had written.
+    fn restore(&self) {
+        self.site.store.restore();
+        self.site.configure(self.version);
+        let servers = self.site.engines.iter().chain(&self.site.plain);
+        servers.for_each(SiteServer::register);
+    }
+
     /// Starts a node that was killed or told to end; the platform kills one that takes too long.
     fn start_again(&mut self, node: usize) {
         self.site.kill_node(node);
