--- a/crates/dispatch/src/coordinator.rs
+++ b/crates/dispatch/src/coordinator.rs
@@ -58,7 +58,7 @@
 
 #[derive(Clone, Debug)]
 enum State {
-    Waiting(WaitId),
+    Waiting { id: WaitId, missing: bool },
     Running { flight: FlightId, server: u32 },
 }
 
@@ -144,7 +144,7 @@
         let asked = (ask.reply_to.unwrap_or(asker), ask.ticket);
         if let Some(ticket) = self.tickets.get(&asked) {
             let verdict = match ticket.state {
-                State::Waiting(_) => StartVerdict::Queued,
+                State::Waiting { missing, .. } => StartVerdict::Queued { missing },
                 State::Running { server, .. } => StartVerdict::Go { server },
             };
             return vec![answer(asked, verdict)];
@@ -163,9 +163,12 @@
                 let id = self.dispatcher.wait(&need, &tried);
                 self.waiting.insert(id, asked);
                 let expires_at = need.give_up_at + FORGOTTEN_AFTER;
-                self.tickets.insert(asked, Ticket { state: State::Waiting(id), ask, expires_at });
+                self.tickets.insert(
+                    asked,
+                    Ticket { state: State::Waiting { id, missing }, ask, expires_at },
+                );
                 let wish = need.model.filter(|_| missing).map(Notice::Missing);
-                wish.into_iter().chain([answer(asked, StartVerdict::Queued)]).collect()
+                wish.into_iter().chain([answer(asked, StartVerdict::Queued { missing })]).collect()
             }
             Verdict::Refuse { reason, retry_after } => {
                 let retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
@@ -187,7 +190,7 @@
             StartEvent::Ended { ticket, is_good, step_us } => {
                 let Some(ticket) = self.tickets.remove(&(asker, ticket)) else { return };
                 match ticket.state {
-                    State::Waiting(id) => self.forget(id),
+                    State::Waiting { id, .. } => self.forget(id),
                     State::Running { flight, .. } => {
                         if is_good {
                             self.dispatcher.succeeded(flight);
@@ -321,7 +324,7 @@
         let old: Vec<Asked> = self.tickets.iter().filter(is_old).map(|(asked, _)| *asked).collect();
         for asked in old {
             match self.tickets.remove(&asked).map(|ticket| ticket.state) {
-                Some(State::Waiting(id)) => self.forget(id),
+                Some(State::Waiting { id, .. }) => self.forget(id),
                 Some(State::Running { flight, .. }) => self.dispatcher.end(flight),
                 None => {}
             }
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/start.rs
@@ -64,7 +64,10 @@
         server: u32,
     },
     /// It waits; another answer follows.
-    Queued,
+    Queued {
+        /// Its model or adapter is on no usable server.
+        missing: bool,
+    },
     /// It is refused.
     Refused {
         /// Why.
--- a/crates/dispatch/tests/common/play.rs
+++ b/crates/dispatch/tests/common/play.rs
@@ -218,7 +218,7 @@
                     let flight = node.dispatcher.begin(node.now, need, server);
                     self.send(request, server, flight);
                 }
-                StartVerdict::Queued => {}
+                StartVerdict::Queued { .. } => {}
                 StartVerdict::Refused { .. } => self.outcomes[request].refused = true,
             }
         }
--- a/crates/dispatch/tests/coordinator.rs
+++ b/crates/dispatch/tests/coordinator.rs
@@ -77,7 +77,7 @@
     let (first, notices) = desk.ask("m", 5000);
     server(&notices);
     let (second, notices) = desk.ask("m", 5000);
-    assert_eq!(verdicts(&notices), [(second, StartVerdict::Queued)]);
+    assert_eq!(verdicts(&notices), [(second, StartVerdict::Queued { missing: false })]);
     assert!(desk.tick().is_empty(), "nothing has changed");
     let event = StartEvent::Answered { ticket: first, after_us: 200_000 };
     desk.coordinator.on_event(desk.fixture.now, node(1), event);
@@ -140,7 +140,7 @@
     let mut desk = Desk::new(&[&["m"]]);
     let (ticket, notices) = desk.ask("m/a1", 100);
     assert!(notices.contains(&Notice::Missing(common::model("m/a1"))), "{notices:?}");
-    assert_eq!(verdicts(&notices), [(ticket, StartVerdict::Queued)]);
+    assert_eq!(verdicts(&notices), [(ticket, StartVerdict::Queued { missing: true })]);
     desk.fixture.now += ms(2400);
     let verdicts = verdicts(&desk.tick());
     let [(_, StartVerdict::Refused { reason, .. })] = verdicts[..] else { panic!("{verdicts:?}") };
--- a/crates/relay/src/starts.rs
+++ b/crates/relay/src/starts.rs
@@ -171,9 +171,9 @@
             question.by = Some(by);
             is_answered = true;
             match verdict {
-                StartVerdict::Queued => {
+                StartVerdict::Queued { missing } => {
                     if !is_queued {
-                        self.log_waits(admitted, false);
+                        self.log_waits(admitted, missing);
                     }
                     is_queued = true;
                 }
