--- a/crates/dispatch/src/coordinator.rs
+++ b/crates/dispatch/src/coordinator.rs
@@ -171,8 +171,7 @@
                 wish.into_iter().chain([answer(asked, StartVerdict::Queued { missing })]).collect()
             }
             Verdict::Refuse { reason, retry_after } => {
-                let retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
-                vec![answer(asked, StartVerdict::Refused { reason, retry_after_ms })]
+                vec![answer(asked, StartVerdict::refused(reason, retry_after))]
             }
         }
     }
@@ -225,9 +224,7 @@
                     notices.push(self.pass_on(asked, ticket.ask, server));
                 }
                 (Verdict::Refuse { reason, retry_after }, _) => {
-                    let retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
-                    let verdict = StartVerdict::Refused { reason, retry_after_ms };
-                    notices.push(answer(asked, verdict));
+                    notices.push(answer(asked, StartVerdict::refused(reason, retry_after)));
                 }
                 (Verdict::Send(_) | Verdict::Wait { .. }, _) => {}
             }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -89,6 +89,8 @@
     /// For which servers they wait, by the tags of their keys, in hundredths of requests.
     pub(crate) waiting_by_server: HashMap<u32, u32>,
     pub(crate) arriving: HashMap<ModelName, Instant>,
+    /// The configuration that was last taken over.
+    catalog: Option<Arc<Catalog>>,
     pub(crate) kv_capacity: HashMap<ServiceName, u64>,
     /// How fast the engines of each service read.
     pub(crate) reading: HashMap<ServiceName, ReadingFit>,
@@ -119,6 +121,7 @@
             reserved: Reserved::default(),
             waiting_by_server: HashMap::new(),
             arriving: HashMap::new(),
+            catalog: None,
             kv_capacity: HashMap::new(),
             reading: HashMap::new(),
             reading_by_model: HashMap::new(),
@@ -139,9 +142,8 @@
     /// Takes over what the control thread believes now.
     pub fn sync(&mut self, view: &View) {
         let mut has_changed = false;
-        for server in &mut self.servers {
-            server.was_usable = std::mem::replace(&mut server.view.usable, false);
-        }
+        let forget = |server: &mut Server| std::mem::replace(&mut server.view.usable, false);
+        let was_usable: Vec<bool> = self.servers.iter_mut().map(forget).collect();
         for seen in &view.servers {
             match self.index.get(&seen.record.key) {
                 Some(idx) => has_changed |= self.servers[idx.get()].see(seen),
@@ -158,26 +160,30 @@
                 }
             }
         }
-        has_changed |= self.servers.iter().any(|server| server.was_usable != server.view.usable);
+        let is_other = |(server, was): (&Server, &bool)| server.view.usable != *was;
+        has_changed |= self.servers.iter().zip(&was_usable).any(is_other);
         if has_changed {
             self.index_holders();
         }
         self.live_vms = view.live_vms.max(1);
         self.arriving.clone_from(&view.arriving);
-        if let Some(catalog) = &view.catalog {
-            self.set_windows(catalog);
-            self.kv_capacity = catalog
-                .services()
-                .filter_map(|service| {
-                    let class = service.engine_class.as_ref()?;
-                    Some((service.name.clone(), class.kv_capacity_tokens))
-                })
-                .collect();
+        let Some(catalog) = &view.catalog else { return };
+        let is_known = self.catalog.as_ref().is_some_and(|known| Arc::ptr_eq(known, catalog));
+        if has_changed || !is_known {
+            self.take_catalog(catalog);
+            self.catalog = Some(Arc::clone(catalog));
         }
     }
 
-    /// Takes over how long the streams of each service may pause.
-    fn set_windows(&mut self, catalog: &Catalog) {
+    /// Takes over how long the streams of each service may pause, and what its engines are like.
+    fn take_catalog(&mut self, catalog: &Catalog) {
+        self.kv_capacity = catalog
+            .services()
+            .filter_map(|service| {
+                let class = service.engine_class.as_ref()?;
+                Some((service.name.clone(), class.kv_capacity_tokens))
+            })
+            .collect();
         let mut shortest: HashMap<&ServiceName, Duration> = HashMap::new();
         for route in catalog.routes().filter(|route| route.streams) {
             let Some(limit) = route.pause_limit else { continue };
@@ -301,8 +307,7 @@
 
     /// True if a request may be sent to the server at `idx` now, as far as is known here.
     pub fn may_send_to(&self, now: Instant, idx: ServerIdx) -> bool {
-        let server = &self.servers[idx.get()];
-        server.is_usable() && server.closed_for(now).is_zero()
+        self.servers[idx.get()].is_open(now)
     }
 
     /// All servers that were ever known.
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -55,8 +55,6 @@
     pub(crate) pause_limit: Duration,
     /// Tokens in an event of such a stream.
     pub(crate) event_tokens: u32,
-    /// Whether it was usable before the present view was taken over.
-    pub(crate) was_usable: bool,
     /// Prompts that other VMs have sent.
     pub(crate) elsewhere: SentElsewhere,
     /// Whether it answers as it should.
@@ -76,7 +74,6 @@
             recent: PromptLog::new(REMEMBERED),
             pause_limit: DEFAULT_PAUSE_LIMIT,
             event_tokens: 1,
-            was_usable: false,
             elsewhere: SentElsewhere::default(),
             health: Health::default(),
             speed: Speed::default(),
@@ -92,8 +89,7 @@
     }
 
     /// The server wants no requests for `time`. This VM is back after it by the fraction `late` of the
-    /// spread.
-    /// Returns how much of the time is believed.
+    /// spread. Returns how much of the time is believed.
     pub(crate) fn close(&mut self, now: Instant, time: Duration, late: f64) -> Duration {
         let time = time.min(CLOSED_MAX);
         let spread = time.mul_f64(RETURN_SHARE).min(RETURN_SPREAD_MAX);
@@ -107,9 +103,14 @@
         self.view.usable && !self.gone && !self.leaving
     }
 
+    /// True if the server takes requests now, as far as is known.
+    pub(crate) fn is_open(&self, now: Instant) -> bool {
+        self.is_usable() && self.closed_for(now).is_zero()
+    }
+
     /// True if the server takes requests now and answers as it should.
     pub(crate) fn takes_requests(&self, now: Instant) -> bool {
-        self.is_usable() && self.closed_for(now).is_zero() && !self.health.is_set_aside(now)
+        self.is_open(now) && !self.health.is_set_aside(now)
     }
 
     /// Time for which the server still wants no requests.
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/start.rs
@@ -77,6 +77,13 @@
     },
 }
 
+impl StartVerdict {
+    /// A refusal with the time after which there is likely to be room.
+    pub(crate) fn refused(reason: Refusal, retry_after: Duration) -> Self {
+        Self::Refused { reason, retry_after_ms: whole_ms(retry_after) }
+    }
+}
+
 /// What has become of a request since.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -106,6 +113,11 @@
     },
 }
 
+/// `time` in milliseconds, as far as messages can tell it.
+fn whole_ms(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Mark of a name in messages.
 pub(crate) fn mark(name: &str) -> u32 {
     stable_hash(name.as_bytes()) as u32
@@ -114,7 +126,6 @@
 impl StartAsk {
     /// Asks for a server for `need`, which servers with the tags `tried` have failed.
     pub fn new(now: Instant, ticket: u32, need: &Need, tried: Vec<u32>) -> Self {
-        let ms = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
         Self {
             ticket,
             service: mark(need.service.as_str()),
@@ -124,10 +135,10 @@
             output_tokens_max: need.output_tokens_max,
             tokens_per_event: need.tokens_per_event,
             rank: need.rank,
-            objective_ms: ms(need.objective),
-            pause_limit_ms: need.pause_limit.map(ms),
-            waited_ms: ms(now.saturating_duration_since(need.arrived_at)),
-            patience_ms: ms(need.give_up_at.saturating_duration_since(now)),
+            objective_ms: whole_ms(need.objective),
+            pause_limit_ms: need.pause_limit.map(whole_ms),
+            waited_ms: whole_ms(now.saturating_duration_since(need.arrived_at)),
+            patience_ms: whole_ms(need.give_up_at.saturating_duration_since(now)),
             tried,
             reply_to: None,
         }
