--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -38,6 +38,10 @@
         last_failure: Option<(String, String)>,
         /// Events were passed on from more than one server.
         resumed: bool,
+        /// A server that was only silent and was left, with the one that was to go on.
+        left: Option<(String, String)>,
+        /// Name of why it goes on nowhere; empty in the logs of earlier versions.
+        reason: String,
     },
     /// Its caller left before the end.
     CallerLeft {
@@ -128,7 +132,10 @@
         match ended.map(|line| line.text("outcome")) {
             Some("broken_off") => {
                 let resumed = last("stream_resumed").is_some();
-                return Self::Cut { last_failure: failure, resumed };
+                let left = last("server_left")
+                    .map(|line| (line.text("server").to_owned(), line.text("other").to_owned()));
+                let reason = ended.map(reason).unwrap_or_default();
+                return Self::Cut { last_failure: failure, resumed, left, reason };
             }
             Some("caller_left") => {
                 let pause_ms = ended.map_or(0, |line| line.number("pause_ms"));
@@ -214,16 +221,23 @@
                 }
                 Ok(())
             }
-            Self::Cut { last_failure, resumed } => {
+            Self::Cut { last_failure, resumed, left, reason } => {
                 f.write_str("the stream was cut")?;
                 if let Some((server, failure)) = last_failure {
                     write!(f, ": {server} failed midway: {}", failure_in_words(failure))?;
                 }
+                if let Some((server, other)) = left {
+                    write!(f, "; {server} was silent and was left for {other}")?;
+                }
                 f.write_str(if *resumed {
                     "; it had been resumed before"
                 } else {
                     "; it couldn't be resumed"
-                })
+                })?;
+                if reason.is_empty() {
+                    return Ok(());
+                }
+                write!(f, ": {}", reason_in_words(reason))
             }
             Self::CallerLeft { pause_ms } => {
                 write!(f, "the caller left; the stream's longest pause was {pause_ms} ms")
@@ -286,6 +300,8 @@
         "refused" => "every server that was tried refused it",
         "timed_out" => "its time was over",
         "no_answer" => "it may have run, and no answer can be had",
+        "no_attempt_left" => "its time, its attempts or the bound on repeats were used up",
+        "may_run_once" => "its route allows one run",
         _ => return name.to_owned(),
     };
     format!("{words} ({name})")
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -52,6 +52,22 @@
     assert_eq!(cause(text), expected);
 }
 
+#[test]
+fn a_stream_cut_after_a_hand_over_names_the_server_that_was_left() {
+    let text = format!(
+        "{SENT}\n{}\n{}\n{}",
+        r#"{"t_ms":1910,"vm":"vm-1","event":"server_left","id":"r1","server":"e1","other":"e2","proof":"not_rejected","after_ms":1810}"#,
+        r#"{"t_ms":1950,"vm":"vm-1","event":"attempt_failed","id":"r1","server":"e2","failure":"refused","may_have_run":false,"after_ms":1850}"#,
+        r#"{"t_ms":1954,"vm":"vm-1","event":"stream_ended","id":"r1","outcome":"broken_off","cause":"overloaded","pause_ms":1700,"attempts":4,"after_ms":1854}"#,
+    );
+    assert_eq!(
+        cause(&text),
+        "the stream was cut: e2 failed midway: it stated that it didn't run the request \
+         (refused); e1 was silent and was left for e2; it couldn't be resumed: every server was \
+         too busy to answer in time (overloaded)"
+    );
+}
+
 #[test]
 fn a_cut_stream_names_the_server() {
     let text = format!(
--- a/crates/relay/src/pursuit.rs
+++ b/crates/relay/src/pursuit.rs
@@ -75,10 +75,12 @@
                     self.log_kept(admitted, server, "awake");
                     return Pursued { server, outcome, is_spent };
                 }
-                Asked::Answered(server, outcome) => {
-                    return Pursued { server, outcome, is_spent: false };
+                Asked::Answered(other, outcome) => {
+                    self.log_left(admitted, server, other, "answered");
+                    return Pursued { server: other, outcome, is_spent: false };
                 }
                 Asked::Taken(other, theirs) => {
+                    self.log_left(admitted, server, other, "not_rejected");
                     // Closes the silent server's connection.
                     (server, answer, is_spent) = (other, theirs, false);
                 }
@@ -136,6 +138,6 @@
 }
 
 /// Short name of why no other server takes a request.
-fn cause_of(refused: Option<Refused>) -> &'static str {
+pub(crate) fn cause_of(refused: Option<Refused>) -> &'static str {
     refused.map_or("no_attempt_left", |refused| refused.reason.name())
 }
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -93,11 +93,12 @@
         );
     }
 
-    /// A stream has ended, whole or not.
+    /// A stream has ended, whole or not; `cause` says why it goes on nowhere, if it isn't whole.
     pub(crate) fn log_stream_ended(
         &self,
         admitted: &Admitted,
         outcome: &'static str,
+        cause: &'static str,
         longest_pause: Duration,
     ) {
         admitted.ended();
@@ -105,6 +106,7 @@
         log::info!(
             id = admitted.received.id.as_str(),
             outcome = outcome,
+            cause = cause,
             pause_ms = longest_pause.as_millis() as u64,
             attempts = admitted.spent().tried.len() as u64 + 1,
             after_ms = self.after_ms(admitted);
@@ -151,6 +153,26 @@
         );
     }
 
+    /// The connection to a silent `server` is closed, since `other` has the request; `proof` says what that
+    /// rests on.
+    pub(crate) fn log_left(
+        &self,
+        admitted: &Admitted,
+        server: ServerIdx,
+        other: ServerIdx,
+        proof: &'static str,
+    ) {
+        let dispatcher = self.dispatcher.borrow();
+        log::info!(
+            id = admitted.received.id.as_str(),
+            server = dispatcher.record(server).key.id.as_str(),
+            other = dispatcher.record(other).key.id.as_str(),
+            proof = proof,
+            after_ms = self.after_ms(admitted);
+            "server_left"
+        );
+    }
+
     /// A request gets an answer of the system before it was read as a whole.
     pub(crate) fn log_rejected(&self, id: Option<&RequestId>, answer: &OwnAnswer) {
         self.meters.on_own_answer(answer.cause);
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -7,7 +7,7 @@
         admitted::Admitted,
         dialect::Dialect,
         leg::{LegFailure, Reached},
-        pursuit::{Answer, Asked},
+        pursuit::{Answer, Asked, cause_of},
         relay::Relay,
         stream::{Pauses, Stream},
     },
@@ -17,17 +17,21 @@
 };
 
 impl<D: Dialect> Stream<D> {
-    /// Continues a broken stream at another server; `None` if there is none in time.
+    /// Continues a broken stream at another server.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none in time.
     pub(crate) async fn resume(
         self,
         relay: &Rc<Relay<D>>,
         admitted: &mut Admitted,
-    ) -> Option<Self> {
+    ) -> Result<Self, &'static str> {
         let (last_id, pauses) = (self.last_id, self.pauses());
         // Closes the broken attempt's connection, so that its server stops.
         drop(self.leg);
         if admitted.received.route.repeat != Repeat::Resumable {
-            return None;
+            return Err("may_run_once");
         }
         admitted.begin_anew(relay.clock.now());
         go_on(relay, admitted, last_id, &pauses).await
@@ -35,11 +39,15 @@
 
     /// Continues a silent server's stream at another one, or where it is if that one wakes first or
     /// no other takes it.
+    ///
+    /// # Errors
+    ///
+    /// Why the stream, which has left the silent server, goes on nowhere.
     pub(crate) async fn hand_over(
         mut self,
         relay: &Rc<Relay<D>>,
         admitted: &mut Admitted,
-    ) -> Option<Self> {
+    ) -> Result<Self, &'static str> {
         admitted.begin_anew(relay.clock.now());
         let admitted = &*admitted;
         let (last_id, pauses) = (self.last_id, self.pauses());
@@ -49,17 +57,19 @@
             Asked::Awake(next) => {
                 relay.log_kept(admitted, self.server(), "awake");
                 self.awake(next);
-                return Some(self);
+                return Ok(self);
             }
             Asked::Kept(cause) => {
                 relay.log_kept(admitted, self.server(), cause);
-                return Some(self);
+                return Ok(self);
             }
             Asked::Answered(server, begun) => {
+                relay.log_left(admitted, self.server(), server, "answered");
                 drop(self.leg);
                 (server, begun)
             }
             Asked::Taken(server, answer) => {
+                relay.log_left(admitted, self.server(), server, "not_rejected");
                 // Closes the silent server's connection, so that it stops.
                 drop(self.leg);
                 (server, answer.await)
@@ -68,7 +78,7 @@
         match begun {
             Ok(stream) => {
                 relay.log_resumed(admitted, server, last_id);
-                Some(stream.continuing(&pauses))
+                Ok(stream.continuing(&pauses))
             }
             Err(failure) => {
                 relay.spend(admitted, server, failure);
@@ -78,15 +88,19 @@
     }
 }
 
-/// Goes on after `last_id` at another server; `None` if there is none in time.
+/// Goes on after `last_id` at another server.
+///
+/// # Errors
+///
+/// Why there is none in time.
 async fn go_on<D: Dialect>(
     relay: &Rc<Relay<D>>,
     admitted: &Admitted,
     last_id: Option<u64>,
     pauses: &Pauses,
-) -> Option<Stream<D>> {
+) -> Result<Stream<D>, &'static str> {
     loop {
-        let (server, reached) = relay.reach(admitted).await.ok()?;
+        let (server, reached) = relay.reach(admitted).await.map_err(cause_of)?;
         let begun = match reached {
             Ok(reached) => begin(reached, admitted, last_id).await,
             Err(failure) => Err(failure),
@@ -94,7 +108,7 @@
         match begun {
             Ok(stream) => {
                 relay.log_resumed(admitted, server, last_id);
-                return Some(stream.continuing(pauses));
+                return Ok(stream.continuing(pauses));
             }
             Err(failure) => relay.spend(admitted, server, failure),
         }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -130,7 +130,7 @@
             let pauses = self.pauses();
             let goes_on = match end {
                 End::Whole => return self.finish(&relay, &admitted),
-                End::CallerLeft => None,
+                End::CallerLeft => Err("caller_left"),
                 End::Silent => {
                     if !self.is_spent {
                         relay.spend(&admitted, self.server(), LegFailure::Silent);
@@ -148,13 +148,13 @@
                 }
             };
             match goes_on {
-                Some(stream) => self = stream,
-                None if caller.is_closed() => {
-                    relay.log_stream_ended(&admitted, "caller_left", pauses.longest);
+                Ok(stream) => self = stream,
+                Err(cause) if caller.is_closed() => {
+                    relay.log_stream_ended(&admitted, "caller_left", cause, pauses.longest);
                     return;
                 }
-                None => {
-                    relay.log_stream_ended(&admitted, "broken_off", pauses.longest);
+                Err(cause) => {
+                    relay.log_stream_ended(&admitted, "broken_off", cause, pauses.longest);
                     // The caller may have left by now; then nobody needs to know.
                     let _ = caller.send(Err(BrokenOff)).await;
                     return;
@@ -233,7 +233,7 @@
         let tokens_per_event = admitted.visit.need.tokens_per_event.max(1);
         let step = self.shortest_gap.map(|gap| gap / tokens_per_event);
         self.leg.generated(tokens, time, step);
-        relay.log_stream_ended(admitted, "whole", self.longest_pause);
+        relay.log_stream_ended(admitted, "whole", "", self.longest_pause);
         self.leg.finish();
     }
 }
@@ -245,14 +245,14 @@
     longest: Duration,
 }
 
-/// What `goes_on` finds; `None` once the caller has left.
+/// What `goes_on` finds, unless the caller leaves first.
 async fn unless_closed<D: Dialect>(
     caller: &Sender<Result<Bytes, BrokenOff>>,
-    goes_on: impl Future<Output = Option<Stream<D>>>,
-) -> Option<Stream<D>> {
+    goes_on: impl Future<Output = Result<Stream<D>, &'static str>>,
+) -> Result<Stream<D>, &'static str> {
     tokio::select! {
         biased;
-        () = caller.closed() => None,
+        () = caller.closed() => Err("caller_left"),
         stream = goes_on => stream,
     }
 }
