--- a/crates/system/tests/node.rs
+++ b/crates/system/tests/node.rs
@@ -9,6 +9,9 @@
     std::time::Duration,
 };
 
+/// Time in an engine's queue before a rejection; shorter than the rest of an engine's long pause.
+const LATE_REJECTION: Duration = Duration::from_millis(400);
+
 fn whole_stream() -> Vec<u64> {
     (1..=EVENTS).collect()
 }
@@ -104,6 +107,34 @@
     assert_kept_at_an_engine_that_pauses_after(0);
 }
 
+/// An engine pauses after `events`, and the other keeps the request in its queue before it rejects it: the
+/// answer is whole, of one run.
+fn assert_kept_until_the_next_engine_has_taken_it(events: u64) {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    for engine in 0..2 {
+        site.engine_fault(engine, EngineFault::PausesAfter(events));
+    }
+    let id = site.request_id();
+    let sent = site.begin(0, CHAT, Some("m0"), &id);
+    site.eventually("it runs", || !site.log.runs_of(&id).is_empty());
+    let other = usize::from(site.log.runs_of(&id)[0].server == site.engines[0].id());
+    site.engine_fault(other, EngineFault::RejectsAfter(LATE_REJECTION));
+    let reply = site.finish(sent).expect("an answer");
+    let runs = site.log.runs_of(&id);
+    assert!(reply.whole && reply.event_ids() == whole_stream(), "{reply:?}, {runs:?}");
+    assert_eq!(runs.len(), 1, "{runs:?}");
+}
+
+#[test]
+fn a_stream_isnt_cut_when_the_next_engine_rejects_it_late() {
+    assert_kept_until_the_next_engine_has_taken_it(4);
+}
+
+#[test]
+fn a_request_isnt_lost_when_the_next_engine_rejects_it_late() {
+    assert_kept_until_the_next_engine_has_taken_it(0);
+}
+
 #[test]
 fn a_request_goes_to_another_engine_while_one_is_silent() {
     let site = Site::start(1, &[&["m0"], &["m0"]]);
