A silent server is left only for one that is known to have the request

Cause: a request that was sent on to another engine counted as taken there once 150 ms had passed without a rejection; the silent engine's connection was closed then. Engines also reject what has waited in their queues. When that came later, neither had the request. Class: time that has passed stood for another party's consent, and what could not be had back was given up on it.

Evidence: in the record the run ends 151 ms after another engine was sent the request, and that rejects it 191 ms after it came.

Change: a model engine is asked to keep a place for the request. Once it does, the silent engine's connection is closed, and only then is the request sent, with the place's name: it is admitted there before all that wait. Until then nothing is given up, and no two engines work on the request, for no time at all (150 ms before). A server that keeps no places, as plain services, is sent the request beside the silent one, and the first to answer is passed on. The limit of 150 ms is gone.

New besides, for engines that keep no places: an_answer_isnt_cut_when_an_engine_without_reservations_rejects_it_late, a_stream_goes_on_at_an_engine_without_reservations. The test of a stream that goes on elsewhere now also asks that its place was reserved.

--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -156,6 +156,7 @@
         adapter_slots: 0,
         memory_copies_mb: 0.0,
         disk_copies_mb: 0.0,
+        reservation_max: Duration::ZERO,
         store_loads_per_s: 1.0,
         models: ["m", "n"].map(spec).to_vec(),
     };
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -91,6 +91,17 @@
         self.sender.is_ready()
     }
 
+    /// Waits until another exchange can be started.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError::NotSent`] if the connection is closed.
+    pub async fn ready(&mut self) -> Result<(), HttpError> {
+        let addr = self.addr;
+        let not_sent = |err: hyper::Error| HttpError::NotSent { addr, reason: err.to_string() };
+        self.sender.ready().await.map_err(not_sent)
+    }
+
     /// Sends `req` and waits for the head of the answer.
     ///
     /// # Errors
@@ -104,8 +115,8 @@
     ) -> Result<Response<Incoming>, HttpError> {
         let addr = self.addr;
         let exchange = async {
+            self.ready().await?;
             let not_sent = |reason: String| HttpError::NotSent { addr, reason };
-            self.sender.ready().await.map_err(|err| not_sent(err.to_string()))?;
             self.sender.try_send_request(req).await.map_err(|mut err| {
                 let returned = err.take_message().is_some();
                 let reason = err.into_error().to_string();
--- a/crates/node/src/leaf_digest/tests.rs
+++ b/crates/node/src/leaf_digest/tests.rs
@@ -42,6 +42,7 @@
         adapter_slots: 8,
         memory_copies_mb: 0.0,
         disk_copies_mb: 0.0,
+        reservation_max: Duration::ZERO,
         store_loads_per_s: 1.0,
         models: vec![spec("m1"), spec("m2")],
     };
--- a/crates/relay/src/leg.rs
+++ b/crates/relay/src/leg.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         admitted::Admitted,
-        dialect::{AnswerMarks, Dialect, DispatchTerms},
+        dialect::{AnswerMarks, Dialect, DispatchTerms, Reservation},
         event_splitter::{Event, EventSplitter},
         flight::Flight,
         hop,
@@ -38,6 +38,8 @@
     Down,
     /// The connection closed before a byte of the request left.
     NotSent,
+    /// The server keeps no place for the request, or didn't say so in time. The request wasn't sent.
+    NotReserved,
     /// The server states that it didn't run the request.
     Refused(StatusCode),
     /// The server doesn't hold the model.
@@ -61,6 +63,7 @@
             Self::NotConnected
             | Self::Down
             | Self::NotSent
+            | Self::NotReserved
             | Self::Refused(_)
             | Self::NotHeld
             | Self::OtherServer => false,
@@ -70,7 +73,7 @@
 
     /// True if nothing arrived at any server.
     pub(crate) fn never_arrived(self) -> bool {
-        matches!(self, Self::NotConnected | Self::Down | Self::NotSent)
+        matches!(self, Self::NotConnected | Self::Down | Self::NotSent | Self::NotReserved)
     }
 
     /// True if the server's process is proved to be gone.
@@ -84,7 +87,7 @@
     pub(crate) fn weight(self) -> u32 {
         match self {
             Self::NotSent | Self::NotHeld => 0,
-            Self::Refused(_) | Self::Failed => 1,
+            Self::NotReserved | Self::Refused(_) | Self::Failed => 1,
             Self::Broken | Self::Foreign => 2,
             Self::NotConnected | Self::Down | Self::OtherServer | Self::Silent => 3,
         }
@@ -95,6 +98,7 @@
         match self {
             Self::NotSent | Self::Down | Self::OtherServer | Self::Broken | Self::Silent => true,
             Self::NotConnected
+            | Self::NotReserved
             | Self::Refused(_)
             | Self::NotHeld
             | Self::Failed
@@ -108,6 +112,7 @@
             Self::NotConnected => "not_connected",
             Self::Down => "down",
             Self::NotSent => "not_sent",
+            Self::NotReserved => "not_reserved",
             Self::Refused(_) => "refused",
             Self::NotHeld => "not_held",
             Self::OtherServer => "other_server",
@@ -122,8 +127,10 @@
 /// An attempt that has a connection. Nothing of the request has left yet.
 #[derive(Debug)]
 pub(crate) struct Reached<D: Dialect> {
-    flight: Flight<D>,
-    connection: Connection,
+    pub(crate) flight: Flight<D>,
+    pub(crate) connection: Connection,
+    /// The place that the server keeps for the request.
+    pub(crate) reservation: Option<Reservation>,
 }
 
 impl<D: Dialect> Reached<D> {
@@ -136,7 +143,7 @@
         let (relay, server) = (Rc::clone(flight.relay()), flight.server);
         relay.log_sent(admitted, server);
         let connection = relay.connect(server, admitted.received.route.repeat).await?;
-        Ok(Self { flight, connection })
+        Ok(Self { flight, connection, reservation: None })
     }
 
     /// The server.
@@ -154,9 +161,9 @@
         admitted: &Admitted,
         last_event_id: Option<u64>,
     ) -> Result<Leg<D>, LegFailure> {
-        let Self { flight, mut connection } = self;
+        let Self { flight, mut connection, reservation } = self;
         let (relay, server) = (Rc::clone(flight.relay()), flight.server);
-        let req = request(&relay, admitted, server, last_event_id);
+        let req = request(&relay, admitted, server, last_event_id, reservation.as_ref());
         let within = admitted.time_left(relay.clock.now());
         let response = connection.send(req, within).await.map_err(|err| failure(&err))?;
         let (head, body) = response.into_parts();
@@ -284,6 +291,7 @@
     admitted: &Admitted,
     server: ServerIdx,
     last_event_id: Option<u64>,
+    reservation: Option<&Reservation>,
 ) -> Request<Full<Bytes>> {
     let head = &admitted.head;
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -299,6 +307,7 @@
         time_left: admitted.time_left(relay.clock.now()),
         urgency: admitted.visit.need.model.as_ref().map(|_| admitted.visit.need.rank.min(9)),
         last_event_id,
+        reservation,
     };
     relay.dialect.write_terms(headers, &terms);
     req
@@ -342,7 +351,11 @@
 
 impl<D: Dialect> Relay<D> {
     /// Takes an idle connection to `server` or opens one.
-    async fn connect(&self, server: ServerIdx, repeat: Repeat) -> Result<Connection, LegFailure> {
+    pub(crate) async fn connect(
+        &self,
+        server: ServerIdx,
+        repeat: Repeat,
+    ) -> Result<Connection, LegFailure> {
         let once = repeat == Repeat::AtMostOnce;
         let kept = self.idle.borrow_mut().take(self.clock.now(), server, once);
         if let Some(connection) = kept {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,6 +33,7 @@
 mod received;
 mod relay;
 mod request_log;
+mod reserve;
 mod resume;
 mod server_signs;
 mod spent;
@@ -42,7 +43,7 @@
 mod waiting;
 
 pub use crate::{
-    dialect::{AnswerMarks, Dialect, DispatchTerms, MalformedTerms},
+    dialect::{AnswerMarks, Dialect, DispatchTerms, MalformedTerms, Reservation, ReservationTerms},
     news::{News, OnNews},
     relay::{Relay, RelayHandle, Surroundings},
 };
--- a/crates/relay/src/pursuit.rs
+++ b/crates/relay/src/pursuit.rs
@@ -1,9 +1,9 @@
 //! One answer to a request, from whichever server gives it.
 //!
 //! A server that sends nothing for long is likely to be in trouble, but may only be reading other
-//! prompts. So it is kept until another has taken the request, and what is proved not to run elsewhere
-//! ends nothing here. Two servers don't both work on a request for longer than it takes to see that
-//! the second hasn't rejected it.
+//! prompts. It is left only once another is known to have the request: a model engine keeps a place for
+//! it first, so that no two work on it, and elsewhere the other's answer has begun. That no rejection
+//! has come yet proves nothing.
 
 use {
     crate::{
@@ -16,14 +16,10 @@
         waiting::Refused,
     },
     glade_dispatch::ServerIdx,
-    std::{pin::Pin, rc::Rc, time::Duration},
+    std::{pin::Pin, rc::Rc},
     tokio::time::timeout,
 };
 
-/// Time after which a request that was sent on counts as taken. A rejection takes a round trip of a
-/// few milliseconds; two servers may work on one request for 400 ms at most.
-const HANDOVER: Duration = Duration::from_millis(150);
-
 /// What an attempt brings.
 pub(crate) type Outcome<D> = Result<Answered<D>, LegFailure>;
 
@@ -40,13 +36,15 @@
 }
 
 /// What came of asking another server, for a `T`, while one was silent that owes an `S`.
-pub(crate) enum Asked<'a, S, T> {
+pub(crate) enum Asked<'a, D: Dialect, S, T> {
     /// The silent one has sent something, or failed.
-    Awake(S),
+    Awake(Result<S, LegFailure>),
+    /// Another keeps a place for it.
+    Reserved(Reached<D>),
     /// Another has answered, or failed and may have run the request.
     Answered(ServerIdx, Result<T, LegFailure>),
-    /// Another works on it.
-    Taken(ServerIdx, Answer<'a, T>),
+    /// The silent one has failed, while another may work on it.
+    Failed(LegFailure, ServerIdx, Answer<'a, T>),
     /// No other takes it, and why.
     Kept(&'static str),
 }
@@ -75,13 +73,19 @@
                     self.log_kept(admitted, server, "awake");
                     return Pursued { server, outcome, is_spent };
                 }
+                Asked::Reserved(reached) => {
+                    let other = reached.server();
+                    self.log_left(admitted, server, other, "reserved");
+                    // Closes the silent server's connection before the request is sent.
+                    answer = Box::pin(Self::finish(admitted, reached));
+                    (server, is_spent) = (other, false);
+                }
                 Asked::Answered(other, outcome) => {
                     self.log_left(admitted, server, other, "answered");
                     return Pursued { server: other, outcome, is_spent: false };
                 }
-                Asked::Taken(other, theirs) => {
-                    self.log_left(admitted, server, other, "not_rejected");
-                    // Closes the silent server's connection.
+                Asked::Failed(failure, other, theirs) => {
+                    self.note_failure(admitted, server, failure);
                     (server, answer, is_spent) = (other, theirs, false);
                 }
                 Asked::Kept(cause) => self.log_kept(admitted, server, cause),
@@ -89,14 +93,14 @@
         }
     }
 
-    /// Asks other servers, each with `begin`, while a `silent` one may go on. Once another may have
-    /// begun, `silent` isn't waited for any more; the caller is to close its connection then.
+    /// Asks other servers while a `silent` one may go on: each for a place, or, if it keeps none, with
+    /// `begin`.
     pub(crate) async fn ask_another<'a, S, T>(
         self: &Rc<Self>,
-        admitted: &Admitted,
-        mut silent: impl Future<Output = S> + Unpin,
+        admitted: &'a Admitted,
+        mut silent: impl Future<Output = Result<S, LegFailure>> + Unpin,
         begin: impl Fn(Reached<D>) -> Answer<'a, T>,
-    ) -> Asked<'a, S, T> {
+    ) -> Asked<'a, D, S, T> {
         loop {
             let found = tokio::select! {
                 biased;
@@ -107,18 +111,17 @@
                 Ok(found) => found,
                 Err(refused) => return Asked::Kept(cause_of(refused)),
             };
-            let failure = match reached {
-                Ok(reached) => {
-                    let mut answer = begin(reached);
-                    match timeout(HANDOVER, &mut answer).await {
-                        Ok(Err(failure)) if !failure.may_have_run() => failure,
-                        Ok(outcome) => return Asked::Answered(server, outcome),
-                        Err(_elapsed) => return Asked::Taken(server, answer),
-                    }
+            let asked = match reached {
+                Ok(reached) if reached.can_reserve(admitted) => {
+                    reserve(admitted, &mut silent, reached).await
                 }
-                Err(failure) => failure,
+                Ok(reached) => race(admitted, &mut silent, server, begin(reached)).await,
+                Err(failure) => Err(failure),
             };
-            self.spend(admitted, server, failure);
+            match asked {
+                Ok(asked) => return asked,
+                Err(failure) => self.spend(admitted, server, failure),
+            }
         }
     }
 
@@ -137,6 +140,51 @@
     }
 }
 
+/// Has the server that was reached keep a place, unless the `silent` one wakes first.
+///
+/// # Errors
+///
+/// It keeps none.
+async fn reserve<'a, D: Dialect, S, T>(
+    admitted: &Admitted,
+    silent: impl Future<Output = Result<S, LegFailure>>,
+    reached: Reached<D>,
+) -> Result<Asked<'a, D, S, T>, LegFailure> {
+    tokio::select! {
+        biased;
+        sent = silent => Ok(Asked::Awake(sent)),
+        reserved = reached.reserve(admitted) => reserved.map(Asked::Reserved),
+    }
+}
+
+/// Waits for the `answer` of `server`, or for the `silent` one if that wakes first.
+///
+/// # Errors
+///
+/// `server` is proved not to run the request.
+async fn race<'a, D: Dialect, S, T>(
+    admitted: &Admitted,
+    silent: impl Future<Output = Result<S, LegFailure>>,
+    server: ServerIdx,
+    mut answer: Answer<'a, T>,
+) -> Result<Asked<'a, D, S, T>, LegFailure> {
+    tokio::select! {
+        biased;
+        sent = silent => Ok(match sent {
+            Ok(sent) => {
+                // The other may have begun to run it by now.
+                admitted.spend(server, LegFailure::Silent);
+                Asked::Awake(Ok(sent))
+            }
+            Err(failure) => Asked::Failed(failure, server, answer),
+        }),
+        outcome = &mut answer => match outcome {
+            Err(failure) if !failure.may_have_run() => Err(failure),
+            outcome => Ok(Asked::Answered(server, outcome)),
+        },
+    }
+}
+
 /// Short name of why no other server takes a request.
 pub(crate) fn cause_of(refused: Option<Refused>) -> &'static str {
     refused.map_or("no_attempt_left", |refused| refused.reason.name())
--- a/crates/relay/src/received/tests.rs
+++ b/crates/relay/src/received/tests.rs
@@ -2,9 +2,11 @@
 
 use {
     super::*,
-    crate::dialect::{AnswerMarks, DispatchTerms, MalformedTerms},
+    crate::dialect::{AnswerMarks, DispatchTerms, MalformedTerms, Reservation, ReservationTerms},
+    bytes::Bytes,
     glade_catalog::{CallerLimits, Repeat, WeightedService},
     glade_types::{RequestId, RouteName, ServiceName},
+    http_body_util::Full,
     hyper::{HeaderMap, Request},
 };
 
@@ -25,6 +27,14 @@
 
     fn write_terms(&self, _: &mut HeaderMap, _: &DispatchTerms<'_>) {}
 
+    fn reserve(&self, _: &ReservationTerms<'_>) -> Request<Full<Bytes>> {
+        Request::default()
+    }
+
+    fn read_reservation(&self, _: &[u8]) -> Option<Reservation> {
+        None
+    }
+
     fn read_answer(&self, _: &HeaderMap) -> AnswerMarks {
         AnswerMarks::default()
     }
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -153,6 +153,16 @@
         );
     }
 
+    /// `server` keeps a place for a request that a silent one has.
+    pub(crate) fn log_reserved(&self, admitted: &Admitted, server: ServerIdx) {
+        log::info!(
+            id = admitted.received.id.as_str(),
+            server = self.dispatcher.borrow().record(server).key.id.as_str(),
+            after_ms = self.after_ms(admitted);
+            "place_reserved"
+        );
+    }
+
     /// The connection to a silent `server` is closed, since `other` has the request; `proof` says what that
     /// rests on.
     pub(crate) fn log_left(
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -51,8 +51,8 @@
         admitted.begin_anew(relay.clock.now());
         let admitted = &*admitted;
         let (last_id, pauses) = (self.last_id, self.pauses());
-        let begin = |reached| -> Answer<'_, Self> { Box::pin(begin(reached, admitted, last_id)) };
-        let asked = relay.ask_another(admitted, pin!(self.leg.next_event()), begin).await;
+        let ask = |reached| -> Answer<'_, Self> { Box::pin(begin(reached, admitted, last_id)) };
+        let asked = relay.ask_another(admitted, pin!(self.leg.next_event()), ask).await;
         let (server, begun) = match asked {
             Asked::Awake(next) => {
                 relay.log_kept(admitted, self.server(), "awake");
@@ -63,14 +63,20 @@
                 relay.log_kept(admitted, self.server(), cause);
                 return Ok(self);
             }
+            Asked::Reserved(reached) => {
+                let server = reached.server();
+                relay.log_left(admitted, self.server(), server, "reserved");
+                // Closes the silent server's connection before the request is sent.
+                drop(self.leg);
+                (server, begin(reached, admitted, last_id).await)
+            }
             Asked::Answered(server, begun) => {
                 relay.log_left(admitted, self.server(), server, "answered");
                 drop(self.leg);
                 (server, begun)
             }
-            Asked::Taken(server, answer) => {
-                relay.log_left(admitted, self.server(), server, "not_rejected");
-                // Closes the silent server's connection, so that it stops.
+            Asked::Failed(failure, server, answer) => {
+                relay.note_failure(admitted, self.server(), failure);
                 drop(self.leg);
                 (server, answer.await)
             }
--- a/crates/residency/tests/common/mod.rs
+++ b/crates/residency/tests/common/mod.rs
@@ -48,6 +48,7 @@
         adapter_slots: ADAPTER_SLOTS,
         memory_copies_mb: 0.0,
         disk_copies_mb: 0.0,
+        reservation_max: Duration::ZERO,
         store_loads_per_s: 2.0,
         models,
     }
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -10,7 +10,7 @@
     glade_adapter::{
         engine::{decode_order, encode_order_answer, encode_report},
         headers::{PlatformDialect, stand_in},
-        registry,
+        registry, reservation,
     },
     glade_catalog::{
         CallerTerms, EngineReport, OrderAnswer, OrderKind, Residence, ServerKey, ServerRecord,
@@ -25,7 +25,7 @@
         header::{CONTENT_TYPE, HeaderValue},
     },
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         future::pending,
         io,
         net::SocketAddr,
@@ -56,7 +56,8 @@
     None,
     /// It closes the connection after this many events, or in place of a whole answer.
     BreaksAfter(u64),
-    /// It sends nothing for a while after this many events of a stream, and then goes on.
+    /// It sends nothing for a while after this many events of a stream, or before a whole answer, and then
+    /// goes on.
     PausesAfter(u64),
     /// After this many events of a stream it sends a byte now and then, and never a whole event.
     TricklesAfter(u64),
@@ -103,6 +104,9 @@
     says_leaving: bool,
     /// Requests that it has rejected.
     rejections: u64,
+    /// Places that it keeps.
+    reservations: BTreeSet<String>,
+    reservations_made: u64,
 }
 
 #[derive(Debug)]
@@ -154,6 +158,8 @@
             fault: EngineFault::None,
             says_leaving: false,
             rejections: 0,
+            reservations: BTreeSet::new(),
+            reservations_made: 0,
         };
         let shared = Arc::new(Shared {
             spec,
@@ -333,6 +339,26 @@
         OrderAnswer::Accepted
     }
 
+    /// Keeps a place, unless the server rejects requests or says nothing.
+    async fn reserve(&self) -> Response<Body> {
+        let name = {
+            let mut state = self.lock();
+            state.reservations_made += 1;
+            let name = format!("{}-{}", self.spec.id, state.reservations_made);
+            match state.fault {
+                EngineFault::Hangs => None,
+                EngineFault::Rejects | EngineFault::RejectsAfter(_) | EngineFault::Closed(_) => {
+                    return whole(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+                }
+                _ => state.reservations.insert(name.clone()).then_some(name),
+            }
+        };
+        match name {
+            Some(name) => whole(StatusCode::OK, reservation::encode_answer(&name)),
+            None => pending().await,
+        }
+    }
+
     fn report(&self) -> EngineReport {
         let state = self.lock();
         EngineReport {
@@ -351,6 +377,7 @@
     match head.uri.path() {
         "/report" => Ok(shared.own(whole(StatusCode::OK, encode_report(&shared.report())))),
         "/order" => Ok(shared.own(whole(encode_order_answer(shared.order(&body)), Vec::new()))),
+        reservation::PATH => Ok(shared.own(shared.reserve().await)),
         _ => run(shared, &head.headers).await,
     }
 }
@@ -361,16 +388,23 @@
     let id = terms.request_id.as_ref().map_or("", |id| id.as_str()).to_owned();
     let (expected, _time_left) = stand_in::read_dispatch(headers);
     let misdirected = expected.is_some_and(|expected| expected != shared.spec.id);
-    let (held, fault) = {
-        let state = shared.lock();
-        (terms.model.as_ref().is_none_or(|model| state.holds(model)), state.fault)
+    let reserved = stand_in::read_reserved(headers);
+    let (held, fault, has_place) = {
+        let mut state = shared.lock();
+        let held = terms.model.as_ref().is_none_or(|model| state.holds(model));
+        let has_place = reserved.as_ref().is_none_or(|name| state.reservations.remove(name));
+        (held, state.fault, has_place)
     };
     let empty = || whole(StatusCode::OK, Vec::new()).into_body();
     if misdirected || !held {
         let marks = shared.marks(&id, false);
         return Ok(shared.answer(StatusCode::MISDIRECTED_REQUEST, &marks, empty()));
     }
-    if let EngineFault::Rejects | EngineFault::RejectsAfter(_) | EngineFault::Closed(_) = fault {
+    let rejects = matches!(
+        fault,
+        EngineFault::Rejects | EngineFault::RejectsAfter(_) | EngineFault::Closed(_)
+    );
+    if rejects || !has_place {
         if let EngineFault::RejectsAfter(time) = fault {
             sleep(time).await;
         }
@@ -386,6 +420,7 @@
         request_id: id.clone(),
         server: shared.spec.id.clone(),
         resumed_after: terms.last_event_id,
+        reserved: reserved.is_some(),
         ended: false,
     });
     match fault {
@@ -416,6 +451,9 @@
         return Ok(response);
     }
     sleep(shared.spec.pause).await;
+    if matches!(fault, EngineFault::PausesAfter(_)) {
+        sleep(LONG_PAUSE).await;
+    }
     if matches!(fault, EngineFault::BreaksAfter(_)) {
         return Err(broken());
     }
--- a/crates/standins/src/site/run_log.rs
+++ b/crates/standins/src/site/run_log.rs
@@ -11,6 +11,8 @@
     pub server: String,
     /// Last event that the caller of the run had already.
     pub resumed_after: Option<u64>,
+    /// Whether its engine kept a place for it.
+    pub reserved: bool,
     /// Whether the run came to its end.
     pub ended: bool,
 }
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -461,6 +461,7 @@
         adapter_slots: 4,
         memory_copies_mb: 0.0,
         disk_copies_mb: 0.0,
+        reservation_max: Duration::from_secs(2),
         store_loads_per_s: 10.0,
         models: ["m0", "m1", "m2"].map(spec).to_vec(),
     };
--- a/crates/system/tests/node.rs
+++ b/crates/system/tests/node.rs
@@ -1,6 +1,7 @@
 //! The real node against a stand-in of the users' platform: what callers and backend servers see.
 
 use {
+    glade_catalog::{Catalog, Route},
     glade_standins::site::{EngineFault, StoreFault},
     glade_system::{
         run_program,
@@ -107,32 +108,67 @@
     assert_kept_at_an_engine_that_pauses_after(0);
 }
 
-/// An engine pauses after `events`, and the other keeps the request in its queue before it rejects it: the
+/// A server pauses after `events`, and the other keeps the request in its queue before it rejects it: the
 /// answer is whole, of one run.
-fn assert_kept_until_the_next_engine_has_taken_it(events: u64) {
-    let site = Site::start(1, &[&["m0"], &["m0"]]);
-    for engine in 0..2 {
-        site.engine_fault(engine, EngineFault::PausesAfter(events));
-    }
+fn assert_kept_when_the_next_rejects_late(site: &Site, path: &str, events: u64) {
+    let model = (path == CHAT).then_some("m0");
+    let servers = if path == CHAT { &site.engines } else { &site.plain };
+    servers.iter().for_each(|server| server.set_fault(EngineFault::PausesAfter(events)));
     let id = site.request_id();
-    let sent = site.begin(0, CHAT, Some("m0"), &id);
+    let sent = site.begin(0, path, model, &id);
     site.eventually("it runs", || !site.log.runs_of(&id).is_empty());
-    let other = usize::from(site.log.runs_of(&id)[0].server == site.engines[0].id());
-    site.engine_fault(other, EngineFault::RejectsAfter(LATE_REJECTION));
+    let other = usize::from(site.log.runs_of(&id)[0].server == servers[0].id());
+    servers[other].set_fault(EngineFault::RejectsAfter(LATE_REJECTION));
     let reply = site.finish(sent).expect("an answer");
     let runs = site.log.runs_of(&id);
-    assert!(reply.whole && reply.event_ids() == whole_stream(), "{reply:?}, {runs:?}");
+    assert_eq!((reply.status, reply.whole), (200, true), "{reply:?}, {runs:?}");
+    assert!(path != CHAT || reply.event_ids() == whole_stream(), "{reply:?}, {runs:?}");
     assert_eq!(runs.len(), 1, "{runs:?}");
 }
 
 #[test]
 fn a_stream_isnt_cut_when_the_next_engine_rejects_it_late() {
-    assert_kept_until_the_next_engine_has_taken_it(4);
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    assert_kept_when_the_next_rejects_late(&site, CHAT, 4);
 }
 
 #[test]
 fn a_request_isnt_lost_when_the_next_engine_rejects_it_late() {
-    assert_kept_until_the_next_engine_has_taken_it(0);
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    assert_kept_when_the_next_rejects_late(&site, CHAT, 0);
+}
+
+#[test]
+fn a_read_isnt_lost_when_the_next_server_rejects_it_late() {
+    let site = Site::start(1, &[&["m0"]]);
+    assert_kept_when_the_next_rejects_late(&site, BROWSE, 0);
+}
+
+/// A site whose engines keep no places.
+fn site_without_reservations() -> Site {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let with = catalog(2);
+    let services = with.services().cloned().map(|mut service| {
+        let class = service.engine_class.as_mut();
+        class.into_iter().for_each(|class| class.reservation_max = Duration::ZERO);
+        service
+    });
+    let routes = with.routes().map(|route| Route::clone(route)).collect();
+    site.put_catalog(&Catalog::new(2, *with.limits(), routes, services.collect()));
+    site.eventually("it is in force", || site.node_log(0).contains("\"version\":2"));
+    site
+}
+
+#[test]
+fn an_answer_isnt_cut_when_an_engine_without_reservations_rejects_it_late() {
+    let site = site_without_reservations();
+    assert_kept_when_the_next_rejects_late(&site, CHAT, 4);
+    assert_kept_when_the_next_rejects_late(&site, CHAT, 0);
+}
+
+#[test]
+fn a_stream_goes_on_at_an_engine_without_reservations() {
+    assert_resumed_elsewhere(&site_without_reservations(), EngineFault::PausesAfter(4));
 }
 
 #[test]
@@ -148,8 +184,7 @@
 }
 
 /// An engine does what `fault` says after four events, and another takes the stream.
-fn assert_resumed_elsewhere(fault: EngineFault) {
-    let site = Site::start(1, &[&["m0"], &["m0"]]);
+fn assert_resumed_elsewhere(site: &Site, fault: EngineFault) {
     site.engine_fault(0, fault);
     site.eventually("a stream is resumed", || {
         let id = site.request_id();
@@ -162,13 +197,17 @@
 
 #[test]
 fn a_stream_that_pauses_goes_on_at_an_engine_that_takes_it() {
-    assert_resumed_elsewhere(EngineFault::PausesAfter(4));
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    assert_resumed_elsewhere(&site, EngineFault::PausesAfter(4));
+    let resumed = site.log.runs().into_iter().filter(|run| run.resumed_after.is_some());
+    assert!(resumed.clone().all(|run| run.reserved), "{:?}", site.log.runs());
 }
 
 /// Bytes that make up no event don't keep a stream.
 #[test]
 fn a_stream_that_trickles_goes_on_at_another_engine() {
-    assert_resumed_elsewhere(EngineFault::TricklesAfter(4));
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    assert_resumed_elsewhere(&site, EngineFault::TricklesAfter(4));
 }
 
 #[test]
@@ -340,12 +379,11 @@
 #[test]
 fn a_configuration_change_is_in_force_everywhere() {
     let site = Site::start(3, &[&["m0"]]);
-    let mut routes: Vec<_> =
-        catalog(2).routes().map(|route| glade_catalog::Route::clone(route)).collect();
+    let mut routes: Vec<_> = catalog(2).routes().map(|route| Route::clone(route)).collect();
     routes.retain(|route| route.path_prefix != BROWSE);
     let old = catalog(2);
     let services = old.services().cloned().collect();
-    site.put_catalog(&glade_catalog::Catalog::new(2, *old.limits(), routes, services));
+    site.put_catalog(&Catalog::new(2, *old.limits(), routes, services));
     site.eventually("the dropped route is unknown", || {
         (0..3).all(|node| {
             let reply = site.send(node, BROWSE, None, &site.request_id());
