--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -67,10 +67,16 @@
     Rejects,
     /// It keeps requests in its queue for this long, and then rejects them.
     RejectsAfter(Duration),
+    /// It keeps places, and rejects the requests that come for them.
+    RejectsReserved,
+    /// It says that it leaves from the moment at which it is asked for a place, which it keeps.
+    LeavesWhenAsked,
     /// It rejects requests, and says that it wants none for this time.
     Closed(Duration),
     /// It fails every request.
     Fails,
+    /// It fails every request, after this long.
+    FailsAfter(Duration),
     /// It signs answers with another request's name.
     Crosses,
 }
@@ -345,6 +351,7 @@
             let mut state = self.lock();
             state.reservations_made += 1;
             let name = format!("{}-{}", self.spec.id, state.reservations_made);
+            state.says_leaving |= state.fault == EngineFault::LeavesWhenAsked;
             match state.fault {
                 EngineFault::Hangs => None,
                 EngineFault::Rejects | EngineFault::RejectsAfter(_) | EngineFault::Closed(_) => {
@@ -404,6 +411,7 @@
         fault,
         EngineFault::Rejects | EngineFault::RejectsAfter(_) | EngineFault::Closed(_)
     );
+    let rejects = rejects || (fault == EngineFault::RejectsReserved && reserved.is_some());
     if rejects || !has_place {
         if let EngineFault::RejectsAfter(time) = fault {
             sleep(time).await;
@@ -422,10 +430,14 @@
         resumed_after: terms.last_event_id,
         reserved: reserved.is_some(),
         ended: false,
+        left: false,
     });
     match fault {
         EngineFault::Hangs => return pending().await,
-        EngineFault::Fails => {
+        EngineFault::Fails | EngineFault::FailsAfter(_) => {
+            if let EngineFault::FailsAfter(time) = fault {
+                sleep(time).await;
+            }
             let marks = shared.marks(&id, true);
             return Ok(shared.answer(StatusCode::INTERNAL_SERVER_ERROR, &marks, empty()));
         }
@@ -439,6 +451,8 @@
         | EngineFault::TricklesAfter(_)
         | EngineFault::Rejects
         | EngineFault::RejectsAfter(_)
+        | EngineFault::RejectsReserved
+        | EngineFault::LeavesWhenAsked
         | EngineFault::Closed(_) => {}
     }
     let marks = shared.marks(&id, true);
@@ -469,13 +483,27 @@
     }
 }
 
-/// Sends the events of a run, from the one after the last that its caller had.
+/// Sends the events of a run until its caller leaves.
 async fn stream(
     shared: Arc<Shared>,
     terms: CallerTerms,
     fault: EngineFault,
     run: usize,
     sender: Sender<io::Result<Bytes>>,
+) {
+    tokio::select! {
+        () = events(&shared, &terms, fault, run, &sender) => {}
+        () = sender.closed() => shared.log.leave(run),
+    }
+}
+
+/// Sends the events of a run, from the one after the last that its caller had.
+async fn events(
+    shared: &Shared,
+    terms: &CallerTerms,
+    fault: EngineFault,
+    run: usize,
+    sender: &Sender<io::Result<Bytes>>,
 ) {
     let first = terms.last_event_id.map_or(1, |last| last + 1);
     for (sent, id) in (first..=shared.spec.events).enumerate() {
@@ -488,7 +516,7 @@
             sleep(LONG_PAUSE).await;
         }
         if fault == EngineFault::TricklesAfter(sent as u64) {
-            return trickle(&sender).await;
+            return trickle(sender).await;
         }
         sleep(shared.spec.pause).await;
         let event = Bytes::from(format!("id: {id}\ndata: token-{id}\n\n"));
--- a/crates/standins/src/site/run_log.rs
+++ b/crates/standins/src/site/run_log.rs
@@ -15,6 +15,8 @@
     pub reserved: bool,
     /// Whether the run came to its end.
     pub ended: bool,
+    /// Whether its caller left before the end of its stream.
+    pub left: bool,
 }
 
 /// Runs of all servers, in the order of their beginning. Clones share the same list.
@@ -42,6 +44,11 @@
         self.lock()[position].ended = true;
     }
 
+    pub(crate) fn leave(&self, position: usize) {
+        let run = &mut self.lock()[position];
+        run.left = !run.ended;
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<Run>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
