A stream isn't cut while the engine that took it over is silent

Now the engine that resumes a stream is waited for as the first one is (pursue): kept until another keeps a place.

Tests a_stream_isnt_cut_while_the_engine_that_took_it_over_is_silent and a_broken_stream_isnt_cut_while_the_engine_that_resumes_it_is_silent failed on on the real node (cut after events 4 and 3, 1.2 s after the second engine was sent the request), and pass.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -11,7 +11,7 @@
         leg::{LegFailure, Reached},
         news::News,
         own_answer::OwnAnswer,
-        pursuit::{Outcome, Pursued},
+        pursuit::{Answer, Pursued},
         relay::Relay,
         stream::Stream,
         waiting::Refused,
@@ -56,7 +56,11 @@
                 Ok(flight) => flight,
                 Err(refused) => return self.give_up(&admitted, refused, failed),
             };
-            let Pursued { server, outcome, is_spent } = self.pursue(&admitted, flight).await;
+            let server = flight.server;
+            let answer: Answer<'_, _> = Box::pin(Self::attempt(&admitted, flight));
+            let begin = |reached| -> Answer<'_, _> { Box::pin(Self::finish(&admitted, reached)) };
+            let Pursued { server, outcome, is_spent } =
+                self.pursue(&admitted, server, answer, begin).await;
             let failure = match outcome {
                 Ok(Answered::Stream(mut stream)) => {
                     stream.is_spent = is_spent;
@@ -69,11 +73,7 @@
                 Ok(Answered::Whole(whole)) => return self.pass_on(&admitted, whole),
                 Err(failure) => failure,
             };
-            if is_spent {
-                self.note_failure(&admitted, server, failure);
-            } else {
-                self.spend(&admitted, server, failure);
-            }
+            self.fail(&admitted, server, failure, is_spent);
             if let Some(whole) =
                 failed.take_if(|whole| !self.dispatcher.borrow().is_outlier(whole.server))
             {
@@ -112,12 +112,12 @@
     }
 
     /// One attempt, up to an answer that is whole, or whose first event is there.
-    pub(crate) async fn attempt(admitted: &Admitted, flight: Flight<D>) -> Outcome<D> {
+    async fn attempt(admitted: &Admitted, flight: Flight<D>) -> Result<Answered<D>, LegFailure> {
         Self::finish(admitted, Reached::open(flight, admitted).await?).await
     }
 
     /// The rest of an attempt that has a connection.
-    pub(crate) async fn finish(admitted: &Admitted, reached: Reached<D>) -> Outcome<D> {
+    async fn finish(admitted: &Admitted, reached: Reached<D>) -> Result<Answered<D>, LegFailure> {
         let server = reached.server();
         let resume_after = admitted.received.terms.last_event_id;
         let mut leg = reached.send(admitted, resume_after).await?;
@@ -186,6 +186,21 @@
         admitted.spend(server, failure);
     }
 
+    /// Takes note of an attempt that failed at `server`, and counts it unless it `is_spent` already.
+    pub(crate) fn fail(
+        &self,
+        admitted: &Admitted,
+        server: ServerIdx,
+        failure: LegFailure,
+        is_spent: bool,
+    ) {
+        if is_spent {
+            self.note_failure(admitted, server, failure);
+        } else {
+            self.spend(admitted, server, failure);
+        }
+    }
+
     /// Takes note of a failure of `server`.
     pub(crate) fn note_failure(&self, admitted: &Admitted, server: ServerIdx, failure: LegFailure) {
         let now = self.clock.now();
--- a/crates/relay/src/pursuit.rs
+++ b/crates/relay/src/pursuit.rs
@@ -8,9 +8,7 @@
 use {
     crate::{
         admitted::Admitted,
-        attempt::Answered,
         dialect::Dialect,
-        flight::Flight,
         leg::{LegFailure, Reached},
         relay::Relay,
         waiting::Refused,
@@ -20,17 +18,14 @@
     tokio::time::timeout,
 };
 
-/// What an attempt brings.
-pub(crate) type Outcome<D> = Result<Answered<D>, LegFailure>;
-
 /// An attempt under way, up to a `T`.
 pub(crate) type Answer<'a, T> = Pin<Box<dyn Future<Output = Result<T, LegFailure>> + 'a>>;
 
 /// What the attempts at a request have come to.
-pub(crate) struct Pursued<D: Dialect> {
+pub(crate) struct Pursued<T> {
     /// The server of the last attempt.
     pub(crate) server: ServerIdx,
-    pub(crate) outcome: Outcome<D>,
+    pub(crate) outcome: Result<T, LegFailure>,
     /// The attempt counts as failed already, since its server was silent for long.
     pub(crate) is_spent: bool,
 }
@@ -50,14 +45,14 @@
 }
 
 impl<D: Dialect> Relay<D> {
-    /// Sends the request with `flight`, and to others while the server is silent.
-    pub(crate) async fn pursue<'a>(
-        self: &'a Rc<Self>,
+    /// Waits for the `answer` of `server`, and asks others, with `begin`, while it is silent.
+    pub(crate) async fn pursue<'a, T>(
+        self: &Rc<Self>,
         admitted: &'a Admitted,
-        flight: Flight<D>,
-    ) -> Pursued<D> {
-        let mut server = flight.server;
-        let mut answer: Answer<'a, _> = Box::pin(Self::attempt(admitted, flight));
+        mut server: ServerIdx,
+        mut answer: Answer<'a, T>,
+        begin: impl Fn(Reached<D>) -> Answer<'a, T>,
+    ) -> Pursued<T> {
         let mut is_spent = false;
         loop {
             if let Ok(outcome) = timeout(admitted.silence_limit(), &mut answer).await {
@@ -67,8 +62,7 @@
                 self.spend(admitted, server, LegFailure::Silent);
                 is_spent = true;
             }
-            let begin = |reached| -> Answer<'a, _> { Box::pin(Self::finish(admitted, reached)) };
-            match self.ask_another(admitted, &mut answer, begin).await {
+            match self.ask_another(admitted, &mut answer, &begin).await {
                 Asked::Awake(outcome) => {
                     self.log_kept(admitted, server, "awake");
                     return Pursued { server, outcome, is_spent };
@@ -77,7 +71,7 @@
                     let other = reached.server();
                     self.log_left(admitted, server, other, "reserved");
                     // Closes the silent server's connection before the request is sent.
-                    answer = Box::pin(Self::finish(admitted, reached));
+                    answer = begin(reached);
                     (server, is_spent) = (other, false);
                 }
                 Asked::Answered(other, outcome) => {
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -7,13 +7,13 @@
         admitted::Admitted,
         dialect::Dialect,
         leg::{LegFailure, Reached},
-        pursuit::{Answer, Asked, cause_of},
+        pursuit::{Answer, Asked, Pursued, cause_of},
         relay::Relay,
         stream::{Pauses, Stream},
     },
     glade_catalog::Repeat,
-    std::{pin::pin, rc::Rc},
-    tokio::time::timeout,
+    glade_dispatch::ServerIdx,
+    std::{future::ready, pin::pin, rc::Rc},
 };
 
 impl<D: Dialect> Stream<D> {
@@ -53,7 +53,7 @@
         let (last_id, pauses) = (self.last_id, self.pauses());
         let ask = |reached| -> Answer<'_, Self> { Box::pin(begin(reached, admitted, last_id)) };
         let asked = relay.ask_another(admitted, pin!(self.leg.next_event()), ask).await;
-        let (server, begun) = match asked {
+        let (server, answer) = match asked {
             Asked::Awake(next) => {
                 relay.log_kept(admitted, self.server(), "awake");
                 self.awake(next);
@@ -66,30 +66,22 @@
             Asked::Reserved(reached) => {
                 let server = reached.server();
                 relay.log_left(admitted, self.server(), server, "reserved");
-                // Closes the silent server's connection before the request is sent.
-                drop(self.leg);
-                (server, begin(reached, admitted, last_id).await)
+                (server, ask(reached))
             }
             Asked::Answered(server, begun) => {
                 relay.log_left(admitted, self.server(), server, "answered");
-                drop(self.leg);
-                (server, begun)
+                (server, Box::pin(ready(begun)) as Answer<'_, Self>)
             }
             Asked::Failed(failure, server, answer) => {
                 relay.note_failure(admitted, self.server(), failure);
-                drop(self.leg);
-                (server, answer.await)
+                (server, answer)
             }
         };
-        match begun {
-            Ok(stream) => {
-                relay.log_resumed(admitted, server, last_id);
-                Ok(stream.continuing(&pauses))
-            }
-            Err(failure) => {
-                relay.spend(admitted, server, failure);
-                go_on(relay, admitted, last_id, &pauses).await
-            }
+        // Closes the silent server's connection before the request is sent to one that has a place for it.
+        drop(self.leg);
+        match first_event(relay, admitted, server, answer, last_id).await {
+            Some(stream) => Ok(stream.continuing(&pauses)),
+            None => go_on(relay, admitted, last_id, &pauses).await,
         }
     }
 }
@@ -106,17 +98,38 @@
     pauses: &Pauses,
 ) -> Result<Stream<D>, &'static str> {
     loop {
-        let (server, reached) = relay.reach(admitted).await.map_err(cause_of)?;
-        let begun = match reached {
-            Ok(reached) => begin(reached, admitted, last_id).await,
-            Err(failure) => Err(failure),
-        };
-        match begun {
-            Ok(stream) => {
-                relay.log_resumed(admitted, server, last_id);
-                return Ok(stream.continuing(pauses));
-            }
-            Err(failure) => relay.spend(admitted, server, failure),
+        let flight = relay.next_flight(admitted).await.map_err(cause_of)?;
+        let server = flight.server;
+        let answer = Box::pin(async move {
+            let reached = Reached::open(flight, admitted).await?;
+            begin(reached, admitted, last_id).await
+        });
+        if let Some(stream) = first_event(relay, admitted, server, answer, last_id).await {
+            return Ok(stream.continuing(pauses));
+        }
+    }
+}
+
+/// Waits for the `answer` of `server`, which goes on after `last_id`, or for that of another while it is
+/// silent; `None` if the attempt has failed.
+async fn first_event<'a, D: Dialect>(
+    relay: &Rc<Relay<D>>,
+    admitted: &'a Admitted,
+    server: ServerIdx,
+    answer: Answer<'a, Stream<D>>,
+    last_id: Option<u64>,
+) -> Option<Stream<D>> {
+    let ask = |reached| -> Answer<'a, _> { Box::pin(begin(reached, admitted, last_id)) };
+    let Pursued { server, outcome, is_spent } = relay.pursue(admitted, server, answer, ask).await;
+    match outcome {
+        Ok(mut stream) => {
+            relay.log_resumed(admitted, server, last_id);
+            stream.is_spent = is_spent;
+            Some(stream)
+        }
+        Err(failure) => {
+            relay.fail(admitted, server, failure, is_spent);
+            None
         }
     }
 }
@@ -127,13 +140,10 @@
     admitted: &Admitted,
     last_id: Option<u64>,
 ) -> Result<Stream<D>, LegFailure> {
-    let first_event = async {
-        let mut leg = reached.send(admitted, last_id).await?;
-        if !leg.head.status.is_success() {
-            return Err(LegFailure::Failed);
-        }
-        let first = leg.first_event(admitted).await?;
-        Ok(Stream::new(leg, first, last_id))
-    };
-    timeout(admitted.silence_limit(), first_event).await.unwrap_or(Err(LegFailure::Silent))
+    let mut leg = reached.send(admitted, last_id).await?;
+    if !leg.head.status.is_success() {
+        return Err(LegFailure::Failed);
+    }
+    let first = leg.first_event(admitted).await?;
+    Ok(Stream::new(leg, first, last_id))
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -139,11 +139,7 @@
                     unless_closed(&caller, self.hand_over(&relay, &mut admitted)).await
                 }
                 End::Lost(failure) => {
-                    if self.is_spent {
-                        relay.note_failure(&admitted, self.server(), failure);
-                    } else {
-                        relay.spend(&admitted, self.server(), failure);
-                    }
+                    relay.fail(&admitted, self.server(), failure, self.is_spent);
                     unless_closed(&caller, self.resume(&relay, &mut admitted)).await
                 }
             };
--- /dev/null
+++ b/crates/system/tests/hand_overs.rs
@@ -0,0 +1,52 @@
+//! The real node while a server is silent: a request leaves it only for an answer, and isn't lost between
+//! two servers.
+
+use {
+    glade_standins::site::{EngineFault, Reply, SiteServer},
+    glade_system::site::{CHAT, EVENTS, Site},
+};
+
+fn whole_stream() -> Vec<u64> {
+    (1..=EVENTS).collect()
+}
+
+fn servers<'a>(site: &'a Site, path: &str) -> &'a [SiteServer] {
+    if path == CHAT { &site.engines } else { &site.plain }
+}
+
+/// Sends a request to `path`; the server that runs it does what `first` says, all others from then on
+/// what `others` says.
+fn send(site: &Site, path: &str, first: EngineFault, others: EngineFault) -> (String, Reply) {
+    let servers = servers(site, path);
+    servers.iter().for_each(|server| server.set_fault(first));
+    let id = site.request_id();
+    let sent = site.begin(0, path, (path == CHAT).then_some("m0"), &id);
+    site.eventually("it runs", || !site.log.runs_of(&id).is_empty());
+    let running = site.log.runs_of(&id)[0].server.clone();
+    servers.iter().filter(|other| other.id() != running).for_each(|other| other.set_fault(others));
+    let reply = site.finish(sent).expect("an answer");
+    (id, reply)
+}
+
+fn assert_answered(site: &Site, path: &str, (id, reply): &(String, Reply)) {
+    let runs = site.log.runs_of(id);
+    let lines = site.node_log(0);
+    let lines: Vec<&str> = lines.lines().filter(|line| line.contains(id.as_str())).collect();
+    let lines = lines.join("\n");
+    assert_eq!((reply.status, reply.whole), (200, true), "{reply:?}\n{runs:?}\n{lines}");
+    assert!(path != CHAT || reply.event_ids() == whole_stream(), "{reply:?}\n{runs:?}\n{lines}");
+}
+
+#[test]
+fn a_stream_isnt_cut_while_the_engine_that_took_it_over_is_silent() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let sent = send(&site, CHAT, EngineFault::PausesAfter(4), EngineFault::PausesAfter(0));
+    assert_answered(&site, CHAT, &sent);
+}
+
+#[test]
+fn a_broken_stream_isnt_cut_while_the_engine_that_resumes_it_is_silent() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let sent = send(&site, CHAT, EngineFault::BreaksAfter(4), EngineFault::PausesAfter(0));
+    assert_answered(&site, CHAT, &sent);
+}
