Of two servers that work on a request, one that fails doesn't end the other's answer

Callers got 502 or 500, or a cut stream, though the remaining server answered later.

Now only an answer ends the race. A server's own failure is kept with the request and passed on if nothing better comes.

Failed on on the real node, and pass: a_read_isnt_lost_when_the_next_server_breaks_off (502 no_answer), a_read_isnt_lost_when_the_next_server_fails_it (500), a_read_isnt_lost_when_the_silent_server_fails_it_while_the_next_works (500), a_stream_isnt_cut_when_an_engine_without_reservations_breaks_off (cut after event 4).

--- a/crates/relay/src/admitted.rs
+++ b/crates/relay/src/admitted.rs
@@ -1,7 +1,10 @@
 //! A request that was read as a whole, with its budget.
 
 use {
-    crate::{end_line::EndLine, leg::LegFailure, received::Received, spent::Spent, visit::Visit},
+    crate::{
+        attempt::Whole, end_line::EndLine, leg::LegFailure, received::Received, spent::Spent,
+        visit::Visit,
+    },
     bytes::Bytes,
     glade_catalog::Repeat,
     glade_dispatch::ServerIdx,
@@ -29,6 +32,8 @@
     pub(crate) answer_by: Instant,
     /// Grows while an attempt that is only silent is still under way.
     spent: RefCell<Spent>,
+    /// The failure that a server has answered; better than one of our own.
+    failed: RefCell<Option<Whole>>,
     end: EndLine,
 }
 
@@ -41,7 +46,8 @@
         end: EndLine,
     ) -> Self {
         let answer_by = received.answer_by();
-        Self { head, received, body, visit, answer_by, spent: RefCell::default(), end }
+        let (spent, failed) = (RefCell::default(), RefCell::default());
+        Self { head, received, body, visit, answer_by, spent, failed, end }
     }
 
     /// The request has come to `stage`.
@@ -69,6 +75,16 @@
         self.spent.borrow_mut().add(server, failure);
     }
 
+    /// Keeps the failure that a server has answered.
+    pub(crate) fn keep_failed(&self, whole: Whole) {
+        *self.failed.borrow_mut() = Some(whole);
+    }
+
+    /// Takes the failure that a server has answered if it `is_fit` to be passed on.
+    pub(crate) fn take_failed_if(&self, is_fit: impl Fn(&Whole) -> bool) -> Option<Whole> {
+        self.failed.borrow_mut().take_if(|whole| is_fit(whole))
+    }
+
     /// A stream has to go on at another server, as if it had just arrived.
     pub(crate) fn begin_anew(&mut self, now: Instant) {
         self.visit.need.arrived_at = now;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -33,6 +33,7 @@
 }
 
 /// A whole answer of a server.
+#[derive(Debug)]
 pub(crate) struct Whole {
     server: ServerIdx,
     head: Parts,
@@ -42,8 +43,6 @@
 impl<D: Dialect> Relay<D> {
     /// Gets an answer to `admitted`.
     pub(crate) async fn answer(self: &Rc<Self>, admitted: Admitted) -> Response<AnswerBody> {
-        // The failure that a server has answered; better than one of our own.
-        let mut failed: Option<Whole> = None;
         loop {
             let flight = tokio::select! {
                 biased;
@@ -54,7 +53,7 @@
             };
             let flight = match flight {
                 Ok(flight) => flight,
-                Err(refused) => return self.give_up(&admitted, refused, failed),
+                Err(refused) => return self.give_up(&admitted, refused),
             };
             let server = flight.server;
             let answer: Answer<'_, _> = Box::pin(Self::attempt(&admitted, flight));
@@ -66,17 +65,12 @@
                     stream.is_spent = is_spent;
                     return self.pass_stream_on(admitted, *stream);
                 }
-                Ok(Answered::Whole(whole)) if whole.head.status.is_server_error() => {
-                    failed = Some(whole);
-                    LegFailure::Failed
-                }
                 Ok(Answered::Whole(whole)) => return self.pass_on(&admitted, whole),
                 Err(failure) => failure,
             };
             self.fail(&admitted, server, failure, is_spent);
-            if let Some(whole) =
-                failed.take_if(|whole| !self.dispatcher.borrow().is_outlier(whole.server))
-            {
+            let is_fit = |whole: &Whole| !self.dispatcher.borrow().is_outlier(whole.server);
+            if let Some(whole) = admitted.take_failed_if(is_fit) {
                 return self.pass_on(&admitted, whole);
             }
         }
@@ -125,7 +119,12 @@
             let time_left = admitted.time_left(leg.now());
             let whole = timeout(time_left, leg.gather()).await;
             let (head, body) = whole.unwrap_or(Err(LegFailure::Silent))?;
-            return Ok(Answered::Whole(Whole { server, head, body }));
+            let whole = Whole { server, head, body };
+            if whole.head.status.is_server_error() {
+                admitted.keep_failed(whole);
+                return Err(LegFailure::Failed);
+            }
+            return Ok(Answered::Whole(whole));
         }
         let first = leg.first_event(admitted).await?;
         Ok(Answered::Stream(Box::new(Stream::new(leg, first, resume_after))))
@@ -157,13 +156,8 @@
     }
 
     /// The final answer to a request that no server has answered well.
-    fn give_up(
-        &self,
-        admitted: &Admitted,
-        refused: Option<Refused>,
-        failed: Option<Whole>,
-    ) -> Response<AnswerBody> {
-        if let Some(whole) = failed {
+    fn give_up(&self, admitted: &Admitted, refused: Option<Refused>) -> Response<AnswerBody> {
+        if let Some(whole) = admitted.take_failed_if(|_| true) {
             return self.pass_on(admitted, whole);
         }
         let answer = if !admitted.spent().may_have_run() {
--- a/crates/relay/src/pursuit.rs
+++ b/crates/relay/src/pursuit.rs
@@ -36,8 +36,8 @@
     Awake(Result<S, LegFailure>),
     /// Another keeps a place for it.
     Reserved(Reached<D>),
-    /// Another has answered, or failed and may have run the request.
-    Answered(ServerIdx, Result<T, LegFailure>),
+    /// Another has answered.
+    Answered(ServerIdx, T),
     /// The silent one has failed, while another may work on it.
     Failed(LegFailure, ServerIdx, Answer<'a, T>),
     /// No other takes it, and why.
@@ -74,9 +74,9 @@
                     answer = begin(reached);
                     (server, is_spent) = (other, false);
                 }
-                Asked::Answered(other, outcome) => {
+                Asked::Answered(other, answered) => {
                     self.log_left(admitted, server, other, "answered");
-                    return Pursued { server: other, outcome, is_spent: false };
+                    return Pursued { server: other, outcome: Ok(answered), is_spent: false };
                 }
                 Asked::Failed(failure, other, theirs) => {
                     self.note_failure(admitted, server, failure);
@@ -155,7 +155,7 @@
 ///
 /// # Errors
 ///
-/// `server` is proved not to run the request.
+/// `server` has failed.
 async fn race<'a, D: Dialect, S, T>(
     admitted: &Admitted,
     silent: impl Future<Output = Result<S, LegFailure>>,
@@ -172,10 +172,7 @@
             }
             Err(failure) => Asked::Failed(failure, server, answer),
         }),
-        outcome = &mut answer => match outcome {
-            Err(failure) if !failure.may_have_run() => Err(failure),
-            outcome => Ok(Asked::Answered(server, outcome)),
-        },
+        outcome = &mut answer => outcome.map(|answered| Asked::Answered(server, answered)),
     }
 }
 
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -70,7 +70,7 @@
             }
             Asked::Answered(server, begun) => {
                 relay.log_left(admitted, self.server(), server, "answered");
-                (server, Box::pin(ready(begun)) as Answer<'_, Self>)
+                (server, Box::pin(ready(Ok(begun))) as Answer<'_, Self>)
             }
             Asked::Failed(failure, server, answer) => {
                 relay.note_failure(admitted, self.server(), failure);
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -492,8 +492,9 @@
     sender: Sender<io::Result<Bytes>>,
 ) {
     tokio::select! {
-        () = events(&shared, &terms, fault, run, &sender) => {}
+        biased;
         () = sender.closed() => shared.log.leave(run),
+        () = events(&shared, &terms, fault, run, &sender) => {}
     }
 }
 
--- a/crates/system/tests/hand_overs.rs
+++ b/crates/system/tests/hand_overs.rs
@@ -2,8 +2,10 @@
 //! two servers.
 
 use {
+    glade_catalog::{Catalog, Route},
     glade_standins::site::{EngineFault, Reply, SiteServer},
-    glade_system::site::{CHAT, EVENTS, Site},
+    glade_system::site::{BROWSE, CHAT, EVENTS, Site, catalog},
+    std::time::Duration,
 };
 
 fn whole_stream() -> Vec<u64> {
@@ -37,6 +39,21 @@
     assert!(path != CHAT || reply.event_ids() == whole_stream(), "{reply:?}\n{runs:?}\n{lines}");
 }
 
+/// A site whose engines keep no places.
+fn site_without_reservations() -> Site {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let with = catalog(2);
+    let services = with.services().cloned().map(|mut service| {
+        let class = service.engine_class.as_mut();
+        class.into_iter().for_each(|class| class.reservation_max = Duration::ZERO);
+        service
+    });
+    let routes = with.routes().map(|route| Route::clone(route)).collect();
+    site.put_catalog(&Catalog::new(2, *with.limits(), routes, services.collect()));
+    site.eventually("it is in force", || site.node_log(0).contains("\"version\":2"));
+    site
+}
+
 #[test]
 fn a_stream_isnt_cut_while_the_engine_that_took_it_over_is_silent() {
     let site = Site::start(1, &[&["m0"], &["m0"]]);
@@ -50,3 +67,32 @@
     let sent = send(&site, CHAT, EngineFault::BreaksAfter(4), EngineFault::PausesAfter(0));
     assert_answered(&site, CHAT, &sent);
 }
+
+#[test]
+fn a_read_isnt_lost_when_the_next_server_breaks_off() {
+    let site = Site::start(1, &[&["m0"]]);
+    let sent = send(&site, BROWSE, EngineFault::PausesAfter(0), EngineFault::BreaksAfter(0));
+    assert_answered(&site, BROWSE, &sent);
+}
+
+#[test]
+fn a_read_isnt_lost_when_the_next_server_fails_it() {
+    let site = Site::start(1, &[&["m0"]]);
+    let sent = send(&site, BROWSE, EngineFault::PausesAfter(0), EngineFault::Fails);
+    assert_answered(&site, BROWSE, &sent);
+}
+
+#[test]
+fn a_read_isnt_lost_when_the_silent_server_fails_it_while_the_next_works() {
+    let site = Site::start(1, &[&["m0"]]);
+    let failed_late = EngineFault::FailsAfter(Duration::from_millis(1_500));
+    let sent = send(&site, BROWSE, failed_late, EngineFault::PausesAfter(0));
+    assert_answered(&site, BROWSE, &sent);
+}
+
+#[test]
+fn a_stream_isnt_cut_when_an_engine_without_reservations_breaks_off() {
+    let site = site_without_reservations();
+    let sent = send(&site, CHAT, EngineFault::PausesAfter(4), EngineFault::BreaksAfter(0));
+    assert_answered(&site, CHAT, &sent);
+}
