Servers that kept no place use up no attempt and no repeat, and may be asked again

A server that is asked for a place isn't sent the request. None the less each one that kept none counted as unreached (four end a request's attempts), took one from the bound on repeats, and was left out for the rest of the request. A stream whose silent engine crashed later was cut though others had room by then.

Now four are asked in turn, then the request stays for now; what wasn't sent is given back to the bound on repeats; a server that kept no place may be asked again after the next silence, or be sent the request once its server has failed.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -326,6 +326,11 @@
         self.budget(service).take(now, vms)
     }
 
+    /// Gives back the right to a repeat that wasn't sent.
+    pub fn give_back_repeat(&mut self, service: &ServiceName) {
+        self.budget(service).give_back();
+    }
+
     fn budget(&mut self, service: &ServiceName) -> &mut RepeatBudget {
         let limit = self.repeat_limit;
         self.repeats.entry(service.clone()).or_insert_with(|| RepeatBudget::new(limit))
--- a/crates/dispatch/src/repeat_budget.rs
+++ b/crates/dispatch/src/repeat_budget.rs
@@ -64,6 +64,13 @@
         true
     }
 
+    /// Gives back the right to one repeat.
+    pub(crate) fn give_back(&mut self) {
+        if let Some(slot) = self.slots.iter_mut().rev().find(|slot| slot.repeats > 0) {
+            slot.repeats -= 1;
+        }
+    }
+
     /// The slot of the present, after older ones than the window were forgotten.
     fn slot(&mut self, now: Instant) -> &mut Slot {
         let window = self.limit.window;
--- a/crates/relay/src/admitted.rs
+++ b/crates/relay/src/admitted.rs
@@ -75,6 +75,11 @@
         self.spent.borrow_mut().add(server, failure);
     }
 
+    /// Lets servers be asked again that kept no place.
+    pub(crate) fn forget_unreserved(&self) {
+        self.spent.borrow_mut().forget_unreserved();
+    }
+
     /// Keeps the failure that a server has answered.
     pub(crate) fn keep_failed(&self, whole: Whole) {
         *self.failed.borrow_mut() = Some(whole);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -188,6 +188,7 @@
         failure: LegFailure,
         is_spent: bool,
     ) {
+        admitted.forget_unreserved();
         if is_spent {
             self.note_failure(admitted, server, failure);
         } else {
--- a/crates/relay/src/pursuit.rs
+++ b/crates/relay/src/pursuit.rs
@@ -18,6 +18,9 @@
     tokio::time::timeout,
 };
 
+/// Servers that are asked in turn for a place before a request stays where it is for now.
+const UNRESERVED_MAX: u32 = 4;
+
 /// An attempt under way, up to a `T`.
 pub(crate) type Answer<'a, T> = Pin<Box<dyn Future<Output = Result<T, LegFailure>> + 'a>>;
 
@@ -95,7 +98,9 @@
         mut silent: impl Future<Output = Result<S, LegFailure>> + Unpin,
         begin: impl Fn(Reached<D>) -> Answer<'a, T>,
     ) -> Asked<'a, D, S, T> {
-        loop {
+        admitted.forget_unreserved();
+        let mut unreserved = 0;
+        while unreserved < UNRESERVED_MAX {
             let found = tokio::select! {
                 biased;
                 sent = &mut silent => return Asked::Awake(sent),
@@ -112,11 +117,18 @@
                 Ok(reached) => race(admitted, &mut silent, server, begin(reached)).await,
                 Err(failure) => Err(failure),
             };
-            match asked {
+            let failure = match asked {
                 Ok(asked) => return asked,
-                Err(failure) => self.spend(admitted, server, failure),
+                Err(failure) => failure,
+            };
+            if failure.never_arrived() {
+                let service = &admitted.visit.need.service;
+                self.dispatcher.borrow_mut().give_back_repeat(service);
             }
+            unreserved += u32::from(failure == LegFailure::NotReserved);
+            self.spend(admitted, server, failure);
         }
+        Asked::Kept(LegFailure::NotReserved.name())
     }
 
     /// Chooses another server and connects to it.
--- a/crates/relay/src/spent.rs
+++ b/crates/relay/src/spent.rs
@@ -10,8 +10,10 @@
 /// Attempts of one request that have failed.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Spent {
-    /// Servers that it was sent to.
+    /// Servers that it isn't sent to again.
     pub(crate) tried: Vec<ServerIdx>,
+    /// Those of them that kept no place for it. It was never sent there.
+    unreserved: Vec<ServerIdx>,
     /// Attempts that may have run.
     runs: u32,
     /// Attempts that arrived and are proved not to have run.
@@ -24,7 +26,9 @@
     /// Takes note of an attempt that failed at `server`.
     pub(crate) fn add(&mut self, server: ServerIdx, failure: LegFailure) {
         self.tried.push(server);
-        if failure.never_arrived() {
+        if failure == LegFailure::NotReserved {
+            self.unreserved.push(server);
+        } else if failure.never_arrived() {
             self.unreached += 1;
         } else if failure.may_have_run() {
             self.runs += 1;
@@ -33,6 +37,12 @@
         }
     }
 
+    /// Lets servers be asked again that kept no place.
+    pub(crate) fn forget_unreserved(&mut self) {
+        let unreserved = std::mem::take(&mut self.unreserved);
+        self.tried.retain(|server| !unreserved.contains(server));
+    }
+
     /// True if an attempt has arrived at a server, so that another one is a repeat.
     pub(crate) fn has_arrived(&self) -> bool {
         self.runs + self.refusals > 0
--- a/crates/system/tests/hand_overs.rs
+++ b/crates/system/tests/hand_overs.rs
@@ -104,3 +104,42 @@
     assert_answered(&site, CHAT, &sent);
     assert_eq!(site.log.runs_of(&sent.0).len(), 1, "{:?}", site.log.runs_of(&sent.0));
 }
+
+/// A stream whose engine pauses and then crashes, after all others were asked for a place and kept none.
+fn assert_resumed_after_refused_places(mut site: Site) {
+    site.engines.iter().for_each(|server| server.set_fault(EngineFault::PausesAfter(4)));
+    let id = site.request_id();
+    let sent = site.begin(0, CHAT, Some("m0"), &id);
+    site.eventually("it runs", || !site.log.runs_of(&id).is_empty());
+    let running = site.log.runs_of(&id)[0].server.clone();
+    let position = site.engines.iter().position(|server| server.id() == running);
+    let running = site.engines.remove(position.expect("an engine"));
+    site.engines.iter().for_each(|server| server.set_fault(EngineFault::Rejects));
+    site.eventually("no place is kept", || site.node_log(0).contains("\"event\":\"server_kept\""));
+    site.engines.iter().for_each(|server| server.set_fault(EngineFault::None));
+    drop(running);
+    assert_answered(&site, CHAT, &(id, site.finish(sent).expect("an answer")));
+}
+
+#[test]
+fn a_stream_goes_on_after_its_engine_crashed_though_others_kept_no_place_before() {
+    assert_resumed_after_refused_places(Site::start(1, &[&["m0"] as &[&str]; 6]));
+}
+
+#[test]
+fn a_stream_goes_on_after_its_engine_crashed_though_the_only_other_kept_no_place_before() {
+    assert_resumed_after_refused_places(Site::start(1, &[&["m0"], &["m0"]]));
+}
+
+#[test]
+fn places_that_werent_kept_use_up_none_of_the_bound_on_repeats() {
+    let site = Site::start(1, &[&["m0"] as &[&str]; 4]);
+    site.reload_node(0, |text| {
+        text.replace(
+            "share: 0.2, window_s: 10, reserve: 50",
+            "share: 0.0, window_s: 10, reserve: 3",
+        )
+    });
+    site.eventually("it is in force", || site.node_log(0).contains("\"changed\":\"repeats\""));
+    assert_resumed_after_refused_places(site);
+}
