A silent engine is left only once the other hasn't rejected the request in spite of its place

A place is a slot and memory; it isn't asked for by model. An engine that dropped the model since this VM heard of it, or carries out an order that concerns it, keeps a place and rejects the request. The silent engine had been left by then: callers got 502 no_answer or a cut stream.

Now both have the request for 250 ms at most (the rule is 400 ms): such a rejection comes within a round trip, since what has a place waits in no queue.

a_stream_isnt_cut_when_an_engine_rejects_it_in_spite_of_a_reservation (cut after event 4) and a_request_isnt_lost_when_an_engine_rejects_it_in_spite_of_a_reservation (502 no_answer) failed on on the real node, and pass.

--- a/crates/relay/src/pursuit.rs
+++ b/crates/relay/src/pursuit.rs
@@ -2,8 +2,8 @@
 //!
 //! A server that sends nothing for long is likely to be in trouble, but may only be reading other
 //! prompts. It is left only once another is known to have the request: a model engine keeps a place for
-//! it first, so that no two work on it, and elsewhere the other's answer has begun. That no rejection
-//! has come yet proves nothing.
+//! it first, and doesn't reject it at once when it comes; elsewhere the other's answer has begun. Without
+//! a place, that no rejection has come yet proves nothing.
 
 use {
     crate::{
@@ -14,10 +14,12 @@
         waiting::Refused,
     },
     glade_dispatch::ServerIdx,
-    std::{pin::Pin, rc::Rc},
-    tokio::time::timeout,
+    std::{pin::Pin, rc::Rc, time::Duration},
+    tokio::time::{sleep, timeout},
 };
 
+/// Longest time for which two engines work on a request. The platform allows 400 ms.
+const OVERLAP_MAX: Duration = Duration::from_millis(250);
 /// Servers that are asked in turn for a place before a request stays where it is for now.
 const UNRESERVED_MAX: u32 = 4;
 
@@ -34,11 +36,11 @@
 }
 
 /// What came of asking another server, for a `T`, while one was silent that owes an `S`.
-pub(crate) enum Asked<'a, D: Dialect, S, T> {
+pub(crate) enum Asked<'a, S, T> {
     /// The silent one has sent something, or failed.
     Awake(Result<S, LegFailure>),
-    /// Another keeps a place for it.
-    Reserved(Reached<D>),
+    /// Another keeps a place for it, was sent it, and hasn't rejected it.
+    Reserved(ServerIdx, Answer<'a, T>),
     /// Another has answered.
     Answered(ServerIdx, T),
     /// The silent one has failed, while another may work on it.
@@ -70,12 +72,10 @@
                     self.log_kept(admitted, server, "awake");
                     return Pursued { server, outcome, is_spent };
                 }
-                Asked::Reserved(reached) => {
-                    let other = reached.server();
+                Asked::Reserved(other, theirs) => {
                     self.log_left(admitted, server, other, "reserved");
-                    // Closes the silent server's connection before the request is sent.
-                    answer = begin(reached);
-                    (server, is_spent) = (other, false);
+                    // Closes the silent server's connection.
+                    (server, answer, is_spent) = (other, theirs, false);
                 }
                 Asked::Answered(other, answered) => {
                     self.log_left(admitted, server, other, "answered");
@@ -97,7 +97,7 @@
         admitted: &'a Admitted,
         mut silent: impl Future<Output = Result<S, LegFailure>> + Unpin,
         begin: impl Fn(Reached<D>) -> Answer<'a, T>,
-    ) -> Asked<'a, D, S, T> {
+    ) -> Asked<'a, S, T> {
         admitted.forget_unreserved();
         let mut unreserved = 0;
         while unreserved < UNRESERVED_MAX {
@@ -112,9 +112,19 @@
             };
             let asked = match reached {
                 Ok(reached) if reached.can_reserve(admitted) => {
-                    reserve(admitted, &mut silent, reached).await
+                    match reserve(&mut silent, reached, admitted).await {
+                        Ok(Reserved::Awake(sent)) => return Asked::Awake(sent),
+                        Ok(Reserved::Kept(reached)) => {
+                            // An engine that dropped the model since, say, rejects the request at once.
+                            let answer = begin(reached);
+                            race(admitted, &mut silent, server, answer, OVERLAP_MAX).await
+                        }
+                        Err(failure) => Err(failure),
+                    }
+                }
+                Ok(reached) => {
+                    race(admitted, &mut silent, server, begin(reached), Duration::MAX).await
                 }
-                Ok(reached) => race(admitted, &mut silent, server, begin(reached)).await,
                 Err(failure) => Err(failure),
             };
             let failure = match asked {
@@ -146,34 +156,41 @@
     }
 }
 
+/// What came of asking for a place while a server was silent that owes an `S`.
+enum Reserved<D: Dialect, S> {
+    Awake(Result<S, LegFailure>),
+    Kept(Reached<D>),
+}
+
 /// Has the server that was reached keep a place, unless the `silent` one wakes first.
 ///
 /// # Errors
 ///
 /// It keeps none.
-async fn reserve<'a, D: Dialect, S, T>(
-    admitted: &Admitted,
+async fn reserve<D: Dialect, S>(
     silent: impl Future<Output = Result<S, LegFailure>>,
     reached: Reached<D>,
-) -> Result<Asked<'a, D, S, T>, LegFailure> {
+    admitted: &Admitted,
+) -> Result<Reserved<D, S>, LegFailure> {
     tokio::select! {
         biased;
-        sent = silent => Ok(Asked::Awake(sent)),
-        reserved = reached.reserve(admitted) => reserved.map(Asked::Reserved),
+        sent = silent => Ok(Reserved::Awake(sent)),
+        reserved = reached.reserve(admitted) => reserved.map(Reserved::Kept),
     }
 }
 
-/// Waits for the `answer` of `server`, or for the `silent` one if that wakes first.
+/// Waits `within` a time for the `answer` of `server`, or for the `silent` one if that wakes first.
 ///
 /// # Errors
 ///
 /// `server` has failed.
-async fn race<'a, D: Dialect, S, T>(
+async fn race<'a, S, T>(
     admitted: &Admitted,
     silent: impl Future<Output = Result<S, LegFailure>>,
     server: ServerIdx,
     mut answer: Answer<'a, T>,
-) -> Result<Asked<'a, D, S, T>, LegFailure> {
+    within: Duration,
+) -> Result<Asked<'a, S, T>, LegFailure> {
     tokio::select! {
         biased;
         sent = silent => Ok(match sent {
@@ -185,6 +202,7 @@
             Err(failure) => Asked::Failed(failure, server, answer),
         }),
         outcome = &mut answer => outcome.map(|answered| Asked::Answered(server, answered)),
+        () = sleep(within) => Ok(Asked::Reserved(server, answer)),
     }
 }
 
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -63,10 +63,9 @@
                 relay.log_kept(admitted, self.server(), cause);
                 return Ok(self);
             }
-            Asked::Reserved(reached) => {
-                let server = reached.server();
+            Asked::Reserved(server, answer) => {
                 relay.log_left(admitted, self.server(), server, "reserved");
-                (server, ask(reached))
+                (server, answer)
             }
             Asked::Answered(server, begun) => {
                 relay.log_left(admitted, self.server(), server, "answered");
@@ -77,7 +76,7 @@
                 (server, answer)
             }
         };
-        // Closes the silent server's connection before the request is sent to one that has a place for it.
+        // Closes the silent server's connection.
         drop(self.leg);
         match first_event(relay, admitted, server, answer, last_id).await {
             Some(stream) => Ok(stream.continuing(&pauses)),
--- a/crates/system/tests/hand_overs.rs
+++ b/crates/system/tests/hand_overs.rs
@@ -97,6 +97,20 @@
     assert_answered(&site, CHAT, &sent);
 }
 
+#[test]
+fn a_stream_isnt_cut_when_an_engine_rejects_it_in_spite_of_a_reservation() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let sent = send(&site, CHAT, EngineFault::PausesAfter(4), EngineFault::RejectsReserved);
+    assert_answered(&site, CHAT, &sent);
+}
+
+#[test]
+fn a_request_isnt_lost_when_an_engine_rejects_it_in_spite_of_a_reservation() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let sent = send(&site, CHAT, EngineFault::PausesAfter(0), EngineFault::RejectsReserved);
+    assert_answered(&site, CHAT, &sent);
+}
+
 #[test]
 fn an_engine_that_says_that_it_leaves_when_it_keeps_a_place_gets_no_request() {
     let site = Site::start(1, &[&["m0"], &["m0"]]);
