Two engines that keep no places don't work on one request for long

Now the next engine is left after 250 ms without an answer, and the request stays with the silent one. Plain services are waited for as before.

--- a/crates/relay/src/admitted.rs
+++ b/crates/relay/src/admitted.rs
@@ -6,7 +6,7 @@
         visit::Visit,
     },
     bytes::Bytes,
-    glade_catalog::Repeat,
+    glade_catalog::{EngineClass, Repeat},
     glade_dispatch::ServerIdx,
     hyper::http::request::Parts,
     std::{
@@ -60,6 +60,12 @@
         self.end.written();
     }
 
+    /// Class of the engines that serve the request; `None` if its servers run no models.
+    pub(crate) fn engine_class(&self) -> Option<&EngineClass> {
+        let service = self.received.catalog.service(self.visit.need.service.as_str())?;
+        service.engine_class.as_ref()
+    }
+
     /// Time left for the answer.
     pub(crate) fn time_left(&self, now: Instant) -> Duration {
         self.answer_by.saturating_duration_since(now)
--- a/crates/relay/src/pursuit.rs
+++ b/crates/relay/src/pursuit.rs
@@ -117,14 +117,12 @@
                         Ok(Reserved::Kept(reached)) => {
                             // An engine that dropped the model since, say, rejects the request at once.
                             let answer = begin(reached);
-                            race(admitted, &mut silent, server, answer, OVERLAP_MAX).await
+                            race(admitted, &mut silent, server, answer, true).await
                         }
                         Err(failure) => Err(failure),
                     }
                 }
-                Ok(reached) => {
-                    race(admitted, &mut silent, server, begin(reached), Duration::MAX).await
-                }
+                Ok(reached) => race(admitted, &mut silent, server, begin(reached), false).await,
                 Err(failure) => Err(failure),
             };
             let failure = match asked {
@@ -179,18 +177,20 @@
     }
 }
 
-/// Waits `within` a time for the `answer` of `server`, or for the `silent` one if that wakes first.
+/// Waits for the `answer` of `server`, or for the `silent` one if that wakes first. Two engines don't both
+/// work on the request for long.
 ///
 /// # Errors
 ///
-/// `server` has failed.
+/// `server` has failed, or kept no place and hasn't answered soon enough.
 async fn race<'a, S, T>(
     admitted: &Admitted,
     silent: impl Future<Output = Result<S, LegFailure>>,
     server: ServerIdx,
     mut answer: Answer<'a, T>,
-    within: Duration,
+    is_reserved: bool,
 ) -> Result<Asked<'a, S, T>, LegFailure> {
+    let overlap_max = if admitted.engine_class().is_some() { OVERLAP_MAX } else { Duration::MAX };
     tokio::select! {
         biased;
         sent = silent => Ok(match sent {
@@ -202,7 +202,11 @@
             Err(failure) => Asked::Failed(failure, server, answer),
         }),
         outcome = &mut answer => outcome.map(|answered| Asked::Answered(server, answered)),
-        () = sleep(within) => Ok(Asked::Reserved(server, answer)),
+        () = sleep(overlap_max) => if is_reserved {
+            Ok(Asked::Reserved(server, answer))
+        } else {
+            Err(LegFailure::Silent)
+        },
     }
 }
 
--- a/crates/relay/src/reserve.rs
+++ b/crates/relay/src/reserve.rs
@@ -71,7 +71,5 @@
 
 /// Longest time for which the servers of the request's service keep a place.
 fn reservation_max(admitted: &Admitted) -> Duration {
-    let service = admitted.received.catalog.service(admitted.visit.need.service.as_str());
-    let class = service.and_then(|service| service.engine_class.as_ref());
-    class.map_or(Duration::ZERO, |class| class.reservation_max)
+    admitted.engine_class().map_or(Duration::ZERO, |class| class.reservation_max)
 }
--- a/crates/system/tests/hand_overs.rs
+++ b/crates/system/tests/hand_overs.rs
@@ -8,6 +8,9 @@
     std::time::Duration,
 };
 
+/// Longest time for which two engines may work on one request, and a margin.
+const OVERLAP: Duration = Duration::from_millis(600);
+
 fn whole_stream() -> Vec<u64> {
     (1..=EVENTS).collect()
 }
@@ -97,6 +100,27 @@
     assert_answered(&site, CHAT, &sent);
 }
 
+#[test]
+fn two_engines_without_reservations_dont_work_on_one_stream_for_long() {
+    let site = site_without_reservations();
+    let servers = &site.engines;
+    servers.iter().for_each(|server| server.set_fault(EngineFault::PausesAfter(4)));
+    let id = site.request_id();
+    let sent = site.begin(0, CHAT, Some("m0"), &id);
+    site.eventually("it runs", || !site.log.runs_of(&id).is_empty());
+    let other = usize::from(site.log.runs_of(&id)[0].server == servers[0].id());
+    servers[other].set_fault(EngineFault::PausesAfter(0));
+    site.eventually("it is sent to both, or answered", || {
+        let runs = site.log.runs_of(&id);
+        runs.len() > 1 || runs[0].ended
+    });
+    site.pause(OVERLAP);
+    let runs = site.log.runs_of(&id);
+    let working = runs.iter().filter(|run| !run.ended && !run.left).count();
+    assert!(working <= 1, "{runs:?}");
+    assert_answered(&site, CHAT, &(id, site.finish(sent).expect("an answer")));
+}
+
 #[test]
 fn a_stream_isnt_cut_when_an_engine_rejects_it_in_spite_of_a_reservation() {
     let site = Site::start(1, &[&["m0"], &["m0"]]);
