--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -11,7 +11,7 @@
         leg::{LegFailure, Reached},
         news::News,
         own_answer::OwnAnswer,
-        pursuit::{Outcome, Pursued},
+        pursuit::{Answer, Pursued},
         relay::Relay,
         stream::Stream,
         waiting::Refused,
@@ -33,6 +33,7 @@
 }
 
 /// A whole answer of a server.
+#[derive(Debug)]
 pub(crate) struct Whole {
     server: ServerIdx,
     head: Parts,
@@ -42,8 +43,6 @@
 impl<D: Dialect> Relay<D> {
     /// Gets an answer to `admitted`.
     pub(crate) async fn answer(self: &Rc<Self>, admitted: Admitted) -> Response<AnswerBody> {
-        // The failure that a server has answered; better than one of our own.
-        let mut failed: Option<Whole> = None;
         loop {
             let flight = tokio::select! {
                 biased;
@@ -54,29 +53,24 @@
             };
             let flight = match flight {
                 Ok(flight) => flight,
-                Err(refused) => return self.give_up(&admitted, refused, failed),
+                Err(refused) => return self.give_up(&admitted, refused),
             };
-            let Pursued { server, outcome, is_spent } = self.pursue(&admitted, flight).await;
+            let server = flight.server;
+            let answer: Answer<'_, _> = Box::pin(Self::attempt(&admitted, flight));
+            let begin = |reached| -> Answer<'_, _> { Box::pin(Self::finish(&admitted, reached)) };
+            let Pursued { server, outcome, is_spent } =
+                self.pursue(&admitted, server, answer, begin).await;
             let failure = match outcome {
                 Ok(Answered::Stream(mut stream)) => {
                     stream.is_spent = is_spent;
                     return self.pass_stream_on(admitted, *stream);
                 }
-                Ok(Answered::Whole(whole)) if whole.head.status.is_server_error() => {
-                    failed = Some(whole);
-                    LegFailure::Failed
-                }
                 Ok(Answered::Whole(whole)) => return self.pass_on(&admitted, whole),
                 Err(failure) => failure,
             };
-            if is_spent {
-                self.note_failure(&admitted, server, failure);
-            } else {
-                self.spend(&admitted, server, failure);
-            }
-            if let Some(whole) =
-                failed.take_if(|whole| !self.dispatcher.borrow().is_outlier(whole.server))
-            {
+            self.fail(&admitted, server, failure, is_spent);
+            let is_fit = |whole: &Whole| !self.dispatcher.borrow().is_outlier(whole.server);
+            if let Some(whole) = admitted.take_failed_if(is_fit) {
                 return self.pass_on(&admitted, whole);
             }
         }
@@ -112,12 +106,12 @@
     }
 
     /// One attempt, up to an answer that is whole, or whose first event is there.
-    pub(crate) async fn attempt(admitted: &Admitted, flight: Flight<D>) -> Outcome<D> {
+    async fn attempt(admitted: &Admitted, flight: Flight<D>) -> Result<Answered<D>, LegFailure> {
         Self::finish(admitted, Reached::open(flight, admitted).await?).await
     }
 
     /// The rest of an attempt that has a connection.
-    pub(crate) async fn finish(admitted: &Admitted, reached: Reached<D>) -> Outcome<D> {
+    async fn finish(admitted: &Admitted, reached: Reached<D>) -> Result<Answered<D>, LegFailure> {
         let server = reached.server();
         let resume_after = admitted.received.terms.last_event_id;
         let mut leg = reached.send(admitted, resume_after).await?;
@@ -125,7 +119,12 @@
             let time_left = admitted.time_left(leg.now());
             let whole = timeout(time_left, leg.gather()).await;
             let (head, body) = whole.unwrap_or(Err(LegFailure::Silent))?;
-            return Ok(Answered::Whole(Whole { server, head, body }));
+            let whole = Whole { server, head, body };
+            if whole.head.status.is_server_error() {
+                admitted.keep_failed(whole);
+                return Err(LegFailure::Failed);
+            }
+            return Ok(Answered::Whole(whole));
         }
         let first = leg.first_event(admitted).await?;
         Ok(Answered::Stream(Box::new(Stream::new(leg, first, resume_after))))
@@ -157,13 +156,8 @@
     }
 
     /// The final answer to a request that no server has answered well.
-    fn give_up(
-        &self,
-        admitted: &Admitted,
-        refused: Option<Refused>,
-        failed: Option<Whole>,
-    ) -> Response<AnswerBody> {
-        if let Some(whole) = failed {
+    fn give_up(&self, admitted: &Admitted, refused: Option<Refused>) -> Response<AnswerBody> {
+        if let Some(whole) = admitted.take_failed_if(|_| true) {
             return self.pass_on(admitted, whole);
         }
         let answer = if !admitted.spent().may_have_run() {
@@ -186,6 +180,22 @@
         admitted.spend(server, failure);
     }
 
+    /// Takes note of an attempt that failed at `server`, and counts it unless it `is_spent` already.
+    pub(crate) fn fail(
+        &self,
+        admitted: &Admitted,
+        server: ServerIdx,
+        failure: LegFailure,
+        is_spent: bool,
+    ) {
+        admitted.forget_unreserved();
+        if is_spent {
+            self.note_failure(admitted, server, failure);
+        } else {
+            self.spend(admitted, server, failure);
+        }
+    }
+
     /// Takes note of a failure of `server`.
     pub(crate) fn note_failure(&self, admitted: &Admitted, server: ServerIdx, failure: LegFailure) {
         let now = self.clock.now();
--- a/crates/relay/src/pursuit.rs
+++ b/crates/relay/src/pursuit.rs
@@ -2,47 +2,47 @@
 //!
 //! A server that sends nothing for long is likely to be in trouble, but may only be reading other
 //! prompts. It is left only once another is known to have the request: a model engine keeps a place for
-//! it first, so that no two work on it, and elsewhere the other's answer has begun. That no rejection
-//! has come yet proves nothing.
+//! it first, and doesn't reject it at once when it comes; elsewhere the other's answer has begun. Without
+//! a place, that no rejection has come yet proves nothing.
 
 use {
     crate::{
         admitted::Admitted,
-        attempt::Answered,
         dialect::Dialect,
-        flight::Flight,
         leg::{LegFailure, Reached},
         relay::Relay,
         waiting::Refused,
     },
     glade_dispatch::ServerIdx,
-    std::{pin::Pin, rc::Rc},
-    tokio::time::timeout,
+    std::{pin::Pin, rc::Rc, time::Duration},
+    tokio::time::{sleep, timeout},
 };
 
-/// What an attempt brings.
-pub(crate) type Outcome<D> = Result<Answered<D>, LegFailure>;
+/// Longest time for which two engines work on a request. The platform allows 400 ms.
+const OVERLAP_MAX: Duration = Duration::from_millis(250);
+/// Servers that are asked in turn for a place before a request stays where it is for now.
+const UNRESERVED_MAX: u32 = 4;
 
 /// An attempt under way, up to a `T`.
 pub(crate) type Answer<'a, T> = Pin<Box<dyn Future<Output = Result<T, LegFailure>> + 'a>>;
 
 /// What the attempts at a request have come to.
-pub(crate) struct Pursued<D: Dialect> {
+pub(crate) struct Pursued<T> {
     /// The server of the last attempt.
     pub(crate) server: ServerIdx,
-    pub(crate) outcome: Outcome<D>,
+    pub(crate) outcome: Result<T, LegFailure>,
     /// The attempt counts as failed already, since its server was silent for long.
     pub(crate) is_spent: bool,
 }
 
 /// What came of asking another server, for a `T`, while one was silent that owes an `S`.
-pub(crate) enum Asked<'a, D: Dialect, S, T> {
+pub(crate) enum Asked<'a, S, T> {
     /// The silent one has sent something, or failed.
     Awake(Result<S, LegFailure>),
-    /// Another keeps a place for it.
-    Reserved(Reached<D>),
-    /// Another has answered, or failed and may have run the request.
-    Answered(ServerIdx, Result<T, LegFailure>),
+    /// Another keeps a place for it, was sent it, and hasn't rejected it.
+    Reserved(ServerIdx, Answer<'a, T>),
+    /// Another has answered.
+    Answered(ServerIdx, T),
     /// The silent one has failed, while another may work on it.
     Failed(LegFailure, ServerIdx, Answer<'a, T>),
     /// No other takes it, and why.
@@ -50,14 +50,14 @@
 }
 
 impl<D: Dialect> Relay<D> {
-    /// Sends the request with `flight`, and to others while the server is silent.
-    pub(crate) async fn pursue<'a>(
-        self: &'a Rc<Self>,
+    /// Waits for the `answer` of `server`, and asks others, with `begin`, while it is silent.
+    pub(crate) async fn pursue<'a, T>(
+        self: &Rc<Self>,
         admitted: &'a Admitted,
-        flight: Flight<D>,
-    ) -> Pursued<D> {
-        let mut server = flight.server;
-        let mut answer: Answer<'a, _> = Box::pin(Self::attempt(admitted, flight));
+        mut server: ServerIdx,
+        mut answer: Answer<'a, T>,
+        begin: impl Fn(Reached<D>) -> Answer<'a, T>,
+    ) -> Pursued<T> {
         let mut is_spent = false;
         loop {
             if let Ok(outcome) = timeout(admitted.silence_limit(), &mut answer).await {
@@ -67,22 +67,19 @@
                 self.spend(admitted, server, LegFailure::Silent);
                 is_spent = true;
             }
-            let begin = |reached| -> Answer<'a, _> { Box::pin(Self::finish(admitted, reached)) };
-            match self.ask_another(admitted, &mut answer, begin).await {
+            match self.ask_another(admitted, &mut answer, &begin).await {
                 Asked::Awake(outcome) => {
                     self.log_kept(admitted, server, "awake");
                     return Pursued { server, outcome, is_spent };
                 }
-                Asked::Reserved(reached) => {
-                    let other = reached.server();
+                Asked::Reserved(other, theirs) => {
                     self.log_left(admitted, server, other, "reserved");
-                    // Closes the silent server's connection before the request is sent.
-                    answer = Box::pin(Self::finish(admitted, reached));
-                    (server, is_spent) = (other, false);
+                    // Closes the silent server's connection.
+                    (server, answer, is_spent) = (other, theirs, false);
                 }
-                Asked::Answered(other, outcome) => {
+                Asked::Answered(other, answered) => {
                     self.log_left(admitted, server, other, "answered");
-                    return Pursued { server: other, outcome, is_spent: false };
+                    return Pursued { server: other, outcome: Ok(answered), is_spent: false };
                 }
                 Asked::Failed(failure, other, theirs) => {
                     self.note_failure(admitted, server, failure);
@@ -100,8 +97,10 @@
         admitted: &'a Admitted,
         mut silent: impl Future<Output = Result<S, LegFailure>> + Unpin,
         begin: impl Fn(Reached<D>) -> Answer<'a, T>,
-    ) -> Asked<'a, D, S, T> {
-        loop {
+    ) -> Asked<'a, S, T> {
+        admitted.forget_unreserved();
+        let mut unreserved = 0;
+        while unreserved < UNRESERVED_MAX {
             let found = tokio::select! {
                 biased;
                 sent = &mut silent => return Asked::Awake(sent),
@@ -113,16 +112,31 @@
             };
             let asked = match reached {
                 Ok(reached) if reached.can_reserve(admitted) => {
-                    reserve(admitted, &mut silent, reached).await
+                    match reserve(&mut silent, reached, admitted).await {
+                        Ok(Reserved::Awake(sent)) => return Asked::Awake(sent),
+                        Ok(Reserved::Kept(reached)) => {
+                            // An engine that dropped the model since, say, rejects the request at once.
+                            let answer = begin(reached);
+                            race(admitted, &mut silent, server, answer, true).await
+                        }
+                        Err(failure) => Err(failure),
+                    }
                 }
-                Ok(reached) => race(admitted, &mut silent, server, begin(reached)).await,
+                Ok(reached) => race(admitted, &mut silent, server, begin(reached), false).await,
                 Err(failure) => Err(failure),
             };
-            match asked {
+            let failure = match asked {
                 Ok(asked) => return asked,
-                Err(failure) => self.spend(admitted, server, failure),
+                Err(failure) => failure,
+            };
+            if failure.never_arrived() {
+                let service = &admitted.visit.need.service;
+                self.dispatcher.borrow_mut().give_back_repeat(service);
             }
+            unreserved += u32::from(failure == LegFailure::NotReserved);
+            self.spend(admitted, server, failure);
         }
+        Asked::Kept(LegFailure::NotReserved.name())
     }
 
     /// Chooses another server and connects to it.
@@ -140,34 +154,43 @@
     }
 }
 
+/// What came of asking for a place while a server was silent that owes an `S`.
+enum Reserved<D: Dialect, S> {
+    Awake(Result<S, LegFailure>),
+    Kept(Reached<D>),
+}
+
 /// Has the server that was reached keep a place, unless the `silent` one wakes first.
 ///
 /// # Errors
 ///
 /// It keeps none.
-async fn reserve<'a, D: Dialect, S, T>(
-    admitted: &Admitted,
+async fn reserve<D: Dialect, S>(
     silent: impl Future<Output = Result<S, LegFailure>>,
     reached: Reached<D>,
-) -> Result<Asked<'a, D, S, T>, LegFailure> {
+    admitted: &Admitted,
+) -> Result<Reserved<D, S>, LegFailure> {
     tokio::select! {
         biased;
-        sent = silent => Ok(Asked::Awake(sent)),
-        reserved = reached.reserve(admitted) => reserved.map(Asked::Reserved),
+        sent = silent => Ok(Reserved::Awake(sent)),
+        reserved = reached.reserve(admitted) => reserved.map(Reserved::Kept),
     }
 }
 
-/// Waits for the `answer` of `server`, or for the `silent` one if that wakes first.
+/// Waits for the `answer` of `server`, or for the `silent` one if that wakes first. Two engines don't both
+/// work on the request for long.
 ///
 /// # Errors
 ///
-/// `server` is proved not to run the request.
-async fn race<'a, D: Dialect, S, T>(
+/// `server` has failed, or kept no place and hasn't answered soon enough.
+async fn race<'a, S, T>(
     admitted: &Admitted,
     silent: impl Future<Output = Result<S, LegFailure>>,
     server: ServerIdx,
     mut answer: Answer<'a, T>,
-) -> Result<Asked<'a, D, S, T>, LegFailure> {
+    is_reserved: bool,
+) -> Result<Asked<'a, S, T>, LegFailure> {
+    let overlap_max = if admitted.engine_class().is_some() { OVERLAP_MAX } else { Duration::MAX };
     tokio::select! {
         biased;
         sent = silent => Ok(match sent {
@@ -178,9 +201,11 @@
             }
             Err(failure) => Asked::Failed(failure, server, answer),
         }),
-        outcome = &mut answer => match outcome {
-            Err(failure) if !failure.may_have_run() => Err(failure),
-            outcome => Ok(Asked::Answered(server, outcome)),
+        outcome = &mut answer => outcome.map(|answered| Asked::Answered(server, answered)),
+        () = sleep(overlap_max) => if is_reserved {
+            Ok(Asked::Reserved(server, answer))
+        } else {
+            Err(LegFailure::Silent)
         },
     }
 }
--- a/crates/relay/src/reserve.rs
+++ b/crates/relay/src/reserve.rs
@@ -58,7 +58,8 @@
         relay.heed(server, head.status, &marks);
         let is_expected = marks.server.as_ref() == Some(&record.key.id);
         match head.status {
-            StatusCode::OK => {}
+            // One that leaves may end before it has served the request.
+            StatusCode::OK if !marks.leaving => {}
             StatusCode::MISDIRECTED_REQUEST if !is_expected => return Err(LegFailure::OtherServer),
             _ => return Err(LegFailure::NotReserved),
         }
@@ -70,7 +71,5 @@
 
 /// Longest time for which the servers of the request's service keep a place.
 fn reservation_max(admitted: &Admitted) -> Duration {
-    let service = admitted.received.catalog.service(admitted.visit.need.service.as_str());
-    let class = service.and_then(|service| service.engine_class.as_ref());
-    class.map_or(Duration::ZERO, |class| class.reservation_max)
+    admitted.engine_class().map_or(Duration::ZERO, |class| class.reservation_max)
 }
