Nodes that are told the whole registry learn which entries have lapsed, and since when

Cause: a node that had lost the store keeps a server in use for 1.6 s after its entry went, since entries lapse while the store is away. When it told others the whole registry meanwhile, as a new core tells its leaves, that server was in it like any other, at a revision later than the removal. They kept it for good, or until another core told them the whole registry again: 39 nodes dropped it at 20.9 s, used it again, and dropped it at 23.3 s.

Change: a whole registry names what has lapsed and for how long; receivers use it no longer than the teller does. server_lapsed is logged. Messages have another format.

Tests: a_server_whose_entry_lapsed_is_dropped_in_time_by_nodes_that_are_told_the_whole_registry failed before (the receivers never dropped it) and passes; leaves_are_told_that_a_server_lapsed_and_that_it_is_back.

--- a/crates/node/src/control/peer_side.rs
+++ b/crates/node/src/control/peer_side.rs
@@ -53,7 +53,7 @@
             PeerMessage::Nodes(infos) => self.on_nodes(now, from, infos),
             PeerMessage::Registry(news) => self.on_told_registry(now, from, news),
             PeerMessage::RegistryWanted => {
-                let all = self.registry_for(&from.vm);
+                let all = self.registry_for(now, &from.vm);
                 self.post.send(now, from.peers, &PeerMessage::Registry(all));
             }
             PeerMessage::CatalogWanted => self.send_catalog(now, from.peers),
@@ -149,7 +149,7 @@
             return;
         }
         if self.post.mesh.is_first {
-            let all = self.registry_for(vm);
+            let all = self.registry_for(now, vm);
             self.post.send(now, addr, &PeerMessage::Registry(all));
             self.send_catalog(now, addr);
         }
@@ -172,8 +172,8 @@
     }
 
     /// All of the registry that `vm` must know.
-    fn registry_for(&self, vm: &VmId) -> RegistryNews {
-        let all = self.registry.all();
+    fn registry_for(&self, now: Instant, vm: &VmId) -> RegistryNews {
+        let all = self.registry.all(now);
         if self.post.mesh.leaves.contains(vm) { self.leaf_registry.all(&all) } else { all }
     }
 
--- a/crates/node/src/control/store_side.rs
+++ b/crates/node/src/control/store_side.rs
@@ -129,7 +129,7 @@
     pub(super) fn note_leaves(&mut self, now: Instant) {
         let is_unknown = self.leaf_registry.revision() == Revision::ABSENT;
         if is_unknown && self.speaks_for_leaves() && self.registry.revision() != Revision::ABSENT {
-            let all = self.registry.all();
+            let all = self.registry.all(now);
             self.tell_leaves_of_registry(now, &all);
         }
     }
--- a/crates/node/src/leaf_registry.rs
+++ b/crates/node/src/leaf_registry.rs
@@ -5,7 +5,7 @@
 //! alone, so leaves are told only of changes by which requests go elsewhere.
 
 use {
-    crate::registry_news::{RegistryNews, ServerEntry},
+    crate::registry_news::{LapsedEntry, RegistryNews, ServerEntry},
     glade_catalog::{Residence, ServerRecord},
     glade_platform::Revision,
     glade_types::BackendId,
@@ -33,12 +33,15 @@
     pub(crate) fn take(&mut self, news: &RegistryNews) -> Option<RegistryNews> {
         let mut removed: Vec<BackendId> =
             news.removed.iter().filter(|id| self.told.contains_key(*id)).cloned().collect();
+        let lapsed: Vec<LapsedEntry> = news.lapsed.iter().map(lapsed_for_leaves).collect();
         if news.after.is_none() {
+            let still_used = lapsed.iter().map(|lapsed| &lapsed.entry);
             let present: HashSet<&BackendId> =
-                news.written.iter().map(|entry| &entry.record.key.id).collect();
+                news.written.iter().chain(still_used).map(|entry| &entry.record.key.id).collect();
             removed.extend(self.told.keys().filter(|id| !present.contains(id)).cloned());
         }
-        removed.iter().for_each(|id| {
+        let gone = lapsed.iter().map(|lapsed| &lapsed.entry.record.key.id).chain(&removed);
+        gone.for_each(|id| {
             self.told.remove(id);
         });
         let written: Vec<ServerEntry> = news
@@ -47,18 +50,20 @@
             .filter(|entry| self.is_news(&entry.record))
             .map(for_leaves)
             .collect();
-        if written.is_empty() && removed.is_empty() {
+        if written.is_empty() && removed.is_empty() && lapsed.is_empty() {
             return None;
         }
         let after = std::mem::replace(&mut self.revision, news.revision);
         let lapses = news.lapses;
-        Some(RegistryNews { after: Some(after), revision: news.revision, lapses, written, removed })
+        let (after, revision) = (Some(after), news.revision);
+        Some(RegistryNews { after, revision, lapses, written, removed, lapsed })
     }
 
     /// All that leaves must know, from `all` that this node knows.
     pub(crate) fn all(&self, all: &RegistryNews) -> RegistryNews {
         let written = all.written.iter().map(for_leaves).collect();
-        RegistryNews { revision: self.revision, written, ..all.clone() }
+        let lapsed = all.lapsed.iter().map(lapsed_for_leaves).collect();
+        RegistryNews { revision: self.revision, written, lapsed, ..all.clone() }
     }
 
     /// True if leaves don't know `record` yet; they do from now on.
@@ -78,6 +83,10 @@
     }
 }
 
+fn lapsed_for_leaves(lapsed: &LapsedEntry) -> LapsedEntry {
+    LapsedEntry { entry: for_leaves(&lapsed.entry), age: lapsed.age }
+}
+
 /// `entry` without what concerns the holder of the lease alone.
 fn for_leaves(entry: &ServerEntry) -> ServerEntry {
     let record =
--- a/crates/node/src/leaf_registry/tests.rs
+++ b/crates/node/src/leaf_registry/tests.rs
@@ -36,6 +36,7 @@
         lapses: false,
         written,
         removed: Vec::new(),
+        lapsed: Vec::new(),
     }
 }
 
@@ -87,3 +88,17 @@
     assert_eq!((all.after, all.revision), (None, Revision::new(5)));
     assert_eq!(all.written[0].record.residents[0].adapters, [ModelName::new("m1/a1")]);
 }
+
+#[test]
+fn leaves_are_told_that_a_server_lapsed_and_that_it_is_back() {
+    let mut leaves = LeafRegistry::default();
+    leaves.take(&changes(0, 5, vec![entry("a", 5, &[("m1", &[])])]));
+    let lapsed =
+        vec![LapsedEntry { entry: entry("a", 5, &[("m1", &[])]), age: Duration::from_secs(1) }];
+    let all = RegistryNews { after: None, lapsed, ..changes(0, 6, Vec::new()) };
+    let told = leaves.take(&all).expect("it has lapsed");
+    assert_eq!((told.lapsed.len(), told.removed.len()), (1, 0));
+    assert_eq!(leaves.all(&all).lapsed.len(), 1);
+    let back = leaves.take(&changes(6, 7, vec![entry("a", 7, &[("m1", &[])])]));
+    assert_eq!(back.expect("it is back").written.len(), 1);
+}
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -1,7 +1,7 @@
 //! What the node believes about backend servers.
 
 use {
-    crate::registry_news::{RegistryNews, ServerEntry},
+    crate::registry_news::{LapsedEntry, RegistryNews, ServerEntry},
     glade_catalog::{ServerKey, ServerRecord, ServerState, is_adapter_of},
     glade_dispatch::{Load, ServerView},
     glade_platform::Revision,
@@ -63,8 +63,9 @@
         }
         self.revision = news.revision;
         if news.after.is_none() {
+            let lapsed = news.lapsed.iter().map(|lapsed| &lapsed.entry);
             let present: HashSet<&BackendId> =
-                news.written.iter().map(|entry| &entry.record.key.id).collect();
+                news.written.iter().chain(lapsed).map(|entry| &entry.record.key.id).collect();
             let missing: Vec<BackendId> =
                 self.entries.keys().filter(|id| !present.contains(id)).cloned().collect();
             missing.iter().for_each(|id| self.on_missing(now, id, lapses));
@@ -77,9 +78,32 @@
                 self.on_record(entry.revision, entry.record);
             }
         }
+        news.lapsed.into_iter().for_each(|lapsed| self.on_lapsed(now, lapsed));
         true
     }
 
+    /// Takes an entry that another node has seen go while the store was away. The server is used no longer
+    /// than there.
+    fn on_lapsed(&mut self, now: Instant, LapsedEntry { entry, age }: LapsedEntry) {
+        let id = entry.record.key.id.clone();
+        match self.entries.get(&id) {
+            Some(known) if known.revision > entry.revision => return,
+            Some(known) if known.revision == entry.revision => {}
+            _ => self.on_record(entry.revision, entry.record),
+        }
+        self.lapse(&id, now.checked_sub(age).unwrap_or(now));
+    }
+
+    /// The entry of a server is gone `since` then, perhaps only because the store was away.
+    fn lapse(&mut self, id: &BackendId, since: Instant) {
+        if let Some(known) = self.lapsed.get_mut(id) {
+            *known = since.min(*known);
+        } else {
+            self.lapsed.insert(id.clone(), since);
+            log::info!(server = id.as_str(), revision = self.revision.number; "server_lapsed");
+        }
+    }
+
     /// What is known may be incomplete; the next that tells all of it is believed.
     pub(crate) fn doubt(&mut self) {
         self.revision = Revision::ABSENT;
@@ -89,18 +113,27 @@
     }
 
     /// The registry as this node knows it.
-    pub(crate) fn all(&self) -> RegistryNews {
-        let entry = |entry: &Entry| ServerEntry {
-            revision: entry.revision,
-            record: ServerRecord::clone(&entry.record),
-        };
-        RegistryNews {
+    pub(crate) fn all(&self, now: Instant) -> RegistryNews {
+        let mut all = RegistryNews {
             after: None,
             revision: self.revision,
             lapses: false,
-            written: self.entries.values().map(entry).collect(),
+            written: Vec::new(),
             removed: Vec::new(),
+            lapsed: Vec::new(),
+        };
+        for (id, known) in &self.entries {
+            let record = ServerRecord::clone(&known.record);
+            let entry = ServerEntry { revision: known.revision, record };
+            match self.lapsed.get(id) {
+                Some(since) => {
+                    let age = now.saturating_duration_since(*since);
+                    all.lapsed.push(LapsedEntry { entry, age });
+                }
+                None => all.written.push(entry),
+            }
         }
+        all
     }
 
     /// Revision up to which everything is known.
@@ -122,7 +155,7 @@
 
     fn on_missing(&mut self, now: Instant, id: &BackendId, lapses: bool) {
         if lapses && self.entries.contains_key(id) {
-            self.lapsed.entry(id.clone()).or_insert(now);
+            self.lapse(id, now);
         } else {
             self.remove(id);
         }
--- a/crates/node/src/registry/tests.rs
+++ b/crates/node/src/registry/tests.rs
@@ -28,6 +28,7 @@
         lapses: false,
         written: vec![entry],
         removed: Vec::new(),
+        lapsed: Vec::new(),
     }
 }
 
@@ -38,6 +39,7 @@
         lapses,
         written: Vec::new(),
         removed: vec![BackendId::new(id)],
+        lapsed: Vec::new(),
     }
 }
 
@@ -93,6 +95,22 @@
     assert!(usable(&registry, now).is_empty());
 }
 
+/// scale-2 at the grown Jef-Jel, seed 6: a core whose store had been away told its leaves of a server that
+/// had left as of any other; they sent requests there 4.3 s after its entry was gone.
+#[test]
+fn a_server_whose_entry_lapsed_is_dropped_in_time_by_nodes_that_are_told_the_whole_registry() {
+    let now = Instant::now();
+    let mut teller = one_server(now);
+    teller.on_news(now, removed(5, 6, "e1", true));
+    let told_at = now + Duration::from_secs(1);
+    for mut registry in [Registry::default(), one_server(now)] {
+        assert!(registry.on_news(told_at, teller.all(told_at)));
+        assert_eq!(usable(&registry, told_at), ["e1"]);
+        assert!(registry.sweep(now + Duration::from_millis(1900)));
+        assert!(usable(&registry, told_at).is_empty());
+    }
+}
+
 #[test]
 fn changes_with_a_gap_before_them_are_not_applied() {
     let now = Instant::now();
--- a/crates/node/src/registry_news.rs
+++ b/crates/node/src/registry_news.rs
@@ -6,7 +6,7 @@
     glade_platform::{Change, Changes, Revision, Snapshot, StoredRow},
     glade_types::BackendId,
     serde::{Deserialize, Serialize},
-    std::collections::HashMap,
+    std::{collections::HashMap, time::Duration},
 };
 
 /// A backend server's entry.
@@ -19,6 +19,16 @@
     pub(crate) record: ServerRecord,
 }
 
+/// An entry that went while the store was away.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct LapsedEntry {
+    /// The entry as it was.
+    pub(crate) entry: ServerEntry,
+    /// Time since it went.
+    pub(crate) age: Duration,
+}
+
 /// What has changed in the registry, or all of it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -33,13 +43,22 @@
     pub(crate) written: Vec<ServerEntry>,
     /// Servers whose entries are gone or can't be read.
     pub(crate) removed: Vec<BackendId>,
+    /// Entries of the whole registry that are gone, and whose servers the teller still uses for a while.
+    pub(crate) lapsed: Vec<LapsedEntry>,
 }
 
 impl RegistryNews {
     /// Decodes the whole registry.
     pub(crate) fn from_snapshot(snapshot: &Snapshot, lapses: bool) -> Self {
         let written = snapshot.rows.iter().filter_map(|row| entry(row).ok()).collect();
-        Self { after: None, revision: snapshot.revision, lapses, written, removed: Vec::new() }
+        Self {
+            after: None,
+            revision: snapshot.revision,
+            lapses,
+            written,
+            removed: Vec::new(),
+            lapsed: Vec::new(),
+        }
     }
 
     /// Decodes changes since `after`.
@@ -50,6 +69,7 @@
             lapses,
             written: Vec::new(),
             removed: Vec::new(),
+            lapsed: Vec::new(),
         };
         for change in last_of_each(&changes.changes) {
             match change {
@@ -65,7 +85,10 @@
 
     /// True if nothing has changed.
     pub(crate) fn is_empty(&self) -> bool {
-        self.after.is_some() && self.written.is_empty() && self.removed.is_empty()
+        self.after.is_some()
+            && self.written.is_empty()
+            && self.removed.is_empty()
+            && self.lapsed.is_empty()
     }
 }
 
