Reservations read as such: one word for them, one type a file, tests of hand-overs in one place

Cause, found by the review: place stood for three things, reserve for three, leg.rs held three types, the tests of hand-overs stood in two files with the same site.

--- a/crates/catalog/src/engine_class.rs
+++ b/crates/catalog/src/engine_class.rs
@@ -58,7 +58,7 @@
     pub memory_copies_mb: f64,
     /// Disk for copies of weights.
     pub disk_copies_mb: f64,
-    /// Longest time for which an engine keeps a place for a request; zero if it keeps none.
+    /// Longest time for which an engine reserves room for a request; zero if it makes no reservations.
     pub reservation_max: Duration,
     /// Loads from the weight store that may begin each second, over all engines.
     pub store_loads_per_s: f64,
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -327,7 +327,7 @@
         "down" => "nothing listens there any more",
         "not_connected" => "no connection came about",
         "not_sent" => "the connection closed before the request left",
-        "not_reserved" => "it kept no place for the request",
+        "not_reserved" => "it reserved no room for the request",
         "not_held" => "it doesn't hold the model",
         "other_server" => "the address belongs to another server now",
         "failed" => "it answered that it failed",
--- a/crates/relay/src/admitted.rs
+++ b/crates/relay/src/admitted.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        attempt::Whole, end_line::EndLine, leg::LegFailure, received::Received, spent::Spent,
-        visit::Visit,
+        attempt::Whole, end_line::EndLine, leg_failure::LegFailure, received::Received,
+        spent::Spent, visit::Visit,
     },
     bytes::Bytes,
     glade_catalog::{EngineClass, Repeat},
@@ -81,7 +81,7 @@
         self.spent.borrow_mut().add(server, failure);
     }
 
-    /// Lets servers be asked again that kept no place.
+    /// Lets servers be asked again that reserved no room.
     pub(crate) fn forget_unreserved(&self) {
         self.spent.borrow_mut().forget_unreserved();
     }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -1,12 +1,13 @@
 //! How terms and marks are written into headers.
 
 use {
+    crate::reservation::{Reservation, ReservationTerms},
     bytes::Bytes,
     glade_catalog::CallerTerms,
     glade_types::{BackendId, RequestId},
     http_body_util::Full,
     hyper::{HeaderMap, Request},
-    std::{net::SocketAddr, time::Duration},
+    std::time::Duration,
 };
 
 /// What the system says to a backend server about one attempt.
@@ -20,39 +21,10 @@
     pub urgency: Option<u8>,
     /// Event after which a stream is to go on.
     pub last_event_id: Option<u64>,
-    /// The place that the server keeps for the request.
+    /// The server's reservation for the request.
     pub reservation: Option<&'a Reservation>,
 }
 
-/// A place that a server keeps for one request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Reservation(String);
-
-impl Reservation {
-    /// The place that the server calls `name`.
-    pub fn new(name: &str) -> Self {
-        Self(name.to_owned())
-    }
-
-    /// Its name.
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-}
-
-/// What a server is asked to keep free.
-#[derive(Clone, Copy, Debug)]
-pub struct ReservationTerms<'a> {
-    /// The server that is meant.
-    pub server: &'a BackendId,
-    /// Where it listens.
-    pub addr: SocketAddr,
-    /// Memory that the request takes, prompt and generated text together.
-    pub tokens: u64,
-    /// Time after which the place is free again unless the request has come.
-    pub time: Duration,
-}
-
 /// What a server's answer says besides its status and body.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerMarks {
@@ -93,9 +65,9 @@
     fn write_terms(&self, headers: &mut HeaderMap, terms: &DispatchTerms<'_>);
 
     /// Asks a server to keep a place.
-    fn reserve(&self, terms: &ReservationTerms<'_>) -> Request<Full<Bytes>>;
+    fn reservation_request(&self, terms: &ReservationTerms<'_>) -> Request<Full<Bytes>>;
 
-    /// Reads the body of the answer to that; `None` if it names no place.
+    /// Reads the body of the answer to that; `None` if it names no reservation.
     fn read_reservation(&self, body: &[u8]) -> Option<Reservation>;
 
     /// Reads what a server says.
--- /dev/null
+++ b/crates/relay/src/leg_failure.rs
@@ -0,0 +1,113 @@
+//! Why an attempt has no usable answer.
+
+use {glade_http::HttpError, glade_types::CallOutcome, hyper::StatusCode};
+
+/// Why an attempt has no usable answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LegFailure {
+    /// No connection came about.
+    NotConnected,
+    /// Nothing listens at the server's address.
+    Down,
+    /// The connection closed before a byte of the request left.
+    NotSent,
+    /// The server reserved no room for the request, or didn't say so in time. The request wasn't sent.
+    NotReserved,
+    /// The server states that it didn't run the request.
+    Refused(StatusCode),
+    /// The server doesn't hold the model.
+    NotHeld,
+    /// The address belongs to another server now.
+    OtherServer,
+    /// The server has answered that it failed.
+    Failed,
+    /// The connection broke, or the answer ended early.
+    Broken,
+    /// The answer isn't one to this request, or isn't signed.
+    Foreign,
+    /// No answer, or no further part of it, in time.
+    Silent,
+}
+
+impl LegFailure {
+    /// False if the request is proved not to have run.
+    pub(crate) fn may_have_run(self) -> bool {
+        match self {
+            Self::NotConnected
+            | Self::Down
+            | Self::NotSent
+            | Self::NotReserved
+            | Self::Refused(_)
+            | Self::NotHeld
+            | Self::OtherServer => false,
+            Self::Failed | Self::Broken | Self::Foreign | Self::Silent => true,
+        }
+    }
+
+    /// True if nothing arrived at any server.
+    pub(crate) fn never_arrived(self) -> bool {
+        matches!(self, Self::NotConnected | Self::Down | Self::NotSent | Self::NotReserved)
+    }
+
+    /// True if the server's process is proved to be gone.
+    pub(crate) fn proves_gone(self) -> bool {
+        matches!(self, Self::Down | Self::OtherServer)
+    }
+
+    /// How many failures it counts as when servers are compared. Silence costs callers most; a
+    /// connection that the server closed while idle, or a model that was just dropped, says nothing
+    /// against the server.
+    pub(crate) fn weight(self) -> u32 {
+        match self {
+            Self::NotSent | Self::NotHeld => 0,
+            Self::NotReserved | Self::Refused(_) | Self::Failed => 1,
+            Self::Broken | Self::Foreign => 2,
+            Self::NotConnected | Self::Down | Self::OtherServer | Self::Silent => 3,
+        }
+    }
+
+    /// True if the server's idle connections are likely to be dead too.
+    pub(crate) fn spoils_connections(self) -> bool {
+        match self {
+            Self::NotSent | Self::Down | Self::OtherServer | Self::Broken | Self::Silent => true,
+            Self::NotConnected
+            | Self::NotReserved
+            | Self::Refused(_)
+            | Self::NotHeld
+            | Self::Failed
+            | Self::Foreign => false,
+        }
+    }
+
+    /// Short name for logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::NotConnected => "not_connected",
+            Self::Down => "down",
+            Self::NotSent => "not_sent",
+            Self::NotReserved => "not_reserved",
+            Self::Refused(_) => "refused",
+            Self::NotHeld => "not_held",
+            Self::OtherServer => "other_server",
+            Self::Failed => "failed",
+            Self::Broken => "broken",
+            Self::Foreign => "foreign",
+            Self::Silent => "silent",
+        }
+    }
+}
+
+impl From<HttpError> for LegFailure {
+    fn from(err: HttpError) -> Self {
+        match err {
+            HttpError::NotConnected { .. } => Self::NotConnected,
+            HttpError::Refused { .. } => Self::Down,
+            HttpError::NotSent { .. } => Self::NotSent,
+            HttpError::TimedOut { .. } => Self::Silent,
+            HttpError::Broken { .. } | HttpError::Malformed { .. } | HttpError::Status { .. } => {
+                debug_assert!(err.outcome() != CallOutcome::NotRun, "{err}");
+                Self::Broken
+            }
+        }
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,14 +26,16 @@
 mod hop;
 mod idle;
 mod leg;
+mod leg_failure;
 mod meters;
 mod news;
 mod own_answer;
 mod pursuit;
+mod reached;
 mod received;
 mod relay;
 mod request_log;
-mod reserve;
+mod reservation;
 mod resume;
 mod server_signs;
 mod spent;
@@ -43,7 +45,8 @@
 mod waiting;
 
 pub use crate::{
-    dialect::{AnswerMarks, Dialect, DispatchTerms, MalformedTerms, Reservation, ReservationTerms},
+    dialect::{AnswerMarks, Dialect, DispatchTerms, MalformedTerms},
     news::{News, OnNews},
     relay::{Relay, RelayHandle, Surroundings},
+    reservation::{Reservation, ReservationTerms},
 };
--- a/crates/relay/src/meters.rs
+++ b/crates/relay/src/meters.rs
@@ -1,7 +1,7 @@
 //! Counters and latency histograms of traffic.
 
 use {
-    crate::leg::LegFailure,
+    crate::leg_failure::LegFailure,
     opentelemetry::{
         KeyValue,
         metrics::{Counter, Histogram, Meter},
--- a/crates/relay/src/pursuit.rs
+++ b/crates/relay/src/pursuit.rs
@@ -1,17 +1,14 @@
 //! One answer to a request, from whichever server gives it.
 //!
 //! A server that sends nothing for long is likely to be in trouble, but may only be reading other
-//! prompts. It is left only once another is known to have the request: a model engine keeps a place for
+//! prompts. It is left only once another is known to have the request: a model engine reserves room for
 //! it first, and doesn't reject it at once when it comes; elsewhere the other's answer has begun. Without
-//! a place, that no rejection has come yet proves nothing.
+//! a reservation, that no rejection has come yet proves nothing.
 
 use {
     crate::{
-        admitted::Admitted,
-        dialect::Dialect,
-        leg::{LegFailure, Reached},
-        relay::Relay,
-        waiting::Refused,
+        admitted::Admitted, dialect::Dialect, leg_failure::LegFailure, reached::Reached,
+        relay::Relay, waiting::Refused,
     },
     glade_dispatch::ServerIdx,
     std::{pin::Pin, rc::Rc, time::Duration},
@@ -20,7 +17,7 @@
 
 /// Longest time for which two engines work on a request. The platform allows 400 ms.
 const OVERLAP_MAX: Duration = Duration::from_millis(250);
-/// Servers that are asked in turn for a place before a request stays where it is for now.
+/// Servers that are asked in turn for a reservation before a request stays where it is for now.
 const UNRESERVED_MAX: u32 = 4;
 
 /// An attempt under way, up to a `T`.
@@ -35,16 +32,17 @@
     pub(crate) is_spent: bool,
 }
 
-/// What came of asking another server, for a `T`, while one was silent that owes an `S`.
+/// What came of asking another server, which would answer with a `T`, while the one that owes an `S` was
+/// silent.
 pub(crate) enum Asked<'a, S, T> {
     /// The silent one has sent something, or failed.
     Awake(Result<S, LegFailure>),
-    /// Another keeps a place for it, was sent it, and hasn't rejected it.
+    /// Another has reserved room for the request, was sent it, and hasn't rejected it.
     Reserved(ServerIdx, Answer<'a, T>),
     /// Another has answered.
     Answered(ServerIdx, T),
-    /// The silent one has failed, while another may work on it.
-    Failed(LegFailure, ServerIdx, Answer<'a, T>),
+    /// The silent one has failed, while another may work on the request.
+    SilentFailed(LegFailure, ServerIdx, Answer<'a, T>),
     /// No other takes it, and why.
     Kept(&'static str),
 }
@@ -81,7 +79,7 @@
                     self.log_left(admitted, server, other, "answered");
                     return Pursued { server: other, outcome: Ok(answered), is_spent: false };
                 }
-                Asked::Failed(failure, other, theirs) => {
+                Asked::SilentFailed(failure, other, theirs) => {
                     self.note_failure(admitted, server, failure);
                     (server, answer, is_spent) = (other, theirs, false);
                 }
@@ -90,8 +88,8 @@
         }
     }
 
-    /// Asks other servers while a `silent` one may go on: each for a place, or, if it keeps none, with
-    /// `begin`.
+    /// Asks other servers while a `silent` one may go on: each for a reservation first, if it makes any,
+    /// and then with `begin`.
     pub(crate) async fn ask_another<'a, S, T>(
         self: &Rc<Self>,
         admitted: &'a Admitted,
@@ -112,9 +110,13 @@
             };
             let asked = match reached {
                 Ok(reached) if reached.can_reserve(admitted) => {
-                    match reserve(&mut silent, reached, admitted).await {
-                        Ok(Reserved::Awake(sent)) => return Asked::Awake(sent),
-                        Ok(Reserved::Kept(reached)) => {
+                    let reserved = tokio::select! {
+                        biased;
+                        sent = &mut silent => return Asked::Awake(sent),
+                        reserved = reached.reserve(admitted) => reserved,
+                    };
+                    match reserved {
+                        Ok(reached) => {
                             // An engine that dropped the model since, say, rejects the request at once.
                             let answer = begin(reached);
                             race(admitted, &mut silent, server, answer, true).await
@@ -154,35 +156,12 @@
     }
 }
 
-/// What came of asking for a place while a server was silent that owes an `S`.
-enum Reserved<D: Dialect, S> {
-    Awake(Result<S, LegFailure>),
-    Kept(Reached<D>),
-}
-
-/// Has the server that was reached keep a place, unless the `silent` one wakes first.
-///
-/// # Errors
-///
-/// It keeps none.
-async fn reserve<D: Dialect, S>(
-    silent: impl Future<Output = Result<S, LegFailure>>,
-    reached: Reached<D>,
-    admitted: &Admitted,
-) -> Result<Reserved<D, S>, LegFailure> {
-    tokio::select! {
-        biased;
-        sent = silent => Ok(Reserved::Awake(sent)),
-        reserved = reached.reserve(admitted) => reserved.map(Reserved::Kept),
-    }
-}
-
 /// Waits for the `answer` of `server`, or for the `silent` one if that wakes first. Two engines don't both
 /// work on the request for long.
 ///
 /// # Errors
 ///
-/// `server` has failed, or kept no place and hasn't answered soon enough.
+/// `server` has failed, or made no reservation and hasn't answered soon enough.
 async fn race<'a, S, T>(
     admitted: &Admitted,
     silent: impl Future<Output = Result<S, LegFailure>>,
@@ -199,7 +178,7 @@
                 admitted.spend(server, LegFailure::Silent);
                 Asked::Awake(Ok(sent))
             }
-            Err(failure) => Asked::Failed(failure, server, answer),
+            Err(failure) => Asked::SilentFailed(failure, server, answer),
         }),
         outcome = &mut answer => outcome.map(|answered| Asked::Answered(server, answered)),
         () = sleep(overlap_max) => if is_reserved {
--- a/crates/relay/src/received/tests.rs
+++ b/crates/relay/src/received/tests.rs
@@ -2,7 +2,10 @@
 
 use {
     super::*,
-    crate::dialect::{AnswerMarks, DispatchTerms, MalformedTerms, Reservation, ReservationTerms},
+    crate::{
+        dialect::{AnswerMarks, DispatchTerms, MalformedTerms},
+        reservation::{Reservation, ReservationTerms},
+    },
     bytes::Bytes,
     glade_catalog::{CallerLimits, Repeat, WeightedService},
     glade_types::{RequestId, RouteName, ServiceName},
@@ -27,7 +30,7 @@
 
     fn write_terms(&self, _: &mut HeaderMap, _: &DispatchTerms<'_>) {}
 
-    fn reserve(&self, _: &ReservationTerms<'_>) -> Request<Full<Bytes>> {
+    fn reservation_request(&self, _: &ReservationTerms<'_>) -> Request<Full<Bytes>> {
         Request::default()
     }
 
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        admitted::Admitted, dialect::Dialect, leg::LegFailure, own_answer::OwnAnswer, relay::Relay,
+        admitted::Admitted, dialect::Dialect, leg_failure::LegFailure, own_answer::OwnAnswer,
+        relay::Relay,
     },
     glade_dispatch::ServerIdx,
     glade_types::{ModelName, RequestId},
@@ -153,13 +154,13 @@
         );
     }
 
-    /// `server` keeps a place for a request that a silent one has.
+    /// `server` has reserved room for a request that a silent one has.
     pub(crate) fn log_reserved(&self, admitted: &Admitted, server: ServerIdx) {
         log::info!(
             id = admitted.received.id.as_str(),
             server = self.dispatcher.borrow().record(server).key.id.as_str(),
             after_ms = self.after_ms(admitted);
-            "place_reserved"
+            "room_reserved"
         );
     }
 
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -6,8 +6,9 @@
     crate::{
         admitted::Admitted,
         dialect::Dialect,
-        leg::{LegFailure, Reached},
+        leg_failure::LegFailure,
         pursuit::{Answer, Asked, Pursued, cause_of},
+        reached::Reached,
         relay::Relay,
         stream::{Pauses, Stream},
     },
@@ -71,7 +72,7 @@
                 relay.log_left(admitted, self.server(), server, "answered");
                 (server, Box::pin(ready(Ok(begun))) as Answer<'_, Self>)
             }
-            Asked::Failed(failure, server, answer) => {
+            Asked::SilentFailed(failure, server, answer) => {
                 relay.note_failure(admitted, self.server(), failure);
                 (server, answer)
             }
--- a/crates/relay/src/spent.rs
+++ b/crates/relay/src/spent.rs
@@ -1,6 +1,6 @@
 //! What a request has used up of its attempts.
 
-use {crate::leg::LegFailure, glade_catalog::Route, glade_dispatch::ServerIdx};
+use {crate::leg_failure::LegFailure, glade_catalog::Route, glade_dispatch::ServerIdx};
 
 /// Sends beyond a route's attempts that may follow answers which prove that nothing ran.
 const REFUSED_SENDS_MAX: u32 = 2;
@@ -12,7 +12,7 @@
 pub(crate) struct Spent {
     /// Servers that it isn't sent to again.
     pub(crate) tried: Vec<ServerIdx>,
-    /// Those of them that kept no place for it. It was never sent there.
+    /// Those of them that reserved no room for it. It was never sent there.
     unreserved: Vec<ServerIdx>,
     /// Attempts that may have run.
     runs: u32,
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Lets servers be asked again that kept no place.
+    /// Lets servers be asked again that reserved no room.
     pub(crate) fn forget_unreserved(&mut self) {
         let unreserved = std::mem::take(&mut self.unreserved);
         self.tried.retain(|server| !unreserved.contains(server));
--- a/crates/system/tests/hand_overs.rs
+++ b/crates/system/tests/hand_overs.rs
@@ -8,6 +8,8 @@
     std::time::Duration,
 };
 
+/// Time in a server's queue before a rejection; shorter than the rest of its long pause.
+const LATE_REJECTION: Duration = Duration::from_millis(400);
 /// Longest time for which two engines may work on one request, and a margin.
 const OVERLAP: Duration = Duration::from_millis(600);
 
@@ -57,6 +59,72 @@
     site
 }
 
+/// A server pauses after `events`, and the other keeps the request in its queue before it rejects it: the
+/// answer is whole, of one run.
+fn assert_kept_when_the_next_rejects_late(site: &Site, path: &str, events: u64) {
+    let late = EngineFault::RejectsAfter(LATE_REJECTION);
+    let sent = send(site, path, EngineFault::PausesAfter(events), late);
+    assert_answered(site, path, &sent);
+    assert_eq!(site.log.runs_of(&sent.0).len(), 1, "{:?}", site.log.runs_of(&sent.0));
+}
+
+#[test]
+fn a_stream_isnt_cut_when_the_next_engine_rejects_it_late() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    assert_kept_when_the_next_rejects_late(&site, CHAT, 4);
+}
+
+#[test]
+fn a_request_isnt_lost_when_the_next_engine_rejects_it_late() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    assert_kept_when_the_next_rejects_late(&site, CHAT, 0);
+}
+
+#[test]
+fn a_read_isnt_lost_when_the_next_server_rejects_it_late() {
+    let site = Site::start(1, &[&["m0"]]);
+    assert_kept_when_the_next_rejects_late(&site, BROWSE, 0);
+}
+
+#[test]
+fn an_answer_isnt_cut_when_an_engine_without_reservations_rejects_it_late() {
+    let site = site_without_reservations();
+    assert_kept_when_the_next_rejects_late(&site, CHAT, 4);
+    assert_kept_when_the_next_rejects_late(&site, CHAT, 0);
+}
+
+/// An engine does what `fault` says after four events, and another takes the stream.
+fn assert_resumed_elsewhere(site: &Site, fault: EngineFault) {
+    site.engine_fault(0, fault);
+    site.eventually("a stream is resumed", || {
+        let id = site.request_id();
+        let reply = site.send(0, CHAT, Some("m0"), &id).expect("an answer");
+        assert_eq!(reply.event_ids(), whole_stream(), "{:?}", site.log.runs_of(&id));
+        assert!(reply.whole);
+        site.log.runs_of(&id).iter().any(|run| run.resumed_after == Some(4))
+    });
+}
+
+#[test]
+fn a_stream_that_pauses_goes_on_at_an_engine_that_takes_it() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    assert_resumed_elsewhere(&site, EngineFault::PausesAfter(4));
+    let resumed = site.log.runs().into_iter().filter(|run| run.resumed_after.is_some());
+    assert!(resumed.clone().all(|run| run.reserved), "{:?}", site.log.runs());
+}
+
+/// Bytes that make up no event don't keep a stream.
+#[test]
+fn a_stream_that_trickles_goes_on_at_another_engine() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    assert_resumed_elsewhere(&site, EngineFault::TricklesAfter(4));
+}
+
+#[test]
+fn a_stream_goes_on_at_an_engine_without_reservations() {
+    assert_resumed_elsewhere(&site_without_reservations(), EngineFault::PausesAfter(4));
+}
+
 #[test]
 fn a_stream_isnt_cut_while_the_engine_that_took_it_over_is_silent() {
     let site = Site::start(1, &[&["m0"], &["m0"]]);
--- a/crates/system/tests/node.rs
+++ b/crates/system/tests/node.rs
@@ -10,9 +10,6 @@
     std::time::Duration,
 };
 
-/// Time in an engine's queue before a rejection; shorter than the rest of an engine's long pause.
-const LATE_REJECTION: Duration = Duration::from_millis(400);
-
 fn whole_stream() -> Vec<u64> {
     (1..=EVENTS).collect()
 }
@@ -108,69 +105,6 @@
     assert_kept_at_an_engine_that_pauses_after(0);
 }
 
-/// A server pauses after `events`, and the other keeps the request in its queue before it rejects it: the
-/// answer is whole, of one run.
-fn assert_kept_when_the_next_rejects_late(site: &Site, path: &str, events: u64) {
-    let model = (path == CHAT).then_some("m0");
-    let servers = if path == CHAT { &site.engines } else { &site.plain };
-    servers.iter().for_each(|server| server.set_fault(EngineFault::PausesAfter(events)));
-    let id = site.request_id();
-    let sent = site.begin(0, path, model, &id);
-    site.eventually("it runs", || !site.log.runs_of(&id).is_empty());
-    let other = usize::from(site.log.runs_of(&id)[0].server == servers[0].id());
-    servers[other].set_fault(EngineFault::RejectsAfter(LATE_REJECTION));
-    let reply = site.finish(sent).expect("an answer");
-    let runs = site.log.runs_of(&id);
-    assert_eq!((reply.status, reply.whole), (200, true), "{reply:?}, {runs:?}");
-    assert!(path != CHAT || reply.event_ids() == whole_stream(), "{reply:?}, {runs:?}");
-    assert_eq!(runs.len(), 1, "{runs:?}");
-}
-
-#[test]
-fn a_stream_isnt_cut_when_the_next_engine_rejects_it_late() {
-    let site = Site::start(1, &[&["m0"], &["m0"]]);
-    assert_kept_when_the_next_rejects_late(&site, CHAT, 4);
-}
-
-#[test]
-fn a_request_isnt_lost_when_the_next_engine_rejects_it_late() {
-    let site = Site::start(1, &[&["m0"], &["m0"]]);
-    assert_kept_when_the_next_rejects_late(&site, CHAT, 0);
-}
-
-#[test]
-fn a_read_isnt_lost_when_the_next_server_rejects_it_late() {
-    let site = Site::start(1, &[&["m0"]]);
-    assert_kept_when_the_next_rejects_late(&site, BROWSE, 0);
-}
-
-/// A site whose engines keep no places.
-fn site_without_reservations() -> Site {
-    let site = Site::start(1, &[&["m0"], &["m0"]]);
-    let with = catalog(2);
-    let services = with.services().cloned().map(|mut service| {
-        let class = service.engine_class.as_mut();
-        class.into_iter().for_each(|class| class.reservation_max = Duration::ZERO);
-        service
-    });
-    let routes = with.routes().map(|route| Route::clone(route)).collect();
-    site.put_catalog(&Catalog::new(2, *with.limits(), routes, services.collect()));
-    site.eventually("it is in force", || site.node_log(0).contains("\"version\":2"));
-    site
-}
-
-#[test]
-fn an_answer_isnt_cut_when_an_engine_without_reservations_rejects_it_late() {
-    let site = site_without_reservations();
-    assert_kept_when_the_next_rejects_late(&site, CHAT, 4);
-    assert_kept_when_the_next_rejects_late(&site, CHAT, 0);
-}
-
-#[test]
-fn a_stream_goes_on_at_an_engine_without_reservations() {
-    assert_resumed_elsewhere(&site_without_reservations(), EngineFault::PausesAfter(4));
-}
-
 #[test]
 fn a_request_goes_to_another_engine_while_one_is_silent() {
     let site = Site::start(1, &[&["m0"], &["m0"]]);
@@ -183,33 +117,6 @@
     });
 }
 
-/// An engine does what `fault` says after four events, and another takes the stream.
-fn assert_resumed_elsewhere(site: &Site, fault: EngineFault) {
-    site.engine_fault(0, fault);
-    site.eventually("a stream is resumed", || {
-        let id = site.request_id();
-        let reply = site.send(0, CHAT, Some("m0"), &id).expect("an answer");
-        assert_eq!(reply.event_ids(), whole_stream(), "{:?}", site.log.runs_of(&id));
-        assert!(reply.whole);
-        site.log.runs_of(&id).iter().any(|run| run.resumed_after == Some(4))
-    });
-}
-
-#[test]
-fn a_stream_that_pauses_goes_on_at_an_engine_that_takes_it() {
-    let site = Site::start(1, &[&["m0"], &["m0"]]);
-    assert_resumed_elsewhere(&site, EngineFault::PausesAfter(4));
-    let resumed = site.log.runs().into_iter().filter(|run| run.resumed_after.is_some());
-    assert!(resumed.clone().all(|run| run.reserved), "{:?}", site.log.runs());
-}
-
-/// Bytes that make up no event don't keep a stream.
-#[test]
-fn a_stream_that_trickles_goes_on_at_another_engine() {
-    let site = Site::start(1, &[&["m0"], &["m0"]]);
-    assert_resumed_elsewhere(&site, EngineFault::TricklesAfter(4));
-}
-
 #[test]
 fn a_stream_that_may_run_once_is_never_passed_off_as_whole() {
     let site = Site::start(1, &[&["m0"], &["m0"]]);
