A node that ends releases its lease for good, also around a renewal that is under way or got no answer

Callers and engines would see: a node that gives orders is told to end. If one of its renewals was under way, it didn't release the lease at all, renewed it until its process ended, and the others then waited the lease out: nobody placed models meanwhile. If a renewal had got no answer and hadn't landed, the confirmation of the release was taken for that of the renewal: the node acted on under its old fencing token while another already held the lease.

Cause: `LeaseKeeper::release` did nothing while an operation was under way, and nobody asked again. Its write wasn't among the attempts, so an answer to it confirmed the attempt before it, and a renewal that turned out to have landed made the keeper the holder again.

Change: once a keeper has released its lease it never holds or takes it again, and writes the release, as an attempt like any other, until the row says so. A node that leaves lets its keeper do that.

--- a/crates/lease/src/keeper.rs
+++ b/crates/lease/src/keeper.rs
@@ -78,6 +78,8 @@
     cut_short: Option<Instant>,
     /// When this candidate learnt that the store was restored; `None` if it never saw that happen.
     restored_at: Option<Instant>,
+    /// This candidate has given the lease up for good.
+    is_leaving: bool,
 }
 
 impl LeaseKeeper {
@@ -96,6 +98,7 @@
             era: None,
             cut_short: None,
             restored_at: None,
+            is_leaving: false,
         }
     }
 
@@ -207,7 +210,7 @@
     /// Returns the next operation if one is due. `write_id` must be unique.
     pub fn tick(&mut self, now: Instant, write_id: u64) -> Option<LeaseAction> {
         self.lapse(now);
-        if self.busy || now < self.next_at {
+        if self.busy || now < self.next_at || (self.is_leaving && !self.is_unreleased()) {
             return None;
         }
         self.busy = true;
@@ -220,6 +223,10 @@
                 let (expected, epoch) = (held.revision, held.row.epoch);
                 Some(self.write(now, expected, epoch, write_id))
             }
+            State::Watching(Watching { revision, row: Some(row), .. }) if self.is_leaving => {
+                let (expected, row) = (*revision, row.clone());
+                Some(self.attempt(now, expected, LeaseRow { released: true, write_id, ..row }))
+            }
             State::Watching(watching) if self.may_take_over(watching, now) => {
                 let expected = watching.revision;
                 let epoch = LeaseRow::next_epoch(watching.row.as_ref(), self.era());
@@ -229,19 +236,22 @@
         }
     }
 
-    /// Gives the lease up, so that others need not wait it out. Returns the write that says so, if
-    /// this candidate holds the lease and no other operation is under way.
+    /// Gives the lease up for good, so that others need not wait it out. Returns the write that says
+    /// so unless another operation is under way; [`LeaseKeeper::tick`] sees to the rest.
     pub fn release(&mut self, now: Instant, write_id: u64) -> Option<LeaseAction> {
-        let State::Held(held) = &self.state else { return None };
-        if self.busy {
-            return None;
-        }
-        self.busy = true;
-        let row = LeaseRow { released: true, write_id, ..held.row.clone() };
-        let expected = held.revision;
-        let lost = held.clone().lost(expected, Some(row.clone()), now);
-        self.state = State::Watching(lost);
-        Some(LeaseAction::Write { expected, row })
+        self.is_leaving = true;
+        self.resign(now)?;
+        // An attempt without an answer can't land any more once this write has.
+        self.must_read = false;
+        self.next_at = now;
+        self.tick(now, write_id)
+    }
+
+    /// True if the row when last seen names this candidate and doesn't say that it gave the lease up.
+    fn is_unreleased(&self) -> bool {
+        let State::Watching(Watching { row: Some(row), .. }) = &self.state else { return false };
+        let LeaseConfig { holder, incarnation, .. } = &self.config;
+        row.holder == *holder && row.incarnation == *incarnation && !row.released
     }
 
     fn period(&self) -> Duration {
@@ -270,7 +280,7 @@
             Ok(TxnAnswer::Committed(revision)) => {
                 self.on_era(now, revision.era);
                 match self.attempts.pop() {
-                    Some(attempt) => self.confirm(*revision, attempt),
+                    Some(attempt) => self.confirm(now, *revision, attempt),
                     // The store was restored since the write was decided on.
                     None => self.read_now(now),
                 }
@@ -295,6 +305,10 @@
             released: false,
             era: self.era(),
         };
+        self.attempt(now, expected, row)
+    }
+
+    fn attempt(&mut self, now: Instant, expected: Revision, row: LeaseRow) -> LeaseAction {
         self.attempts.push(Attempt { row: row.clone(), sent_at: now });
         LeaseAction::Write { expected, row }
     }
@@ -369,7 +383,7 @@
             self.attempts.iter().find(|attempt| attempt.row.write_id == row.write_id)
         });
         if let Some(attempt) = landed.cloned() {
-            self.confirm(revision, attempt);
+            self.confirm(now, revision, attempt);
             return;
         }
         let known = match &self.state {
@@ -385,8 +399,13 @@
         self.state = State::Watching(Watching { revision, row, seen_at });
     }
 
-    fn confirm(&mut self, revision: Revision, attempt: Attempt) {
+    fn confirm(&mut self, now: Instant, revision: Revision, attempt: Attempt) {
         self.attempts.clear();
+        if self.is_leaving {
+            let row = Some(attempt.row);
+            self.state = State::Watching(Watching { revision, row, seen_at: now });
+            return;
+        }
         let valid_until = attempt.sent_at + self.config.duration;
         let state = match self.state.clone() {
             State::Held(held) => held.renewed(revision, attempt.row, valid_until),
--- a/crates/lease/tests/handover.rs
+++ b/crates/lease/tests/handover.rs
@@ -2,7 +2,7 @@
 
 use {
     glade_lease::{LeaseAction, LeaseConfig, LeaseKeeper},
-    glade_platform::{Key, MemoryTable, Txn},
+    glade_platform::{Key, MemoryTable, StoreError, Txn},
     glade_types::{Incarnation, VmId},
     std::time::{Duration, Instant},
 };
@@ -133,3 +133,66 @@
     assert_eq!(a.epoch(until - STEP), Some(1));
     assert_eq!(a.epoch(until + STEP), None);
 }
+
+fn write(action: LeaseAction) -> Txn {
+    let LeaseAction::Write { expected, row } = action else { panic!("{action:?}") };
+    let value = serde_json::to_vec(&row).expect("plain structure");
+    Txn::compare_and_set(Key::new("lease/orders"), expected, value)
+}
+
+/// The answer to `a`'s renewal is lost, and `a` is told to end. Another takes over and is alone.
+fn assert_released_after_a_lost_renewal(has_landed: bool) {
+    let (start, mut store, mut ids) = (Instant::now(), MemoryTable::default(), 0);
+    let mut a = keeper("a", 1, start);
+    time_to_hold(&mut a, start, &mut ids, &mut store);
+    let later = start + Duration::from_secs(1);
+    let renewal = write(a.tick(later, 900).expect("a renewal is due"));
+    if has_landed {
+        store.transact(&renewal);
+    }
+    let lost = StoreError::Unknown { reason: "no answer".to_owned() };
+    a.on_write(later, Err(&lost));
+    if let Some(action) = a.release(later, 901) {
+        perform(&mut a, later, &mut store, action);
+    }
+    assert_eq!(a.epoch(later), None, "it acts no more");
+    let mut b = keeper("b", 1, later);
+    let mut taken_over_after = None;
+    for steps in 1..20 {
+        let now = later + STEP * steps;
+        ids += 2;
+        step(&mut a, now, 1000 + ids, &mut store);
+        step(&mut b, now, 1001 + ids, &mut store);
+        assert_eq!(a.epoch(now), None, "it acts no more");
+        if b.epoch(now).is_some() {
+            taken_over_after.get_or_insert(STEP * steps);
+        }
+    }
+    assert!(taken_over_after.is_some_and(|time| time < LEASE / 2), "{taken_over_after:?}");
+}
+
+#[test]
+fn a_holder_whose_renewal_was_lost_acts_no_more_once_it_has_released_its_lease() {
+    assert_released_after_a_lost_renewal(false);
+}
+
+#[test]
+fn a_renewal_that_landed_unseen_doesn_t_undo_a_release() {
+    assert_released_after_a_lost_renewal(true);
+}
+
+#[test]
+fn a_lease_is_released_although_a_renewal_is_under_way() {
+    let (start, mut store, mut ids) = (Instant::now(), MemoryTable::default(), 0);
+    let mut a = keeper("a", 1, start);
+    time_to_hold(&mut a, start, &mut ids, &mut store);
+    let later = start + Duration::from_secs(1);
+    let renewal = write(a.tick(later, 900).expect("a renewal is due"));
+    assert_eq!(a.release(later, 901), None, "one operation at a time");
+    assert_eq!(a.epoch(later), None, "it acts no more");
+    a.on_write(later, Ok(&store.transact(&renewal)));
+    step(&mut a, later + STEP, 902, &mut store);
+    let mut b = keeper("b", 1, later + STEP);
+    let waited = time_to_hold(&mut b, later + STEP, &mut ids, &mut store);
+    assert!(waited <= STEP * 2, "{waited:?}");
+}
--- a/crates/node/src/order_desk.rs
+++ b/crates/node/src/order_desk.rs
@@ -155,8 +155,10 @@
     /// The node was told to end: it takes the lease no more, and gives it up if it has it.
     pub(crate) fn leave(&mut self, now: Instant) {
         self.leaving = true;
-        if let Some(action) = self.lease.release(now, self.rng.u64(..)) {
+        if self.lease.valid_until().is_some() {
             log::info!("lease_released");
+        }
+        if let Some(action) = self.lease.release(now, self.rng.u64(..)) {
             lease::perform(now, &self.store, &self.events, action);
         }
     }
@@ -260,8 +262,8 @@
         }
         let holds = self.lease.valid_until().is_some();
         let holder_silent = now.saturating_duration_since(self.holder_heard_at) >= HOLDER_SILENT;
-        let is_candidate = is_core && !self.leaving;
-        if !holds && !(is_candidate && (holder_silent || self.probe)) {
+        // A node that leaves may still have to write that it has released the lease.
+        if !holds && !self.leaving && !(is_core && (holder_silent || self.probe)) {
             return;
         }
         self.lease.set_takeover_delay(RANK_DELAY * self.rank(now, peers));
