A node that ends stays until its answers have been written out

Callers saw: a caller on a slow link got a part of its answer, and then a closed connection. Its node had been told to end, had all of the answer and seconds of its grace time left. A call that may run once had run, so its caller doesn't know what became of it.

Cause: a request counts as under way until its answer has been handed to the connection, not until that has written it out. Two looks without one, 100 ms apart, were taken as proof that callers have their answers, and the process ended with the rest of them in its buffers. Streams count until their last four events are in the connection's queue, so the same holds for their ends.

Ruled out: counting until the answer's body is dropped; a whole body is dropped when it has been copied to the connection's buffer. A longer time without requests; a slow link may take any time.

Change: the relay counts its callers' connections. After the quiet time the node takes no more of them, has each closed once its answer has been written out, and ends when all are closed or the grace time is over. Idle connections close at once, as before.

Evidence: an answer of 600,000 bytes to a caller whose connection takes packets of 536 bytes and who reads after 3 s. Test, which failed before: a_node_that_ends_stays_until_a_slow_caller_has_all_of_its_answer in crates/system/tests/node.rs.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -209,21 +209,22 @@
     })
 }
 
-/// Serves who still comes, until nobody does or the grace time is over.
+/// Serves who still comes, until nobody does and all answers have left, or the grace time is over.
 async fn leave(settings: &NodeSettings, relay: &RelayHandle<PlatformDialect>) {
     let timing = &settings.timing;
     let open_for = (timing.directory_ttl + DIRECTORY_SLACK).min(timing.grace / 2);
     sleep(open_for).await;
     let last = timing.grace.saturating_sub(GRACE_RESERVE).saturating_sub(open_for);
-    let idle = async {
+    let served = async {
         // Twice in a row, since a caller may be about to send its next request.
         let mut quiet = 0;
         while quiet < 2 {
             sleep(IDLE_CHECK).await;
             quiet = if relay.under_way() == 0 { quiet + 1 } else { 0 };
         }
+        relay.close().await;
     };
-    if timeout(last, idle).await.is_err() {
+    if timeout(last, served).await.is_err() {
         log::info!(under_way = relay.under_way() as u64; "grace_over");
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod admitted;
 mod answer_body;
 mod attempt;
+mod caller_connections;
 mod dialect;
 mod drain;
 mod end_line;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -4,6 +4,7 @@
     crate::{
         admitted::Admitted,
         answer_body::AnswerBody,
+        caller_connections::CallerConnections,
         dialect::Dialect,
         drain::{Drain, ELSEWHERE},
         end_line::EndLine,
@@ -40,6 +41,7 @@
         convert::Infallible,
         fmt, io,
         net::SocketAddr,
+        pin::pin,
         rc::Rc,
         sync::Arc,
         time::Duration,
@@ -91,6 +93,7 @@
     drain_began: Notify,
     /// Requests that were read and have no complete answer yet.
     pub(crate) under_way: Rc<Cell<usize>>,
+    connections: CallerConnections,
 }
 
 impl<D: Dialect> fmt::Debug for Relay<D> {
@@ -168,6 +171,12 @@
     pub fn under_way(&self) -> usize {
         self.relay.under_way.get()
     }
+
+    /// Takes no more callers, and closes each connection once its answer has been written out. Returns
+    /// when all are closed.
+    pub async fn close(&self) {
+        self.relay.connections.close().await;
+    }
 }
 
 impl<D: Dialect> Relay<D> {
@@ -198,6 +207,7 @@
             drain: Cell::new(None),
             drain_began: Notify::new(),
             under_way: Rc::default(),
+            connections: CallerConnections::new(),
         });
         tokio::task::spawn_local(Rc::clone(&relay).serve_waiting());
         tokio::task::spawn_local(Rc::clone(&relay).accept(listener));
@@ -206,7 +216,11 @@
 
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.connections.closing() => return,
+            };
+            match accepted {
                 Ok((stream, _peer)) => {
                     tokio::task::spawn_local(Rc::clone(&self).serve(stream));
                 }
@@ -224,19 +238,28 @@
             log::debug!(reason = err.to_string().as_str(); "caller_gone");
             return;
         }
+        let _open = self.connections.begin();
         let limits = self.view.load().catalog.as_ref().map(|catalog| *catalog.limits());
         let limits = limits.unwrap_or_default();
         let service = service_fn(|req| {
             let relay = Rc::clone(&self);
             async move { Ok::<_, Infallible>(relay.respond(req).await) }
         });
-        let served = http1::Builder::new()
+        let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             // Runs while the connection is idle as well as while a head arrives.
             .header_read_timeout(limits.idle_time + limits.head_time)
             .max_buf_size(limits.head_bytes.max(8192))
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = pin!(connection);
+        let served = tokio::select! {
+            biased;
+            served = connection.as_mut() => served,
+            () = self.connections.closing() => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
         if let Err(err) = served {
             log::debug!(reason = err.to_string().as_str(); "caller_connection_ended");
         }
--- a/crates/standins/src/site/caller.rs
+++ b/crates/standins/src/site/caller.rs
@@ -7,10 +7,19 @@
     http_body_util::{BodyExt, Full},
     hyper::{HeaderMap, Request, client::conn::http1, header::HOST},
     hyper_util::rt::TokioIo,
-    std::net::SocketAddr,
-    tokio::net::TcpStream,
+    socket2::SockRef,
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::{
+        net::{TcpSocket, TcpStream},
+        time::sleep,
+    },
 };
 
+/// Bytes of a packet to a slow caller, and of what its machine takes unread. The system on the other
+/// side then keeps little for it too.
+const SLOW_PACKET_BYTES: u32 = 536;
+const SLOW_UNREAD_BYTES: u32 = 4 << 10;
+
 /// What a caller got.
 #[derive(Clone, Debug)]
 pub struct Reply {
@@ -34,9 +43,17 @@
 
 /// A caller that opens a connection for each request.
 #[derive(Clone, Debug, Default)]
-pub struct Caller;
+pub struct Caller {
+    /// Time after which a slow caller reads an answer's body.
+    reads_after: Option<Duration>,
+}
 
 impl Caller {
+    /// Returns a caller on a slow link who reads an answer's body this long after its head.
+    pub fn slow(reads_after: Duration) -> Self {
+        Self { reads_after: Some(reads_after) }
+    }
+
     /// Sends a request; `None` if the connection broke before an answer began.
     pub async fn send(
         &self,
@@ -73,11 +90,12 @@
     }
 
     async fn exchange(&self, addr: SocketAddr, req: Request<Full<Bytes>>) -> Option<Reply> {
-        let stream = TcpStream::connect(addr).await.ok()?;
+        let stream = self.connect(addr).await.ok()?;
         let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         let driver = tokio::spawn(driver);
         let response = sender.send_request(req).await.ok()?;
         let (head, mut body) = response.into_parts();
+        sleep(self.reads_after.unwrap_or_default()).await;
         let mut reply = Reply {
             status: head.status.as_u16(),
             headers: head.headers,
@@ -97,4 +115,14 @@
         driver.abort();
         Some(reply)
     }
+
+    async fn connect(&self, addr: SocketAddr) -> io::Result<TcpStream> {
+        if self.reads_after.is_none() {
+            return TcpStream::connect(addr).await;
+        }
+        let socket = TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(SLOW_UNREAD_BYTES)?;
+        SockRef::from(&socket).set_tcp_mss(SLOW_PACKET_BYTES)?;
+        socket.connect(addr).await
+    }
 }
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -101,6 +101,8 @@
     says_leaving: bool,
     /// Requests that it has rejected.
     rejections: u64,
+    /// Least length of a whole answer.
+    answer_bytes: usize,
 }
 
 #[derive(Debug)]
@@ -152,6 +154,7 @@
             fault: EngineFault::None,
             says_leaving: false,
             rejections: 0,
+            answer_bytes: 0,
         };
         let shared = Arc::new(Shared {
             spec,
@@ -186,6 +189,11 @@
         self.shared.lock().fault = fault;
     }
 
+    /// Makes whole answers at least this long.
+    pub fn set_answer_bytes(&self, bytes: usize) {
+        self.shared.lock().answer_bytes = bytes;
+    }
+
     /// Says in the registry that it leaves.
     pub fn leave(&self) {
         self.shared.lock().record.state = ServerState::Leaving { remaining: None };
@@ -414,7 +422,9 @@
         return Err(broken());
     }
     shared.log.end(run);
-    let body = format!("answer of {} to {id}", shared.spec.id).into_bytes();
+    let text = format!("answer of {} to {id}", shared.spec.id);
+    let padding = " ".repeat(shared.lock().answer_bytes.saturating_sub(text.len()));
+    let body = (padding + &text).into_bytes();
     Ok(shared.answer(StatusCode::OK, &marks, whole(StatusCode::OK, body).into_body()))
 }
 
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -195,8 +195,8 @@
     /// What a node shows on its metrics address.
     pub fn metrics(&self, position: usize) -> String {
         let addr = self.nodes[position].addrs.metrics;
-        let terms = CallerTerms::default();
-        let asked = Caller.send(addr, "GET", "metrics", "/metrics", &terms, "");
+        let (caller, terms) = (Caller::default(), CallerTerms::default());
+        let asked = caller.send(addr, "GET", "metrics", "/metrics", &terms, "");
         self.runtime.block_on(asked).map_or_else(String::new, |reply| reply.body)
     }
 
@@ -309,12 +309,12 @@
 
     /// Where callers of dc-1 shall connect.
     pub fn resolve(&self, directory: SocketAddr) -> Option<Vec<SocketAddr>> {
-        self.runtime.block_on(Caller.resolve(directory, "dc-1"))
+        self.runtime.block_on(Caller::default().resolve(directory, "dc-1"))
     }
 
     /// Whether a node says that it is ready.
     pub fn is_ready(&self, readiness: SocketAddr) -> bool {
-        self.runtime.block_on(Caller.is_ready(readiness))
+        self.runtime.block_on(Caller::default().is_ready(readiness))
     }
 
     /// A request's name that no other has.
@@ -335,6 +335,18 @@
         path: &str,
         model: Option<&str>,
         id: &str,
+    ) -> JoinHandle<Option<Reply>> {
+        self.begin_as(Caller::default(), node, path, model, id)
+    }
+
+    /// The same for another caller.
+    pub fn begin_as(
+        &self,
+        caller: Caller,
+        node: usize,
+        path: &str,
+        model: Option<&str>,
+        id: &str,
     ) -> JoinHandle<Option<Reply>> {
         let addr = self.nodes[node].addrs.callers;
         let terms = CallerTerms {
@@ -347,7 +359,7 @@
         };
         let path = path.to_owned();
         self.runtime
-            .spawn(async move { Caller.send(addr, "POST", HOST, &path, &terms, "body").await })
+            .spawn(async move { caller.send(addr, "POST", HOST, &path, &terms, "body").await })
     }
 
     /// Waits for a request that was begun.
--- a/crates/system/tests/node.rs
+++ b/crates/system/tests/node.rs
@@ -1,7 +1,7 @@
 //! The real node against a stand-in of the users' platform: what callers and backend servers see.
 
 use {
-    glade_standins::site::{EngineFault, StoreFault},
+    glade_standins::site::{Caller, EngineFault, StoreFault},
     glade_system::{
         run_program,
         site::{BATCH, BROWSE, CHAT, CLAIM, EVENTS, Site, catalog, run_node_with},
@@ -9,6 +9,9 @@
     std::time::Duration,
 };
 
+/// Length of an answer that a slow caller's connection doesn't take at once.
+const LONG_ANSWER_BYTES: usize = 600_000;
+
 fn whole_stream() -> Vec<u64> {
     (1..=EVENTS).collect()
 }
@@ -246,6 +249,19 @@
     assert_eq!(site.wait_node(0), Some(0), "{}", site.node_log(0));
 }
 
+#[test]
+fn a_node_that_ends_stays_until_a_slow_caller_has_all_of_its_answer() {
+    let mut site = Site::start(2, &[&["m0"]]);
+    site.plain.iter().for_each(|server| server.set_answer_bytes(LONG_ANSWER_BYTES));
+    let id = site.request_id();
+    let slow = site.begin_as(Caller::slow(Duration::from_secs(3)), 0, CLAIM, None, &id);
+    site.eventually("it is answered", || site.log.runs_of(&id).iter().any(|run| run.ended));
+    site.terminate_node(0);
+    let reply = site.finish(slow).expect("an answer");
+    assert_eq!((reply.body.len(), reply.whole), (LONG_ANSWER_BYTES, true));
+    assert_eq!(site.wait_node(0), Some(0), "{}", site.node_log(0));
+}
+
 /// trouble-2 at Kalahari, seed 922666078782: a request that waited for a server while its VM was told
 /// to end got no answer at all.
 #[test]
