A server that another node saw leaving stays out of use until its entry changes, not for five seconds

Callers and engines saw: an engine says in an answer that it leaves. The node that got the answer never sends there again; the others, which it tells, sent there again after 5 s, one request every 5 s for as long as the entry stood there unchanged. Such a request may be cut by the engine's end (rule DRAIN has a bound on it from the entry's `draining` on).

Cause: a peer's word that a server leaves was kept like its word that a server's process is gone. That one ends after `GONE_TIME`: a server whose entry still stands after longer than the registry needs to notice its silence does live. For a server that leaves, time says nothing of the kind: it answers as before until it ends.

Change: the registry keeps the revision of the entry as of a peer's word. The next change of the entry goes before that word, as it did, and what a node hears of the server itself goes before both. The 5 s for servers that were found gone stay.

--- a/crates/node/src/control/peer_side.rs
+++ b/crates/node/src/control/peer_side.rs
@@ -83,7 +83,8 @@
             PeerMessage::ServerLeaving(key) => {
                 let (server, peer) = (key.id.as_str(), from.vm.as_str());
                 log::info!(server = server, told_by = peer; "server_leaving");
-                if self.on_gone(now, &key) {
+                if self.registry.on_told_leaving(now, &key) {
+                    self.on_records(now);
                     self.post.pass_on(now, &from.vm, &PeerMessage::ServerLeaving(key));
                 }
             }
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -42,6 +42,9 @@
     lapsed: HashMap<BackendId, Instant>,
     /// Lives that were seen leaving; none of them takes work again.
     leaving: HashSet<ServerKey>,
+    /// Lives that another node has heard to be leaving, with the revision of their entry. The next
+    /// change of the entry goes before that.
+    told_leaving: HashMap<ServerKey, Revision>,
     /// Lives that were found to be gone, with the revision of their entry and the time.
     gone: HashMap<ServerKey, (Revision, Instant)>,
     /// Tenure that the digests come from.
@@ -84,8 +87,9 @@
     pub(crate) fn doubt(&mut self) {
         self.revision = Revision::ABSENT;
         self.entries.values_mut().for_each(|entry| entry.revision = Revision::ABSENT);
-        // Servers that were found gone stay so until there is word of them.
+        // Servers that were found gone, or are said to leave, stay so until there is word of them.
         self.gone.values_mut().for_each(|(revision, _)| *revision = Revision::ABSENT);
+        self.told_leaving.values_mut().for_each(|revision| *revision = Revision::ABSENT);
     }
 
     /// The registry as this node knows it.
@@ -222,23 +226,33 @@
         let is_gone = self.gone.get(key).is_some_and(|(revision, at)| {
             *revision == entry.revision && now.saturating_duration_since(*at) < GONE_TIME
         });
-        !is_gone && !self.leaving.contains(key)
+        let is_told_leaving = self.told_leaving.get(key) == Some(&entry.revision);
+        !is_gone && !is_told_leaving && !self.leaving.contains(key)
     }
 
     /// Takes note that a server's process is gone. Its entry stays in the registry until its silence
     /// is noticed there; a newer entry says that it is back. Returns false if that was known.
     pub(crate) fn on_gone(&mut self, now: Instant, key: &ServerKey) -> bool {
-        let Some(entry) = self.entries.get(&key.id).filter(|entry| entry.record.key == *key) else {
-            return false;
-        };
-        if !self.is_usable(now, entry) {
-            return false;
-        }
-        self.gone.insert(key.clone(), (entry.revision, now));
-        log::warn!(server = key.id.as_str(), revision = entry.revision.number; "server_found_gone");
+        let Some(revision) = self.usable_revision(now, key) else { return false };
+        self.gone.insert(key.clone(), (revision, now));
+        log::warn!(server = key.id.as_str(), revision = revision.number; "server_found_gone");
         true
     }
 
+    /// Takes another node's word that a server has said that it is about to end. Returns false if that
+    /// was known.
+    pub(crate) fn on_told_leaving(&mut self, now: Instant, key: &ServerKey) -> bool {
+        let Some(revision) = self.usable_revision(now, key) else { return false };
+        self.told_leaving.insert(key.clone(), revision);
+        true
+    }
+
+    /// Revision of the entry of this life of a server, if it takes work.
+    fn usable_revision(&self, now: Instant, key: &ServerKey) -> Option<Revision> {
+        let entry = self.entries.get(&key.id)?;
+        (entry.record.key == *key && self.is_usable(now, entry)).then_some(entry.revision)
+    }
+
     /// Takes a server's own word that it is about to end. Returns false if that was known.
     pub(crate) fn on_leaving(&mut self, key: &ServerKey) -> bool {
         self.leaving.insert(key.clone())
--- a/crates/node/src/registry/tests.rs
+++ b/crates/node/src/registry/tests.rs
@@ -128,6 +128,18 @@
     assert_eq!(usable(&registry, now), ["e1"]);
 }
 
+#[test]
+fn a_server_that_another_node_saw_leaving_is_out_of_use_until_its_entry_changes() {
+    let now = Instant::now();
+    let mut registry = one_server(now);
+    let key = record("e1", ServerState::Ready, &[]).key;
+    assert!(registry.on_told_leaving(now, &key));
+    assert!(!registry.on_told_leaving(now, &key), "known already");
+    assert!(usable(&registry, now + Duration::from_secs(3600)).is_empty());
+    registry.on_news(now, written(5, 6, record("e1", ServerState::Ready, &["m"])));
+    assert_eq!(usable(&registry, now), ["e1"]);
+}
+
 #[test]
 fn what_is_about_to_be_dropped_takes_no_requests() {
     let now = Instant::now();
--- a/crates/system/tests/server_signs.rs
+++ b/crates/system/tests/server_signs.rs
@@ -108,6 +108,19 @@
     }
 }
 
+#[test]
+fn a_node_that_was_told_that_an_engine_leaves_doesn_t_try_it_again_after_a_while() {
+    let all = ["m0", "m1", "m2"].as_slice();
+    let site = Site::start(2, &[all, all]);
+    site.engines[0].leave_in_answers();
+    until_engine_0_was_asked(&site, 0);
+    site.eventually("the other node is told", || {
+        site.node_log(1).contains("\"event\":\"server_leaving\"")
+    });
+    site.pause(Duration::from_secs(6));
+    assert_left_alone(&site, 1);
+}
+
 /// The node stands still between the answer and its next request, and the registry knows nothing.
 #[test]
 fn a_node_that_was_frozen_still_knows_that_an_engine_leaves() {
