A silent stream is kept until another connection has brought an event, and one refusal doesn't end it

Callers of the product's own interface saw: a stream paused for over 2 s, the entry asked its engine to resume it on a new connection, the engine refused that once (or didn't answer within 2 s, or the connection didn't come about), and the caller got an error event, although the first connection was open and the engine about to go on. A stream that was cut ended the same way at the first refusal, with two of its three attempts left.

Cause: the first error on the way to a resumption ended the stream. The answer's head was taken as proof that the new connection goes on; the first one was closed then, and what it brought meanwhile wasn't read.

Change: while a stream is only silent its connection is read along, until the new one has brought an event; whichever brings one first goes on. A resumption that fails uses up one of the three attempts; a silent stream is then waited for again, a broken one asked for again after 100 ms. The error event comes after the third. Attempts draw on the retry budget as before, and go to the same engine as before.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -2,8 +2,9 @@
 //!
 //! Every event carries the request's identifier and its position. Events of another request and
 //! repeated positions are dropped. When the stream breaks, leaves out a position or falls silent,
-//! it is resumed on a new connection after the last position passed on. The caller sees the end
-//! mark only if every event before it was passed on; otherwise it sees an error event.
+//! it is resumed on a new connection after the last position passed on. One that is only silent is
+//! kept until the new connection has brought an event. The caller sees the end mark only if every
+//! event before it was passed on; otherwise it sees an error event.
 
 use {
     crate::{
@@ -27,11 +28,13 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
-/// Times that one stream is resumed.
+/// Attempts at resuming one stream.
 const MAX_RESUMES: u32 = 3;
+/// Pause after an attempt to resume a broken stream has failed.
+const RESUME_PAUSE: Duration = Duration::from_millis(100);
 /// Data of the event that ends a stream.
 const END_MARK: &str = "[DONE]";
 
@@ -51,6 +54,8 @@
     request: ModelRequest,
     addr: SocketAddr,
     events: Events,
+    /// An event that was read while the stream was being resumed.
+    ahead: Option<Event>,
     /// Keeps the connection open for as long as its events are read.
     _connection: Connection,
     next: u64,
@@ -66,7 +71,34 @@
 enum Next {
     Pass(Event),
     Skip,
-    Broken(&'static str),
+    Stopped(Stop),
+}
+
+/// Why a stream doesn't go on by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stop {
+    Silent,
+    EndedEarly,
+    Broken,
+    PartMissing,
+}
+
+impl Stop {
+    fn text(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::EndedEarly => "ended early",
+            Self::Broken => "broken",
+            Self::PartMissing => "a part is missing",
+        }
+    }
+}
+
+/// A stream that goes on, with its first event.
+struct Resumed {
+    events: Events,
+    first: Event,
+    connection: Connection,
 }
 
 impl Relay {
@@ -83,6 +115,7 @@
             request,
             addr,
             events: events(head.response.into_body()),
+            ahead: None,
             _connection: head.connection,
             next: 0,
             resumes: 0,
@@ -108,12 +141,17 @@
             match self.next_event().await {
                 Next::Pass(event) => return Some(self.pass(&event)),
                 Next::Skip => {}
-                Next::Broken(reason) => {
-                    if let Err(err) = self.resume(reason).await {
+                Next::Stopped(stop) => match self.resume(stop).await {
+                    Ok(()) => {}
+                    Err(err) if self.resumes >= MAX_RESUMES => {
+                        Counts::add(&self.shared.counts.broken);
                         self.ended = true;
                         return Some(format!("data: {}\n\n", err.to_json()));
                     }
-                }
+                    // It may go on where it is.
+                    Err(_) if stop == Stop::Silent => {}
+                    Err(_) => sleep(RESUME_PAUSE).await,
+                },
             }
         }
         None
@@ -121,11 +159,14 @@
 
     async fn next_event(&mut self) -> Next {
         let silence = self.silence();
-        let event = match timeout(silence, self.events.next()).await {
-            Err(_) => return Next::Broken("silent"),
-            Ok(None) => return Next::Broken("ended early"),
-            Ok(Some(Err(_))) => return Next::Broken("broken"),
-            Ok(Some(Ok(event))) => event,
+        let event = match self.ahead.take() {
+            Some(event) => event,
+            None => match timeout(silence, self.events.next()).await {
+                Err(_) => return Next::Stopped(Stop::Silent),
+                Ok(None) => return Next::Stopped(Stop::EndedEarly),
+                Ok(Some(Err(_))) => return Next::Stopped(Stop::Broken),
+                Ok(Some(Ok(event))) => event,
+            },
         };
         let position = event.id.rsplit_once(':').filter(|(id, _)| *id == self.request.id.as_str());
         let Some(position) = position.and_then(|(_, at)| at.parse::<u64>().ok()) else {
@@ -136,12 +177,12 @@
             return Next::Skip;
         }
         if position > self.next {
-            return Next::Broken("a part is missing");
+            return Next::Stopped(Stop::PartMissing);
         }
         Next::Pass(event)
     }
 
-    /// Longest silence before the connection counts as dead.
+    /// Longest silence before the stream is resumed on another connection.
     fn silence(&self) -> Duration {
         let settings = &self.shared.settings.timing;
         let gap = self.request.row.targets.between_tokens * 4;
@@ -174,40 +215,66 @@
         self.last_at = Some(now);
     }
 
-    /// Opens a new connection and goes on after the last position.
-    async fn resume(&mut self, reason: &'static str) -> Result<(), ApiError> {
+    /// Goes on after the last position on a new connection, or where the stream is if it was only
+    /// silent and brings an event first.
+    async fn resume(&mut self, stop: Stop) -> Result<(), ApiError> {
         self.resumes += 1;
-        let failed = |message: String| ApiError::Failed { message };
         if self.resumes > MAX_RESUMES || !self.shared.retries.spend() {
-            Counts::add(&self.shared.counts.broken);
-            return Err(failed(format!("the stream was cut: {reason}; ask again")));
+            return Err(failed(format!("the stream was cut: {}; ask again", stop.text())));
         }
         Counts::add(&self.shared.counts.resumed);
         self.shared.pool.forget(self.addr);
-        let request = &self.request;
-        let last = self.next.checked_sub(1).map(|last| format!("{}:{last}", request.id));
-        let upstream = Upstream {
-            addr: self.addr,
-            method: Method::POST,
-            path: &request.path,
-            id: &request.id,
-            priority: Some(request.priority),
-            content_type: Some("application/json"),
-            last_event: last,
-            body: request.body.clone(),
-        };
         let silence = self.silence();
-        let head = upstream.send(&self.shared, true, silence).await;
-        let head = head.map_err(|err| failed(format!("the stream was cut: {err}")))?;
-        if !head.response.status().is_success() || is_crossed(&head.response, &request.id) {
-            return Err(failed("the stream was cut and can't be resumed; ask again".to_owned()));
+        let Self { shared, request, addr, events, next, .. } = self;
+        tokio::select! {
+            biased;
+            Some(Ok(event)) = events.next(), if stop == Stop::Silent => self.ahead = Some(event),
+            resumed = go_on(shared, request, *addr, *next, silence) => {
+                let Resumed { events, first, connection } = resumed?;
+                self.events = events;
+                self.ahead = Some(first);
+                self._connection = connection;
+            }
         }
-        self.events = events(head.response.into_body());
-        self._connection = head.connection;
         Ok(())
     }
 }
 
+/// Has `request` go on at position `next`, and waits for the first event.
+async fn go_on(
+    shared: &Shared,
+    request: &ModelRequest,
+    addr: SocketAddr,
+    next: u64,
+    silence: Duration,
+) -> Result<Resumed, ApiError> {
+    let last = next.checked_sub(1).map(|last| format!("{}:{last}", request.id));
+    let upstream = Upstream {
+        addr,
+        method: Method::POST,
+        path: &request.path,
+        id: &request.id,
+        priority: Some(request.priority),
+        content_type: Some("application/json"),
+        last_event: last,
+        body: request.body.clone(),
+    };
+    let head = upstream.send(shared, true, silence).await;
+    let head = head.map_err(|err| failed(format!("the stream was cut: {err}")))?;
+    if !head.response.status().is_success() || is_crossed(&head.response, &request.id) {
+        return Err(failed("the stream was cut and can't be resumed; ask again".to_owned()));
+    }
+    let mut events = events(head.response.into_body());
+    match timeout(silence, events.next()).await {
+        Ok(Some(Ok(first))) => Ok(Resumed { events, first, connection: head.connection }),
+        _ => Err(failed("the stream was cut and doesn't go on; ask again".to_owned())),
+    }
+}
+
+fn failed(message: String) -> ApiError {
+    ApiError::Failed { message }
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         let now = self.shared.now();
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -44,6 +44,8 @@
 const MAX_TOKENS: u32 = 4096;
 /// Period at which a patient request looks for a place.
 const PATIENT_RETRY: Duration = Duration::from_millis(5);
+/// Time for which a stream pauses, longer than the entry waits before it resumes one.
+const STREAM_PAUSE: Duration = Duration::from_secs(3);
 /// Parts of a stream before a stream fault strikes.
 const PARTS_BEFORE_FAULT: u32 = 3;
 
@@ -239,6 +241,12 @@
         let resume_at = header(headers, "last-event-id")
             .and_then(|last| last.rsplit_once(':')?.1.parse::<u32>().ok())
             .map_or(0, |last| last + 1);
+        if resume_at > 0 && self.faults.take(|faults| &mut faults.refused_resumes) {
+            return error(StatusCode::SERVICE_UNAVAILABLE, "can't go on");
+        }
+        if resume_at > 0 && self.faults.take(|faults| &mut faults.unanswered_resumes) {
+            std::future::pending::<()>().await;
+        }
         self.stream(id, request.model, tokens, resume_at, done)
     }
 
@@ -271,6 +279,8 @@
             Some(StreamFault::Cut)
         } else if self.faults.take(|faults| &mut faults.silent_streams) {
             Some(StreamFault::Silent)
+        } else if self.faults.take(|faults| &mut faults.paused_streams) {
+            Some(StreamFault::Pause)
         } else {
             None
         };
@@ -284,6 +294,7 @@
                 if fault.is_some() && position == resume_at + PARTS_BEFORE_FAULT {
                     match fault {
                         Some(StreamFault::Silent) => std::future::pending::<()>().await,
+                        Some(StreamFault::Pause) => sleep(STREAM_PAUSE).await,
                         _ => {
                             let cut = std::io::Error::other("cut");
                             return Some((Err(cut), (tokens + 1, done)));
@@ -308,6 +319,7 @@
 enum StreamFault {
     Cut,
     Silent,
+    Pause,
 }
 
 /// Counts a request as done when its answer ends or its caller goes away.
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -33,6 +33,12 @@
     pub cut_streams: u32,
     /// Engines: lets this many further streams go silent after their third part.
     pub silent_streams: u32,
+    /// Engines: lets this many further streams pause for three seconds after their third part.
+    pub paused_streams: u32,
+    /// Engines: refuses this many further requests that go on after an event.
+    pub refused_resumes: u32,
+    /// Engines: answers nothing to this many further requests that go on after an event.
+    pub unanswered_resumes: u32,
     /// Engines and plain services: listed as leaving.
     pub leaving: bool,
 }
--- a/crates/system/tests/answers.rs
+++ b/crates/system/tests/answers.rs
@@ -54,6 +54,28 @@
     bad_input_gets_a_clear_error(&cluster);
 }
 
+/// The engines have `faults`, and a stream is whole all the same.
+fn assert_whole_through(cluster: &Cluster, faults: &str) {
+    let holders = engines_of(cluster, "chat-wo");
+    holders.iter().for_each(|engine| cluster.faults(engine, faults));
+    let outcome = ask(cluster, true);
+    assert!(matches!(outcome, Outcome::Whole { .. }), "{faults}: {outcome:?}");
+    holders.iter().for_each(|engine| cluster.faults(engine, "{}"));
+}
+
+#[test]
+fn a_stream_that_pauses_goes_on_although_its_engine_doesn_t_resume_it() {
+    let cluster = Cluster::start(1);
+    assert_whole_through(&cluster, r#"{"paused_streams": 1, "refused_resumes": 9}"#);
+    assert_whole_through(&cluster, r#"{"paused_streams": 1, "unanswered_resumes": 9}"#);
+}
+
+#[test]
+fn a_cut_stream_is_resumed_although_its_engine_refuses_that_once() {
+    let cluster = Cluster::start(1);
+    assert_whole_through(&cluster, r#"{"cut_streams": 1, "refused_resumes": 1}"#);
+}
+
 fn bad_input_gets_a_clear_error(cluster: &Cluster) {
     let chat = "/v1/chat/completions";
     let valid = r#"{"model":"chat","max_tokens":1}"#;
