A VM that drains writes the outcomes of its calls before it ends

Callers of the product's own interface saw: a call under the caller's own key ran, and its caller was answered with 200, while the table service was away. The VM was drained and ended. From then on the key got 409, "an attempt through VM vm-2 owns this key", with advice to ask again in a second, through every VM and for good. A caller that has lost the answer never learns whether its load was claimed.

Cause: the outcome is written later when the table service gives no answer within 300 ms, up to 20 times over a minute, by a task that no request stands for. A VM that drains ends 300 ms after its last request, which was taken as the end of all work.

Change: what is left to do for a request counts as under way, like the request. The VM ends when the record is written or its attempts are used up; the platform's grace time bounds that as it does streams.

Not covered: a VM that is killed leaves such a row behind as before.

--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -441,13 +441,14 @@
     let record = keyed.on_outcome(dispatched.outcome(), dispatched.stored());
     // A caller that has its answer finds it again through any VM at once. When the table service
     // gives no answer the caller isn't kept waiting: the record is written later.
-    let recorded = tokio::spawn(record_outcome(Arc::clone(shared), record));
+    let rest = shared.begin_rest();
+    let recorded = tokio::spawn(record_outcome(Arc::clone(shared), record, rest));
     let _ = timeout(RECORD_WAIT, recorded).await;
     Ok(dispatched)
 }
 
 /// Writes the record of an outcome, over and over while the table service gives no answer.
-async fn record_outcome(shared: Arc<Shared>, record: Txn) {
+async fn record_outcome(shared: Arc<Shared>, record: Txn, _rest: Serving) {
     for _ in 0..RECORD_ATTEMPTS {
         Counts::add(&shared.counts.call_writes);
         match shared.platform.store.transact(&record).await {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -81,7 +81,7 @@
     changed: Notify,
 }
 
-/// A request being served; the VM doesn't exit while one lives.
+/// A request being served, or what is left to do for one; the VM doesn't exit while one lives.
 #[derive(Debug)]
 pub(crate) struct Serving {
     shared: Arc<Shared>,
@@ -217,12 +217,17 @@
     /// Registers a request, unless the VM no longer takes any.
     pub(crate) fn begin(self: &Arc<Self>) -> Option<Serving> {
         // Counted first, so that a drain that starts now waits for this request.
-        self.drain.under_way.fetch_add(1, Ordering::AcqRel);
-        let serving = Serving { shared: Arc::clone(self) };
+        let serving = self.begin_rest();
         let refuses = self.drain.refusing.load(Ordering::Acquire);
         (!refuses).then_some(serving)
     }
 
+    /// Registers what is left to do for a request that is being served.
+    pub(crate) fn begin_rest(self: &Arc<Self>) -> Serving {
+        self.drain.under_way.fetch_add(1, Ordering::AcqRel);
+        Serving { shared: Arc::clone(self) }
+    }
+
     /// Tells the control thread; an event that doesn't fit is dropped.
     pub(crate) fn tell(&self, event: EntryEvent) {
         if self.events.try_send(event).is_err() {
--- a/crates/system/tests/calls.rs
+++ b/crates/system/tests/calls.rs
@@ -1,6 +1,15 @@
 //! Calls that may run at most once, through the real daemons.
 
-use glade_system::{Cluster, Reply};
+use {
+    glade_system::{Cluster, Reply},
+    std::{
+        thread::{scope, sleep},
+        time::Duration,
+    },
+};
+
+/// Time after which a VM that drains waits only for what is still to be done.
+const DRAIN_TIME: Duration = Duration::from_secs(9);
 
 const CLAIMS: &str = "/services/market/claims";
 
@@ -88,3 +97,26 @@
     let none = claim(&cluster, 0, None, "load-7");
     assert_eq!(none.status, 200);
 }
+
+#[test]
+fn an_outcome_that_the_table_service_couldn_t_take_is_written_before_its_vm_ends() {
+    let mut cluster = Cluster::start(2);
+    for server in ["market-1", "market-2", "market-3"] {
+        cluster.faults(server, r#"{"slow_ms": 1500}"#);
+    }
+    scope(|threads| {
+        let answered = threads.spawn(|| claim(&cluster, 1, Some("k1"), "load-1"));
+        sleep(Duration::from_millis(700));
+        cluster.faults("table", r#"{"down": true}"#);
+        assert_eq!(answered.join().expect("the VM answers").status, 200);
+    });
+    let drained = cluster.cli(&["drain", "vm-2"]);
+    assert_eq!(drained.code, 0, "{drained:?}");
+    sleep(DRAIN_TIME);
+    cluster.faults("table", "{}");
+    assert_eq!(cluster.wait_entry(1), Some(0));
+    let again = claim(&cluster, 0, Some("k1"), "load-1");
+    assert_eq!(again.status, 200, "{again:?}");
+    assert_eq!(again.headers.get("idempotent-replayed").map(String::as_str), Some("true"));
+    assert_eq!(cluster.executions("load-1"), 1);
+}
