A token's VM that is only silent isn't called gone

Callers of the product's own interface saw: a caller whose VM didn't answer presented its token to another VM, which hadn't heard the first one for 3 s, and was told 502, "the VM that issued the token is gone; it will not be run, whether it ran before isn't known". The first VM was only frozen or cut off. It ran the call after that, or had it under way: whoever believes the promise and claims anew has claimed twice.

Cause: silence of a VM for `peer_silent` was taken as the end of its process.

Change: a VM is gone if it has been heard in a later life than the token's, or if neither the VM list nor a heartbeat names it any more. Otherwise the answer is that only that VM can judge the token, 409 with the advice to ask again, as for a VM that is heard.

--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -22,6 +22,7 @@
     glade_routing::{Permit, ServiceEntry, pick_service},
     glade_table::{Row, RowKind},
     glade_types::{CallKey, CallOutcome, ModelName, RequestId, stable_hash},
+    glade_wire::Role,
     poem::{Body, Request, Response, http::StatusCode},
     std::{
         io,
@@ -381,12 +382,16 @@
     ApiError::Unknown { message }
 }
 
-/// A token that names another VM or an earlier life of this one.
+/// A token that names another VM or an earlier life of this one. A VM that is only silent may still
+/// run the call.
 fn foreign_token(shared: &Shared, token: &Token) -> ApiError {
     let view = shared.view.load();
-    let peer = view.peers.iter().find(|peer| peer.vm == token.vm);
-    let alive = peer.filter(|peer| peer.live && peer.incarnation == token.incarnation);
-    match alive {
+    let issuer = view
+        .peers
+        .iter()
+        .filter(|peer| peer.role == Role::Entry && peer.vm == token.vm)
+        .find(|peer| peer.incarnation <= token.incarnation);
+    match issuer {
         Some(peer) => under_way(&format!(
             "only VM {} can judge this token, at http://{}",
             token.vm, peer.caller
--- a/crates/system/src/cluster.rs
+++ b/crates/system/src/cluster.rs
@@ -4,6 +4,7 @@
     crate::programs::{Output, program, run_program},
     glade_http::{Bytes, Full, Pool, Request},
     glade_standins::{Deployment, Layout},
+    rustix::process::{Pid, Signal, kill_process},
     std::{
         collections::BTreeMap,
         fs::{self, File},
@@ -129,6 +130,22 @@
         }
     }
 
+    /// Lets the entry of a VM stand still.
+    pub fn pause_entry(&self, vm: u16) {
+        self.signal_entry(vm, Signal::STOP);
+    }
+
+    /// Lets an entry that stands still go on.
+    pub fn resume_entry(&self, vm: u16) {
+        self.signal_entry(vm, Signal::CONT);
+    }
+
+    fn signal_entry(&self, vm: u16, signal: Signal) {
+        if let Some(child) = &self.entries[usize::from(vm)] {
+            kill_process(Pid::from_child(child), signal).expect("an own child can be signalled");
+        }
+    }
+
     /// Waits until the entry of a VM has ended by itself, and returns its exit code.
     pub fn wait_entry(&mut self, vm: u16) -> Option<i32> {
         let mut child = self.entries[usize::from(vm)].take()?;
--- a/crates/system/tests/calls.rs
+++ b/crates/system/tests/calls.rs
@@ -120,3 +120,20 @@
     assert_eq!(again.headers.get("idempotent-replayed").map(String::as_str), Some("true"));
     assert_eq!(cluster.executions("load-1"), 1);
 }
+
+#[test]
+fn a_token_of_a_silent_vm_isn_t_called_gone_while_it_may_still_run() {
+    let cluster = Cluster::start(2);
+    let key = token(&cluster, 1);
+    cluster.pause_entry(1);
+    cluster.eventually("the VM counts as silent", || {
+        let lines = cluster.cli(&["--json", "vms"]).stdout;
+        let lines: Vec<serde_json::Value> = serde_json::from_str(&lines).unwrap_or_default();
+        lines.iter().any(|line| line["vm"] == "vm-2" && line["live"] == false)
+    });
+    let elsewhere = claim(&cluster, 0, Some(&key), "load-1");
+    cluster.resume_entry(1);
+    assert_eq!(claim(&cluster, 1, Some(&key), "load-1").status, 200);
+    assert_eq!(elsewhere.status, 409, "it still ran: {elsewhere:?}");
+    assert!(elsewhere.headers.contains_key("retry-after"));
+}
