A VM that drains stays until its answers have been written out

A caller on a slow link got a part of its answer, and its connection was closed, as its VM had been drained. The call may not be repeated, and had run.

Cause: a whole answer counts as served once it has been made. The VM then gave connections 300 ms to close and ended its process with what they hadn't written out yet.

Change: a port is a running handle that closes each connection once its answer has been written out, by the graceful shutdown of the HTTP library. The VM ends when the callers' port has closed, in place of the 300 ms. Connections without a request, used or not, are closed at once.

Evidence: an answer of 600,000 bytes to a caller whose connection takes packets of 536 bytes and who reads after 9 s. Test, which failed before: a_vm_that_drains_stays_until_a_slow_caller_has_all_of_its_answer in crates/system/tests/calls.rs. A caller who never reads keeps a VM until the platform kills it, as one of a stream did.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -6,6 +6,7 @@
         control::ControlThread,
         events::EntryEvent,
         operator::OperatorPort,
+        port::Port,
         shared::{Counts, Shared},
     },
     glade_clock::Clock,
@@ -17,7 +18,7 @@
     glade_observe::Metrics,
     glade_settings::Settings,
     glade_wire::{Envelope, Inbox, Role, WireError},
-    poem::{Endpoint, Response, listener::TcpAcceptor},
+    poem::{Endpoint, Response},
     std::{
         fmt, io,
         net::SocketAddr,
@@ -26,14 +27,10 @@
             atomic::{AtomicU64, Ordering},
             mpsc::SyncSender,
         },
-        time::Duration,
     },
-    tokio::{net::TcpListener, runtime::Handle, time::sleep},
+    tokio::{runtime::Handle, time::sleep},
 };
 
-/// Time after the last request for connections to close.
-const CLOSE_TIME: Duration = Duration::from_millis(300);
-
 /// Why the entry can't start.
 #[derive(Debug)]
 pub enum EntryError {
@@ -67,6 +64,8 @@
 pub struct Entry {
     shared: Arc<Shared>,
     control: ControlHandle,
+    callers: Port,
+    _operators: Port,
     _inbox: Inbox,
 }
 
@@ -87,8 +86,9 @@
         let metrics = Arc::new(Metrics::open("persimmonglade-entry"));
         register_metrics(&metrics, &shared);
         let caller = CallerPort { shared: Arc::clone(&shared), metrics };
-        serve(settings.vm.caller, caller).await?;
-        serve(settings.vm.operator, OperatorPort { shared: Arc::clone(&shared) }).await?;
+        let callers = bind(settings.vm.caller, caller).await?;
+        let operator = OperatorPort { shared: Arc::clone(&shared) };
+        let operators = bind(settings.vm.operator, operator).await?;
         spawn_listing_poll(&runtime, &platform, &events);
         let peers = PeerShell::new(
             settings,
@@ -103,7 +103,7 @@
         let control =
             spawn_control(receiver, move |event| state.step(event)).map_err(EntryError::Thread)?;
         log::info!("entry of {} started, incarnation {incarnation}", settings.vm.name);
-        Ok(Self { shared, control, _inbox: inbox })
+        Ok(Self { shared, control, callers, _operators: operators, _inbox: inbox })
     }
 
     /// For starting a drain while [`Entry::drained`] is awaited.
@@ -112,7 +112,7 @@
     }
 
     /// Waits until a drain was started and has ended: the VM has left the directory, its old
-    /// answers have expired, and every request has been answered to its end.
+    /// answers have expired, and every request's answer has been written out.
     pub async fn drained(self) {
         self.shared.drain.started().await;
         // Callers may keep the directory's answer for its time to live, counted from the moment
@@ -121,7 +121,7 @@
         sleep(timing.directory_ttl + timing.peer_silent).await;
         self.shared.drain.refuse();
         self.shared.drain.idle().await;
-        sleep(CLOSE_TIME).await;
+        self.callers.close().await;
         let _ = self.shared.events.send(EntryEvent::Stop);
         self.control.join();
         log::info!("drained");
@@ -150,19 +150,11 @@
     })
 }
 
-async fn serve<E>(addr: SocketAddr, endpoint: E) -> Result<(), EntryError>
+async fn bind<E>(addr: SocketAddr, endpoint: E) -> Result<Port, EntryError>
 where
     E: Endpoint<Output = Response> + 'static,
 {
-    let listen = |source| EntryError::Listen { addr, source };
-    let listener = TcpListener::bind(addr).await.map_err(listen)?;
-    let acceptor = TcpAcceptor::from_tokio(listener).map_err(listen)?;
-    tokio::spawn(async move {
-        if let Err(err) = poem::Server::new_with_acceptor(acceptor).run(endpoint).await {
-            log::error!("port {addr}: {err}");
-        }
-    });
-    Ok(())
+    Port::bind(addr, endpoint).await.map_err(|source| EntryError::Listen { addr, source })
 }
 
 fn register_metrics(metrics: &Metrics, shared: &Arc<Shared>) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod directory;
 mod events;
 mod operator;
+mod port;
 mod proxy;
 mod relay;
 mod request;
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -39,6 +39,8 @@
     pub refused_resumes: u32,
     /// Engines: answers nothing to this many further requests that go on after an event.
     pub unanswered_resumes: u32,
+    /// Plain services: least length of an answer.
+    pub answer_bytes: usize,
     /// Engines and plain services: listed as leaving.
     pub leaving: bool,
 }
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -53,12 +53,13 @@
         if self.faults.take(|faults| &mut faults.lost_answers) {
             std::future::pending::<()>().await;
         }
-        let answer = serde_json::json!({"server": self.name, "number": number});
+        let answer = serde_json::json!({"server": self.name, "number": number}).to_string();
+        let padding = " ".repeat(self.faults.get().answer_bytes.saturating_sub(answer.len()));
         let response = Response::builder().content_type("application/json");
         let response = match id {
             Some(id) => response.header("x-request-id", id),
             None => response,
         };
-        Ok(response.status(StatusCode::OK).body(answer.to_string()).into_response())
+        Ok(response.status(StatusCode::OK).body(padding + &answer).into_response())
     }
 }
--- a/crates/system/tests/calls.rs
+++ b/crates/system/tests/calls.rs
@@ -1,8 +1,13 @@
 //! Calls that may run at most once, through the real daemons.
 
 use {
+    glade_catalog::CallerTerms,
+    glade_http::Pool,
+    glade_load::call_service,
+    glade_standins::site::Caller,
     glade_system::{Cluster, Reply},
     std::{
+        net::TcpStream,
         thread::{scope, sleep},
         time::Duration,
     },
@@ -10,6 +15,8 @@
 
 /// Time after which a VM that drains waits only for what is still to be done.
 const DRAIN_TIME: Duration = Duration::from_secs(9);
+/// Length of an answer that a slow caller's connection doesn't take at once.
+const LONG_ANSWER_BYTES: usize = 600_000;
 
 const CLAIMS: &str = "/services/market/claims";
 
@@ -137,3 +144,28 @@
     assert_eq!(elsewhere.status, 409, "it still ran: {elsewhere:?}");
     assert!(elsewhere.headers.contains_key("retry-after"));
 }
+
+#[test]
+fn a_vm_that_drains_stays_until_a_slow_caller_has_all_of_its_answer() {
+    let mut cluster = Cluster::start(2);
+    for server in ["market-1", "market-2", "market-3"] {
+        cluster.faults(server, &format!("{{\"answer_bytes\": {LONG_ANSWER_BYTES}}}"));
+    }
+    let (caller, terms) = (Caller::slow(DRAIN_TIME), CallerTerms::default());
+    let addr = cluster.layout.caller(1);
+    // Connections without a request aren't waited for.
+    let (pool, _unused) = (Pool::new(), TcpStream::connect(addr).expect("the VM takes it"));
+    let used = cluster.block_on(call_service(&pool, addr, CLAIMS, None, "load-0"));
+    assert!(used.is_ok(), "{used:?}");
+    let reply = scope(|threads| {
+        let sent = caller.send(addr, "POST", "market", CLAIMS, &terms, "load-1");
+        let slow = threads.spawn(|| cluster.block_on(sent));
+        cluster.eventually("it is answered", || cluster.executions("load-1") == 1);
+        let drained = cluster.cli(&["drain", "vm-2"]);
+        assert_eq!(drained.code, 0, "{drained:?}");
+        slow.join().expect("the caller ends")
+    });
+    let reply = reply.expect("an answer");
+    assert_eq!((reply.body.len(), reply.whole), (LONG_ANSWER_BYTES, true));
+    assert_eq!(cluster.wait_entry(1), Some(0));
+}
