--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -22,6 +22,7 @@
     glade_routing::{Permit, ServiceEntry, pick_service},
     glade_table::{Row, RowKind},
     glade_types::{CallKey, CallOutcome, ModelName, RequestId, stable_hash},
+    glade_wire::Role,
     poem::{Body, Request, Response, http::StatusCode},
     std::{
         io,
@@ -381,12 +382,16 @@
     ApiError::Unknown { message }
 }
 
-/// A token that names another VM or an earlier life of this one.
+/// A token that names another VM or an earlier life of this one. A VM that is only silent may still
+/// run the call.
 fn foreign_token(shared: &Shared, token: &Token) -> ApiError {
     let view = shared.view.load();
-    let peer = view.peers.iter().find(|peer| peer.vm == token.vm);
-    let alive = peer.filter(|peer| peer.live && peer.incarnation == token.incarnation);
-    match alive {
+    let issuer = view
+        .peers
+        .iter()
+        .filter(|peer| peer.role == Role::Entry && peer.vm == token.vm)
+        .find(|peer| peer.incarnation <= token.incarnation);
+    match issuer {
         Some(peer) => under_way(&format!(
             "only VM {} can judge this token, at http://{}",
             token.vm, peer.caller
@@ -441,13 +446,14 @@
     let record = keyed.on_outcome(dispatched.outcome(), dispatched.stored());
     // A caller that has its answer finds it again through any VM at once. When the table service
     // gives no answer the caller isn't kept waiting: the record is written later.
-    let recorded = tokio::spawn(record_outcome(Arc::clone(shared), record));
+    let rest = shared.begin_rest();
+    let recorded = tokio::spawn(record_outcome(Arc::clone(shared), record, rest));
     let _ = timeout(RECORD_WAIT, recorded).await;
     Ok(dispatched)
 }
 
 /// Writes the record of an outcome, over and over while the table service gives no answer.
-async fn record_outcome(shared: Arc<Shared>, record: Txn) {
+async fn record_outcome(shared: Arc<Shared>, record: Txn, _rest: Serving) {
     for _ in 0..RECORD_ATTEMPTS {
         Counts::add(&shared.counts.call_writes);
         match shared.platform.store.transact(&record).await {
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -113,6 +113,8 @@
     /// Places that it keeps.
     reservations: BTreeSet<String>,
     reservations_made: u64,
+    /// Least length of a whole answer.
+    answer_bytes: usize,
 }
 
 #[derive(Debug)]
@@ -166,6 +168,7 @@
             rejections: 0,
             reservations: BTreeSet::new(),
             reservations_made: 0,
+            answer_bytes: 0,
         };
         let shared = Arc::new(Shared {
             spec,
@@ -200,6 +203,11 @@
         self.shared.lock().fault = fault;
     }
 
+    /// Makes whole answers at least this long.
+    pub fn set_answer_bytes(&self, bytes: usize) {
+        self.shared.lock().answer_bytes = bytes;
+    }
+
     /// Says in the registry that it leaves.
     pub fn leave(&self) {
         self.shared.lock().record.state = ServerState::Leaving { remaining: None };
@@ -472,7 +480,9 @@
         return Err(broken());
     }
     shared.log.end(run);
-    let body = format!("answer of {} to {id}", shared.spec.id).into_bytes();
+    let text = format!("answer of {} to {id}", shared.spec.id);
+    let padding = " ".repeat(shared.lock().answer_bytes.saturating_sub(text.len()));
+    let body = (padding + &text).into_bytes();
     Ok(shared.answer(StatusCode::OK, &marks, whole(StatusCode::OK, body).into_body()))
 }
 
