Stand-in engines that reject reserved requests late, or don't answer when asked for a place

EngineFault::RejectsReservedAfter keeps a place and rejects the request that comes for it later; ReservesAfter lets those who ask for a place wait, for ever if need be. The log also tells which servers rejected a request or kept a place that nobody came for. A site can keep its nodes' logs, and keeps them when a test fails.

--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -2,9 +2,11 @@
 
 use {
     crate::site::{
+        engine_fault::EngineFault,
         http::{Body, Handled, broken, listen, pieces, serve, whole},
         run_log::{Run, RunLog},
         store::SiteStore,
+        work::Work,
     },
     bytes::Bytes,
     glade_adapter::{
@@ -48,39 +50,6 @@
 /// Events under way to a caller.
 const EVENTS_IN_HAND: usize = 4;
 
-/// What is wrong with a server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum EngineFault {
-    /// Nothing.
-    #[default]
-    None,
-    /// It closes the connection after this many events, or in place of a whole answer.
-    BreaksAfter(u64),
-    /// It sends nothing for a while after this many events of a stream, or before a whole answer, and then
-    /// goes on.
-    PausesAfter(u64),
-    /// After this many events of a stream it sends a byte now and then, and never a whole event.
-    TricklesAfter(u64),
-    /// It runs requests and answers nothing.
-    Hangs,
-    /// It rejects requests without running them.
-    Rejects,
-    /// It keeps requests in its queue for this long, and then rejects them.
-    RejectsAfter(Duration),
-    /// It keeps places, and rejects the requests that come for them.
-    RejectsReserved,
-    /// It says that it leaves from the moment at which it is asked for a place, which it keeps.
-    LeavesWhenAsked,
-    /// It rejects requests, and says that it wants none for this time.
-    Closed(Duration),
-    /// It fails every request.
-    Fails,
-    /// It fails every request, after this long.
-    FailsAfter(Duration),
-    /// It signs answers with another request's name.
-    Crosses,
-}
-
 /// What a server is.
 #[derive(Clone, Debug)]
 pub struct ServerSpec {
@@ -355,23 +324,25 @@
 
     /// Keeps a place, unless the server rejects requests or says nothing.
     async fn reserve(&self) -> Response<Body> {
+        let fault = self.lock().fault;
+        match fault {
+            EngineFault::Hangs => return pending().await,
+            EngineFault::Rejects | EngineFault::RejectsAfter(_) | EngineFault::Closed(_) => {
+                return whole(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+            }
+            EngineFault::ReservesAfter(time) => sleep(time).await,
+            _ => {}
+        }
         let name = {
             let mut state = self.lock();
+            state.says_leaving |= state.fault == EngineFault::LeavesWhenAsked;
             state.reservations_made += 1;
             let name = format!("{}-{}", self.spec.id, state.reservations_made);
-            state.says_leaving |= state.fault == EngineFault::LeavesWhenAsked;
-            match state.fault {
-                EngineFault::Hangs => None,
-                EngineFault::Rejects | EngineFault::RejectsAfter(_) | EngineFault::Closed(_) => {
-                    return whole(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
-                }
-                _ => state.reservations.insert(name.clone()).then_some(name),
-            }
+            state.reservations.insert(name.clone());
+            name
         };
-        match name {
-            Some(name) => whole(StatusCode::OK, reservation::encode_answer(&name)),
-            None => pending().await,
-        }
+        self.log.keep_place(&name, &self.spec.id);
+        whole(StatusCode::OK, reservation::encode_answer(&name))
     }
 
     fn report(&self) -> EngineReport {
@@ -410,20 +381,17 @@
         let has_place = reserved.as_ref().is_none_or(|name| state.reservations.remove(name));
         (held, state.fault, has_place)
     };
+    reserved.iter().for_each(|name| shared.log.claim_place(name));
     let empty = || whole(StatusCode::OK, Vec::new()).into_body();
     if misdirected || !held {
+        shared.log.reject(&id, &shared.spec.id);
         let marks = shared.marks(&id, false);
         return Ok(shared.answer(StatusCode::MISDIRECTED_REQUEST, &marks, empty()));
     }
-    let rejects = matches!(
-        fault,
-        EngineFault::Rejects | EngineFault::RejectsAfter(_) | EngineFault::Closed(_)
-    );
-    let rejects = rejects || (fault == EngineFault::RejectsReserved && reserved.is_some());
-    if rejects || !has_place {
-        if let EngineFault::RejectsAfter(time) = fault {
-            sleep(time).await;
-        }
+    let lost_place = (!has_place).then_some(Duration::ZERO);
+    if let Some(time) = fault.rejects_after(reserved.is_some()).or(lost_place) {
+        shared.log.reject(&id, &shared.spec.id);
+        sleep(time).await;
         shared.lock().rejections += 1;
         let closed_for = match fault {
             EngineFault::Closed(time) => Some(time),
@@ -432,13 +400,16 @@
         let marks = AnswerMarks { closed_for, ..shared.marks(&id, false) };
         return Ok(shared.answer(StatusCode::SERVICE_UNAVAILABLE, &marks, empty()));
     }
-    let run = shared.log.begin(Run {
+    let work = shared.log.begin(Run {
         request_id: id.clone(),
         server: shared.spec.id.clone(),
         resumed_after: terms.last_event_id,
         reserved: reserved.is_some(),
+        fault,
         ended: false,
         left: false,
+        stopped: false,
+        overlaps: false,
     });
     match fault {
         EngineFault::Hangs => return pending().await,
@@ -460,13 +431,15 @@
         | EngineFault::Rejects
         | EngineFault::RejectsAfter(_)
         | EngineFault::RejectsReserved
+        | EngineFault::RejectsReservedAfter(_)
+        | EngineFault::ReservesAfter(_)
         | EngineFault::LeavesWhenAsked
         | EngineFault::Closed(_) => {}
     }
     let marks = shared.marks(&id, true);
     if shared.spec.is_engine {
         let (sender, receiver) = channel(EVENTS_IN_HAND);
-        tokio::spawn(stream(Arc::clone(&shared), terms, fault, run, sender));
+        tokio::spawn(stream(Arc::clone(&shared), terms, fault, work, sender));
         let mut response = shared.answer(StatusCode::OK, &marks, pieces(receiver));
         let events = HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert(CONTENT_TYPE, events);
@@ -479,7 +452,7 @@
     if matches!(fault, EngineFault::BreaksAfter(_)) {
         return Err(broken());
     }
-    shared.log.end(run);
+    work.end();
     let text = format!("answer of {} to {id}", shared.spec.id);
     let padding = " ".repeat(shared.lock().answer_bytes.saturating_sub(text.len()));
     let body = (padding + &text).into_bytes();
@@ -493,47 +466,51 @@
     }
 }
 
-/// Sends the events of a run until its caller leaves.
+/// Works on a stream until its end, or until its caller leaves.
 async fn stream(
     shared: Arc<Shared>,
     terms: CallerTerms,
     fault: EngineFault,
-    run: usize,
+    work: Work,
     sender: Sender<io::Result<Bytes>>,
 ) {
     tokio::select! {
         biased;
-        () = sender.closed() => shared.log.leave(run),
-        () = events(&shared, &terms, fault, run, &sender) => {}
+        () = sender.closed() => work.leave(),
+        is_whole = events(&shared, &terms, fault, &sender) => {
+            if is_whole {
+                work.end();
+            }
+        }
     }
 }
 
-/// Sends the events of a run, from the one after the last that its caller had.
+/// Sends the events of a run, from the one after the last that its caller had. True if all were sent.
 async fn events(
     shared: &Shared,
     terms: &CallerTerms,
     fault: EngineFault,
-    run: usize,
     sender: &Sender<io::Result<Bytes>>,
-) {
+) -> bool {
     let first = terms.last_event_id.map_or(1, |last| last + 1);
     for (sent, id) in (first..=shared.spec.events).enumerate() {
         if fault == EngineFault::BreaksAfter(sent as u64) {
             // The caller may have left.
             let _ = sender.send(Err(broken())).await;
-            return;
+            return false;
         }
         if fault == EngineFault::PausesAfter(sent as u64) {
             sleep(LONG_PAUSE).await;
         }
         if fault == EngineFault::TricklesAfter(sent as u64) {
-            return trickle(sender).await;
+            trickle(sender).await;
+            return false;
         }
         sleep(shared.spec.pause).await;
         let event = Bytes::from(format!("id: {id}\ndata: token-{id}\n\n"));
         if sender.send(Ok(event)).await.is_err() {
-            return;
+            return false;
         }
     }
-    shared.log.end(run);
+    true
 }
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -7,14 +7,17 @@
 mod caller;
 mod endless;
 mod engine;
+mod engine_fault;
 mod http;
 mod run_log;
 mod store;
+mod work;
 
 pub use self::{
     caller::{Caller, Reply},
     endless::{EndlessPart, EndlessServer, Pace},
-    engine::{EngineFault, ServerSpec, SiteServer},
+    engine::{ServerSpec, SiteServer},
+    engine_fault::EngineFault,
     run_log::{Run, RunLog},
     store::{SiteStore, StoreFault},
 };
--- a/crates/standins/src/site/run_log.rs
+++ b/crates/standins/src/site/run_log.rs
@@ -1,6 +1,19 @@
-//! What backend servers have run.
+//! What backend servers were sent and have run.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use {
+    crate::site::{engine_fault::EngineFault, work::Work},
+    std::{
+        collections::BTreeSet,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// Time for which two servers may work on one request, in steps: while the process gets no processor
+/// time, little of it passes.
+const OVERLAP_STEP: Duration = Duration::from_millis(10);
+const OVERLAP_STEPS: u32 = 40;
 
 /// One run of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,43 +26,123 @@
     pub resumed_after: Option<u64>,
     /// Whether its engine kept a place for it.
     pub reserved: bool,
+    /// What was wrong with its server when it began.
+    pub fault: EngineFault,
     /// Whether the run came to its end.
     pub ended: bool,
     /// Whether its caller left before the end of its stream.
     pub left: bool,
+    /// Whether its server works on it no more.
+    pub stopped: bool,
+    /// Whether a run before it was still worked on long after its beginning, and it hadn't failed by then.
+    pub overlaps: bool,
+}
+
+#[derive(Debug, Default)]
+struct Entries {
+    runs: Vec<Run>,
+    /// Requests that were rejected, each with the server.
+    rejections: Vec<(String, String)>,
+    places: Vec<Place>,
+}
+
+/// A place that a server has kept.
+#[derive(Debug)]
+struct Place {
+    name: String,
+    server: String,
+    /// Whether a request has come for it.
+    claimed: bool,
 }
 
-/// Runs of all servers, in the order of their beginning. Clones share the same list.
+/// What all servers have run, in the order of its beginning, and what else they were asked. Clones share
+/// the same entries.
 #[derive(Clone, Debug, Default)]
-pub struct RunLog(Arc<Mutex<Vec<Run>>>);
+pub struct RunLog(Arc<Mutex<Entries>>);
 
 impl RunLog {
     /// All runs so far.
     pub fn runs(&self) -> Vec<Run> {
-        self.lock().clone()
+        self.lock().runs.clone()
     }
 
     /// Runs of one request.
     pub fn runs_of(&self, request_id: &str) -> Vec<Run> {
-        self.lock().iter().filter(|run| run.request_id == request_id).cloned().collect()
+        let is_of = |run: &&Run| run.request_id == request_id;
+        self.lock().runs.iter().filter(is_of).cloned().collect()
+    }
+
+    /// Servers that have run or rejected a request, or kept a place that nobody came for, of those after
+    /// the first `places_before`: it may have been this request's.
+    pub fn servers_of(&self, request_id: &str, places_before: usize) -> BTreeSet<String> {
+        let entries = self.lock();
+        let runs = entries.runs.iter().map(|run| (&run.request_id, &run.server));
+        let rejections = entries.rejections.iter().map(|(id, server)| (id, server));
+        let asked = runs.chain(rejections).filter(|(id, _)| *id == request_id);
+        let places = entries.places.iter().skip(places_before).filter(|place| !place.claimed);
+        let kept = places.map(|place| &place.server);
+        asked.map(|(_, server)| server).chain(kept).cloned().collect()
+    }
+
+    /// Places that servers have kept so far.
+    pub fn places(&self) -> usize {
+        self.lock().places.len()
     }
 
-    pub(crate) fn begin(&self, run: Run) -> usize {
-        let mut runs = self.lock();
-        runs.push(run);
-        runs.len() - 1
+    /// A server begins to work on a request.
+    pub(crate) fn begin(&self, run: Run) -> Work {
+        let mut entries = self.lock();
+        let position = entries.runs.len();
+        let is_elsewhere = entries.is_worked_on(&run.request_id, position);
+        entries.runs.push(run);
+        if is_elsewhere {
+            tokio::spawn(self.clone().watch_overlap(position));
+        }
+        Work::new(self, position)
     }
 
-    pub(crate) fn end(&self, position: usize) {
-        self.lock()[position].ended = true;
+    pub(crate) fn change(&self, position: usize, change: impl FnOnce(&mut Run)) {
+        change(&mut self.lock().runs[position]);
     }
 
-    pub(crate) fn leave(&self, position: usize) {
-        let run = &mut self.lock()[position];
-        run.left = !run.ended;
+    /// A server rejects a request.
+    pub(crate) fn reject(&self, request_id: &str, server: &str) {
+        self.lock().rejections.push((request_id.to_owned(), server.to_owned()));
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<Run>> {
+    /// A server keeps a place.
+    pub(crate) fn keep_place(&self, name: &str, server: &str) {
+        let (name, server) = (name.to_owned(), server.to_owned());
+        self.lock().places.push(Place { name, server, claimed: false });
+    }
+
+    /// A request has come for a place.
+    pub(crate) fn claim_place(&self, name: &str) {
+        let mut entries = self.lock();
+        let place = entries.places.iter_mut().rev().find(|place| place.name == name);
+        place.into_iter().for_each(|place| place.claimed = true);
+    }
+
+    /// Notes whether a run before the one at `position` goes on for long beside it, unless that has failed.
+    async fn watch_overlap(self, position: usize) {
+        for _ in 0..OVERLAP_STEPS {
+            sleep(OVERLAP_STEP).await;
+        }
+        let mut entries = self.lock();
+        let run = entries.runs[position].clone();
+        let has_failed = run.stopped && !run.ended;
+        entries.runs[position].overlaps =
+            !has_failed && entries.is_worked_on(&run.request_id, position);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Entries> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl Entries {
+    /// True if a run of the request that began before the one at `position` hasn't stopped.
+    fn is_worked_on(&self, request_id: &str, position: usize) -> bool {
+        self.runs[..position].iter().any(|run| !run.stopped && run.request_id == request_id)
+    }
+}
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -22,6 +22,7 @@
             OnceLock,
             atomic::{AtomicU32, Ordering},
         },
+        thread,
         time::{Duration, Instant},
     },
     tokio::{runtime::Runtime, task::JoinHandle, time::sleep},
@@ -39,6 +40,8 @@
 const LAST_LINES: usize = 40;
 /// Events of a stream.
 pub const EVENTS: u64 = 12;
+/// Longest time for an answer, on all routes.
+pub const TIME_LIMIT: Duration = Duration::from_secs(15);
 
 /// Host that all routes have.
 pub const HOST: &str = "market.example";
@@ -86,6 +89,7 @@
     pub plain: Vec<SiteServer>,
     nodes: Vec<Node>,
     next_request: AtomicU32,
+    keeps_logs: bool,
 }
 
 impl Site {
@@ -129,6 +133,7 @@
             plain,
             nodes: Vec::new(),
             next_request: AtomicU32::new(0),
+            keeps_logs: false,
         };
         for _ in 0..nodes {
             site.add_node();
@@ -210,6 +215,12 @@
         fs::read_to_string(self.node_log_path(position)).unwrap_or_default()
     }
 
+    /// Keeps the nodes' logs, and returns where they are.
+    pub fn keep_logs(&mut self) -> &Path {
+        self.keeps_logs = true;
+        &self.folder
+    }
+
     /// Kills a node without warning.
     pub fn kill_node(&mut self, position: usize) {
         if let Some(mut child) = self.nodes[position].child.take() {
@@ -395,7 +406,8 @@
             let from = lines.len().saturating_sub(LAST_LINES);
             format!("-- node-{position}\n{}\n", lines[from..].join("\n"))
         };
-        (0..self.nodes.len()).map(last).collect()
+        let lines: String = (0..self.nodes.len()).map(last).collect();
+        format!("-- logs in {}\n{lines}", self.folder.display())
     }
 
     /// Lets time pass.
@@ -424,8 +436,10 @@
         for position in 0..self.nodes.len() {
             self.kill_node(position);
         }
-        // The folder may be gone already.
-        let _ = fs::remove_dir_all(&self.folder);
+        if !self.keeps_logs && !thread::panicking() {
+            // The folder may be gone already.
+            let _ = fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
@@ -448,7 +462,7 @@
         path_prefix: path.to_owned(),
         repeat,
         streams,
-        time_limit: Duration::from_secs(15),
+        time_limit: TIME_LIMIT,
         objective: Duration::from_millis(400),
         pause_limit: streams.then_some(Duration::from_millis(300)),
         rank: 0,
