The soak plays servers that stall, and checks that sound ones are not left in vain

The soak's engines did neither.

Stalls: engines and plain servers pause before their first event or in the middle, reject after up to 1.5 s, keep a place and reject the request all the same, or don't answer in time, or at all, when asked for a place. They come in series, overlap with each other and with all other faults (signals, restarts, proxies, store, configurations); a server's other fault shows before its stall.

Checks, from what callers and servers see: - what sound servers run is answered: no cut, no 502, no closed connection, if all servers that ran the request finish what they run, nothing harmed its node (kill, pause) or the connections to the servers that it came to or that may have kept its place, and it didn't use up its route's time. The store, reloads, configurations and other servers' faults excuse nothing. A node that is told to end is harmed only once it is killed. - no two engines work on a stream for 400 ms. - no node ends by itself. The soak started such nodes again, or let them be, without a word.

Logs of a seed that breaks a promise are kept, and the report names them.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -2,8 +2,8 @@
 
 use {
     glade_standins::site::{Reply, RunLog},
-    glade_system::site::{BATCH, BROWSE, CHAT, CLAIM, EVENTS},
-    std::fmt,
+    glade_system::site::{BATCH, BROWSE, CHAT, CLAIM, EVENTS, TIME_LIMIT},
+    std::{fmt, time::Duration},
 };
 
 /// A request with what became of it.
@@ -13,6 +13,12 @@
     pub id: String,
     /// Its path.
     pub path: &'static str,
+    /// The node that it was sent to.
+    pub node: usize,
+    /// Whether that node ran undisturbed, and its connections to the request's servers were sound.
+    pub is_calm: bool,
+    /// Longest time that it can have taken.
+    pub took: Duration,
     /// What its caller got; `None` if the connection broke before an answer began.
     pub reply: Option<Reply>,
 }
@@ -44,6 +50,10 @@
     if [CLAIM, BATCH].contains(&seen.path) {
         expect("what may run once isn't repeated", runs.len() <= 1);
     }
+    let is_sound = !runs.is_empty() && !runs.iter().any(|run| run.fault.spoils_runs());
+    if seen.is_calm && is_sound && seen.took < TIME_LIMIT {
+        expect("what sound servers run is answered", seen.reply.as_ref().is_some_and(is_answer));
+    }
     let Some(reply) = &seen.reply else { return found };
     expect("nothing proper is denied", !(400..500).contains(&reply.status));
     if reply.status == 503 {
@@ -66,3 +76,16 @@
     }
     found
 }
+
+/// Checks a request that has ended for long against what servers ran.
+pub fn check_overlap(seen: &Seen, log: &RunLog) -> Option<Violation> {
+    let runs = log.runs_of(&seen.id);
+    let overlaps = seen.path == CHAT && seen.is_calm && runs.iter().any(|run| run.overlaps);
+    let promise = "no two engines work on a stream";
+    overlaps.then(|| Violation { promise, seen: format!("{seen:?}, runs {runs:?}") })
+}
+
+/// False if the answer was cut, or says that what became of the request is unknown.
+fn is_answer(reply: &Reply) -> bool {
+    reply.status != 502 && (reply.status != 200 || reply.whole)
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,18 +2,21 @@
 //! from outside them.
 //!
 //! A seed draws which faults come when: proxies that delay, reset, cut one way or silence
-//! connections; signals that kill, end, pause and reload nodes; a store and servers that misbehave.
+//! connections; signals that kill, end, pause and reload nodes; a store and servers that misbehave;
+//! engines that pause, and that don't take what they seemed to take.
 //! They come in series and overlap, while callers go on. What must hold is checked from what callers
 //! got and servers ran. Ends only processes that it started itself.
 
 mod checks;
+mod harm;
 mod plan;
 mod proxy;
+mod server_faults;
 mod soak;
 
 pub use crate::{
-    checks::{Seen, Violation, check},
-    plan::{Fault, Planned, Targets, plan},
+    checks::{Seen, Violation, check, check_overlap},
+    plan::{Fault, Planned, Stalls, Targets, plan, plan_stalls},
     proxy::{Link, Proxy},
     soak::{Report, Size, Soak},
 };
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -2,8 +2,9 @@
 
 use {
     bpaf::Bpaf,
-    glade_soak::{Size, Soak},
-    std::{process::ExitCode, time::Duration},
+    glade_clock::SystemClock,
+    glade_soak::{Size, Soak, Stalls},
+    std::{process::ExitCode, sync::Arc, time::Duration},
 };
 
 /// Plays faults from outside on real nodes and checks what callers and backend servers see.
@@ -28,6 +29,15 @@
     /// Mean milliseconds between two faults
     #[bpaf(argument("MS"), fallback(500))]
     gap_ms: u64,
+    /// Mean milliseconds between two stalls of servers; 0 for none, as seeds were played before there
+    /// were any
+    #[bpaf(argument("MS"), fallback(300))]
+    stall_gap_ms: u64,
+    /// Engines run what they keep a place for
+    keep_reservations: bool,
+    /// Mean milliseconds between two requests
+    #[bpaf(argument("MS"), fallback(5))]
+    request_gap_ms: u64,
 }
 
 fn main() -> ExitCode {
@@ -37,11 +47,15 @@
         engines: args.engines.max(1),
         time: Duration::from_secs(args.time_s),
         gap: Duration::from_millis(args.gap_ms.max(1)),
-        request_gap: Duration::from_millis(5),
+        stalls: (args.stall_gap_ms > 0).then(|| Stalls {
+            gap: Duration::from_millis(args.stall_gap_ms),
+            reject_reserved: !args.keep_reservations,
+        }),
+        request_gap: Duration::from_millis(args.request_gap_ms.max(1)),
     };
     let mut broken = 0;
     for seed in args.seed..args.seed.saturating_add(args.seeds) {
-        let report = Soak::start(seed, size).run();
+        let report = Soak::start(seed, size, Arc::new(SystemClock)).run();
         println!(
             "seed {seed}: {} requests, {} served, {} faults, violations: {}",
             report.requests,
@@ -50,6 +64,7 @@
             report.violations.len()
         );
         report.violations.iter().for_each(|violation| println!("  {violation}"));
+        report.logs.iter().for_each(|folder| println!("  logs in {}", folder.display()));
         broken += report.violations.len();
     }
     println!("violations: {broken}");
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -11,6 +11,11 @@
 /// Shortest time that a fault lasts.
 const LASTS_MS_MIN: u64 = 200;
 
+/// Longest time for which a server keeps a request, or one who asks for a place, before it answers.
+const LATE_MS_MAX: u64 = 1500;
+/// Events of a stream before one of which a server pauses.
+const PAUSE_EVENTS: u64 = 12;
+
 /// Mean time from one restore of the store to the copy for the next.
 const RESTORE_GAP: Duration = Duration::from_secs(3);
 
@@ -67,6 +72,20 @@
         /// How.
         fault: EngineFault,
     },
+    /// An engine stalls: it finishes what it runs, but pauses, or doesn't take what it seemed to take.
+    EngineStall {
+        /// The engine.
+        engine: usize,
+        /// How.
+        fault: EngineFault,
+    },
+    /// A plain server stalls.
+    PlainStall {
+        /// The server.
+        server: usize,
+        /// How.
+        fault: EngineFault,
+    },
     /// The operator writes the configuration anew.
     Configuration,
     /// A copy of the store is made, and the store goes back to it at the end.
@@ -129,6 +148,34 @@
     }
 }
 
+/// Stalls of servers that are drawn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stalls {
+    /// Mean time between the beginnings of two.
+    pub gap: Duration,
+    /// Whether engines reject requests for which they keep a place.
+    pub reject_reserved: bool,
+}
+
+/// Draws stalls of servers for `time`; they overlap.
+pub fn plan_stalls(
+    rng: &mut fastrand::Rng,
+    targets: Targets,
+    time: Duration,
+    stalls: Stalls,
+) -> Vec<Planned> {
+    let mut at = Duration::ZERO;
+    let mut planned = Vec::new();
+    loop {
+        at += stalls.gap.mul_f64(rng.f64() * 2.0);
+        if at >= time {
+            return planned;
+        }
+        let lasts = Duration::from_millis(rng.u64(LASTS_MS_MIN..LASTS_MS_MAX));
+        planned.push(Planned { at, lasts, fault: draw_stall(rng, targets, stalls) });
+    }
+}
+
 fn draw(rng: &mut fastrand::Rng, targets: Targets) -> Fault {
     let node = rng.usize(0..targets.nodes);
     let engine = rng.usize(0..targets.engines);
@@ -172,6 +219,31 @@
     )
 }
 
+fn draw_stall(rng: &mut fastrand::Rng, targets: Targets, stalls: Stalls) -> Fault {
+    let engine = rng.usize(0..targets.engines);
+    let server = rng.usize(0..targets.plain);
+    let pauses = EngineFault::PausesAfter(rng.u64(0..PAUSE_EVENTS));
+    let late = Duration::from_millis(rng.u64(0..LATE_MS_MAX));
+    let rejects_late = EngineFault::RejectsAfter(late);
+    let rejects_reserved =
+        if stalls.reject_reserved { EngineFault::RejectsReservedAfter(late) } else { rejects_late };
+    let fault = *pick(
+        rng,
+        &[
+            pauses,
+            EngineFault::PausesAfter(0),
+            rejects_late,
+            rejects_reserved,
+            EngineFault::ReservesAfter(late),
+            EngineFault::ReservesAfter(Duration::MAX),
+        ],
+    );
+    match rng.u8(0..5) {
+        0 => Fault::PlainStall { server, fault },
+        _ => Fault::EngineStall { engine, fault },
+    }
+}
+
 fn pick<'a, T>(rng: &mut fastrand::Rng, from: &'a [T]) -> &'a T {
     &from[rng.usize(0..from.len())]
 }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -2,18 +2,28 @@
 
 use {
     crate::{
-        checks::{Seen, Violation, check},
-        plan::{Fault, Targets, plan, plan_restores},
+        checks::{Seen, Violation, check, check_overlap},
+        harm::{Harm, Harmed},
+        plan::{Fault, Planned, Stalls, Targets, plan, plan_restores, plan_stalls},
         proxy::{Link, Proxy},
+        server_faults::ServerFaults,
     },
-    glade_standins::site::{EngineFault, SiteServer, StoreFault},
+    glade_clock::Clock,
+    glade_standins::site::{EngineFault, Reply, SiteServer, StoreFault},
     glade_system::site::{BATCH, BROWSE, CHAT, CLAIM, Site},
-    std::{collections::VecDeque, time::Duration},
+    std::{
+        collections::VecDeque,
+        path::PathBuf,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::task::JoinHandle,
 };
 
 /// Period at which faults begin and end, and requests are sent.
 const TICK: Duration = Duration::from_millis(10);
+/// Time after the last fault during which nodes may still end of it.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Requests under way at a time; a stream takes a tenth of a second.
 const UNDER_WAY_MAX: usize = 200;
 /// Base models that fit on an engine of the stand-ins.
@@ -21,6 +31,9 @@
 /// Plain servers of a site.
 const PLAIN: usize = 2;
 
+/// Number of the signal by which the platform tells a process to end.
+const SIGTERM: i32 = 15;
+
 /// How large a soak is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
@@ -32,6 +45,8 @@
     pub time: Duration,
     /// Mean time between the beginnings of two faults.
     pub gap: Duration,
+    /// Stalls of servers; `None` without any.
+    pub stalls: Option<Stalls>,
     /// Mean time between two requests.
     pub request_gap: Duration,
 }
@@ -47,13 +62,21 @@
     pub faults: usize,
     /// Promises that were broken.
     pub violations: Vec<Violation>,
+    /// Where the nodes' logs are, if a promise was broken.
+    pub logs: Option<PathBuf>,
 }
 
 /// A request that was sent.
 struct Sent {
     id: String,
     path: &'static str,
-    reply: JoinHandle<Option<glade_standins::site::Reply>>,
+    node: usize,
+    /// When, by the soak's ticks and by the clock.
+    sent_at: Duration,
+    began_at: Instant,
+    /// Places that engines had kept by then.
+    places_before: usize,
+    reply: JoinHandle<Option<Reply>>,
 }
 
 /// A running soak.
@@ -61,11 +84,19 @@
     site: Site,
     size: Size,
     rng: fastrand::Rng,
+    clock: Arc<dyn Clock>,
+    /// Time by ticks.
+    now: Duration,
     store_links: Vec<Proxy>,
     engine_links: Vec<Proxy>,
+    engine_faults: Vec<ServerFaults>,
+    plain_faults: Vec<ServerFaults>,
     /// Faults that are on, with the time at which they end.
     on: Vec<(Duration, Fault)>,
+    harm: Harm,
     sent: Vec<Sent>,
+    /// Requests that have ended and that more than one server has run.
+    moved: Vec<Seen>,
     version: u64,
     fences: Vec<u64>,
     report: Report,
@@ -73,7 +104,7 @@
 
 impl Soak {
     /// Starts nodes and stand-ins, and waits until all nodes serve.
-    pub fn start(seed: u64, size: Size) -> Self {
+    pub fn start(seed: u64, size: Size, clock: Arc<dyn Clock>) -> Self {
         let models: [&[&str]; 3] = [&["m0", "m1"], &["m1", "m2"], &["m0", "m2"]];
         let holds: Vec<&[&str]> =
             (0..size.engines).map(|engine| models[engine % models.len()]).collect();
@@ -94,13 +125,19 @@
         site.all_serve();
         Self {
             fences: vec![0; site.engines.len()],
+            engine_faults: vec![ServerFaults::default(); site.engines.len()],
+            plain_faults: vec![ServerFaults::default(); PLAIN],
             site,
             size,
             rng: fastrand::Rng::with_seed(seed),
+            clock,
+            now: Duration::ZERO,
             store_links,
             engine_links,
             on: Vec::new(),
+            harm: Harm::default(),
             sent: Vec::new(),
+            moved: Vec::new(),
             version: 1,
             report: Report::default(),
         }
@@ -108,36 +145,50 @@
 
     /// Plays the faults, then lets the system recover, and tells what was seen.
     pub fn run(mut self) -> Report {
-        let Size { nodes, engines, time, gap, .. } = self.size;
-        let targets = Targets { nodes, engines, plain: PLAIN };
-        // By a generator of their own, so that a seed's other faults are the same with and without them.
-        let restores = plan_restores(&mut self.rng.clone(), time);
-        let mut coming = plan(&mut self.rng, targets, time, gap);
-        coming.extend(restores);
-        coming.sort_by_key(|planned| planned.at);
-        let mut coming = VecDeque::from(coming);
+        let mut coming = VecDeque::from(self.plan());
         // Time goes by ticks, so that a busy machine plays the same faults and requests, only slower.
-        let (mut now, mut request_at) = (Duration::ZERO, Duration::ZERO);
-        while now < time {
-            while coming.front().is_some_and(|next| next.at <= now) {
+        let mut request_at = Duration::ZERO;
+        while self.now < self.size.time {
+            while coming.front().is_some_and(|next| next.at <= self.now) {
                 let Some(next) = coming.pop_front() else { break };
-                self.begin(now + next.lasts, next.fault);
+                self.begin(next);
             }
-            self.end_faults(now);
-            while request_at <= now {
+            self.end_faults(self.now);
+            while request_at <= self.now {
                 request_at += self.size.request_gap.mul_f64(self.rng.f64() * 2.0);
                 self.send();
             }
             self.look();
             self.site.pause(TICK);
-            now += TICK;
+            self.now += TICK;
         }
         self.recover();
+        if !self.report.violations.is_empty() {
+            self.report.logs = Some(self.site.keep_logs().to_owned());
+        }
         self.report
     }
 
-    fn begin(&mut self, until: Duration, fault: Fault) {
+    /// Draws all faults, in the order of their beginning. Restores and stalls are drawn by generators of
+    /// their own, so that a seed's other faults and its requests are the same with and without them.
+    fn plan(&mut self) -> Vec<Planned> {
+        let Size { nodes, engines, time, gap, stalls, .. } = self.size;
+        let targets = Targets { nodes, engines, plain: PLAIN };
+        let (mut of_restores, mut of_stalls) = (self.rng.clone(), self.rng.clone().fork());
+        let mut planned = plan(&mut self.rng, targets, time, gap);
+        planned.extend(plan_restores(&mut of_restores, time));
+        if let Some(stalls) = stalls {
+            planned.extend(plan_stalls(&mut of_stalls, targets, time, stalls));
+        }
+        planned.sort_by_key(|planned| planned.at);
+        planned
+    }
+
+    fn begin(&mut self, planned: Planned) {
+        let Planned { lasts, fault, .. } = planned;
+        let until = self.now + lasts;
         self.report.faults += 1;
+        self.harm.begin(fault, until);
         match fault {
             Fault::Kill { node } => self.site.kill_node(node),
             Fault::Terminate { node } => self.site.terminate_node(node),
@@ -146,14 +197,17 @@
             Fault::StoreLink { node, link } => self.store_links[node].set(link),
             Fault::EngineLink { engine, link } => self.engine_links[engine].set(link),
             Fault::Store(fault) => self.site.store_fault(fault),
-            Fault::Engine { engine, fault } => self.site.engine_fault(engine, fault),
-            Fault::Plain { server, fault } => self.site.plain_fault(server, fault),
+            Fault::Engine { engine, fault } => self.engine_faults[engine].set(fault),
+            Fault::Plain { server, fault } => self.plain_faults[server].set(fault),
+            Fault::EngineStall { engine, fault } => self.engine_faults[engine].begin_stall(fault),
+            Fault::PlainStall { server, fault } => self.plain_faults[server].begin_stall(fault),
             Fault::Configuration => {
                 self.version += 1;
                 self.site.configure(self.version);
             }
             Fault::Restore => self.site.store.copy(),
         }
+        self.put_server_faults();
         self.on.push((until, fault));
     }
 
@@ -167,11 +221,23 @@
                 Fault::StoreLink { node, .. } => self.store_links[node].set(Link::Open),
                 Fault::EngineLink { engine, .. } => self.engine_links[engine].set(Link::Open),
                 Fault::Store(_) => self.site.store_fault(StoreFault::None),
-                Fault::Engine { engine, .. } => self.site.engine_fault(engine, EngineFault::None),
-                Fault::Plain { server, .. } => self.site.plain_fault(server, EngineFault::None),
+                Fault::Engine { engine, .. } => self.engine_faults[engine].set(EngineFault::None),
+                Fault::Plain { server, .. } => self.plain_faults[server].set(EngineFault::None),
+                Fault::EngineStall { engine, fault } => self.engine_faults[engine].end_stall(fault),
+                Fault::PlainStall { server, fault } => self.plain_faults[server].end_stall(fault),
                 Fault::Restore => self.restore(),
                 Fault::Reload { .. } | Fault::Configuration => {}
             }
+            self.put_server_faults();
+        }
+    }
+
+    fn put_server_faults(&self) {
+        for (engine, faults) in self.engine_faults.iter().enumerate() {
+            self.site.engine_fault(engine, faults.present());
+        }
+        for (server, faults) in self.plain_faults.iter().enumerate() {
+            self.site.plain_fault(server, faults.present());
         }
     }
 
@@ -185,6 +251,7 @@
 
     /// Starts a node that was killed or told to end; the platform kills one that takes too long.
     fn start_again(&mut self, node: usize) {
+        self.harm.note(Harmed::Node(node), self.now);
         self.site.kill_node(node);
         self.site.start_node(node);
     }
@@ -200,13 +267,16 @@
         }
         let model = [CHAT, BATCH].contains(&path).then_some(model.as_str());
         let id = self.site.request_id();
+        let (sent_at, began_at) = (self.now, self.clock.now());
+        let places_before = self.site.log.places();
         let reply = self.site.begin(node, path, model, &id);
         self.report.requests += 1;
-        self.sent.push(Sent { id, path, reply });
+        self.sent.push(Sent { id, path, node, sent_at, began_at, places_before, reply });
     }
 
-    /// Checks requests that have ended, and the engines.
+    /// Checks the nodes, requests that have ended, and the engines.
     fn look(&mut self) {
+        self.look_at_nodes();
         let ended: Vec<Sent> = self.sent.extract_if(.., |sent| sent.reply.is_finished()).collect();
         ended.into_iter().for_each(|sent| self.check(sent));
         for (engine, known) in self.site.engines.iter().zip(&mut self.fences) {
@@ -227,23 +297,52 @@
         }
     }
 
+    /// Starts nodes again that have ended by themselves. One that was told to end stays away, and may have
+    /// been told before it could listen to that.
+    fn look_at_nodes(&mut self) {
+        for node in 0..self.size.nodes {
+            let Some(code) = self.site.ended_node(node) else { continue };
+            let told = self.on.iter().any(|(_, fault)| *fault == Fault::Terminate { node });
+            if told && [0, -SIGTERM].contains(&code) {
+                continue;
+            }
+            let (promise, seen) = ("no node ends by itself", format!("node-{node}: {code}"));
+            self.report.violations.push(Violation { promise, seen });
+            self.start_again(node);
+        }
+    }
+
     fn check(&mut self, sent: Sent) {
-        let Sent { id, path, reply } = sent;
+        let is_calm = self.is_calm(&sent);
+        let Sent { id, path, node, began_at, reply, .. } = sent;
         let reply = self.site.finish(reply);
+        let took = self.clock.now().saturating_duration_since(began_at);
         let is_served = reply.as_ref().is_some_and(|reply| reply.status == 200 && reply.whole);
         self.report.served += usize::from(is_served);
-        let found = check(&Seen { id, path, reply }, &self.site.log);
-        self.report.violations.extend(found);
+        let seen = Seen { id, path, node, is_calm, took, reply };
+        self.report.violations.extend(check(&seen, &self.site.log));
+        if self.site.log.runs_of(&seen.id).len() > 1 {
+            self.moved.push(seen);
+        }
+    }
+
+    /// True if nothing has harmed the request's node or its connections to servers since it was sent.
+    fn is_calm(&self, sent: &Sent) -> bool {
+        let servers = self.site.log.servers_of(&sent.id, sent.places_before);
+        let is_on_way = |position: &usize| servers.contains(self.site.engines[*position].id());
+        let links = (0..self.size.engines).filter(is_on_way).map(Harmed::EngineLink);
+        let mut way = links.chain([Harmed::Node(sent.node)]);
+        !way.any(|harmed| self.harm.is_harmed_since(harmed, sent.sent_at))
     }
 
     /// Ends all faults, and waits until everything is served again.
     fn recover(&mut self) {
         self.end_faults(Duration::MAX);
-        for node in 0..self.size.nodes {
-            // One that was told to end may still be ending, or have ended.
-            if self.site.ended_node(node).is_some() {
-                self.site.start_node(node);
-            }
+        let settled_at = self.now + SETTLE_TIME;
+        while self.now < settled_at {
+            self.look_at_nodes();
+            self.site.pause(TICK);
+            self.now += TICK;
         }
         std::mem::take(&mut self.sent).into_iter().for_each(|sent| self.check(sent));
         self.site.all_serve();
@@ -256,5 +355,7 @@
                 });
             }
         }
+        let found = self.moved.iter().filter_map(|seen| check_overlap(seen, &self.site.log));
+        self.report.violations.extend(found);
     }
 }
--- /dev/null
+++ b/crates/soak/tests/plans.rs
@@ -0,0 +1,25 @@
+//! Seeds that once failed go on playing the faults that they played then.
+
+use {
+    glade_soak::{Targets, plan},
+    std::time::Duration,
+};
+
+/// How many faults a seed plays in 8 s, and the last of them.
+fn end_of_plan(seed: u64, nodes: usize, engines: usize, gap_ms: u64) -> (usize, String) {
+    let targets = Targets { nodes, engines, plain: 2 };
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let (time, gap) = (Duration::from_secs(8), Duration::from_millis(gap_ms));
+    let planned = plan(&mut rng, targets, time, gap);
+    (planned.len(), format!("{:?}", planned.last().expect("faults")))
+}
+
+#[test]
+fn plans_of_old_seeds_are_pinned() {
+    let last = "Planned { at: 7.913968439s, lasts: 679ms, \
+                fault: EngineLink { engine: 4, link: DeafServer } }";
+    assert_eq!(end_of_plan(210, 7, 5, 120), (67, last.to_owned()));
+    let last = "Planned { at: 7.744541223s, lasts: 2.322s, \
+                fault: Engine { engine: 0, fault: Hangs } }";
+    assert_eq!(end_of_plan(104, 5, 4, 250), (29, last.to_owned()));
+}
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -2,8 +2,9 @@
 //! however the processes are scheduled.
 
 use {
-    glade_soak::{Size, Soak},
-    std::time::Duration,
+    glade_clock::SystemClock,
+    glade_soak::{Size, Soak, Stalls},
+    std::{sync::Arc, time::Duration},
 };
 
 const SMALL: Size = Size {
@@ -11,16 +12,24 @@
     engines: 3,
     time: Duration::from_secs(8),
     gap: Duration::from_millis(400),
+    stalls: None,
     request_gap: Duration::from_millis(10),
 };
 const DENSE: Size = Size { nodes: 7, engines: 5, gap: Duration::from_millis(120), ..SMALL };
+const STALLING: Size = stalling(false);
+const REJECTING_RESERVED: Size = stalling(true);
+
+const fn stalling(reject_reserved: bool) -> Size {
+    Size { stalls: Some(Stalls { gap: Duration::from_millis(150), reject_reserved }), ..SMALL }
+}
 
 fn violations(seed: u64, size: Size) -> Vec<String> {
-    let report = Soak::start(seed, size).run();
+    let report = Soak::start(seed, size, Arc::new(SystemClock)).run();
     let drawn = size.time.as_millis() / size.gap.as_millis();
     assert!(report.faults as u128 >= drawn / 2, "{report:?}");
     assert!(report.requests >= 200 && report.served > 20, "{report:?}");
-    report.violations.iter().map(ToString::to_string).collect()
+    let logs = report.logs.iter().map(|folder| format!("logs in {}", folder.display()));
+    report.violations.iter().map(ToString::to_string).chain(logs).collect()
 }
 
 #[test]
@@ -39,3 +48,18 @@
 fn promises_hold_under_seed_210() {
     assert_eq!(violations(210, DENSE), Vec::<String>::new());
 }
+
+#[test]
+fn promises_hold_while_servers_stall_under_seed_12() {
+    assert_eq!(violations(12, STALLING), Vec::<String>::new());
+}
+
+#[test]
+fn promises_hold_while_servers_stall_under_seed_33() {
+    assert_eq!(violations(33, STALLING), Vec::<String>::new());
+}
+
+#[test]
+fn promises_hold_while_engines_reject_reserved_requests_under_seed_12() {
+    assert_eq!(violations(12, REJECTING_RESERVED), Vec::<String>::new());
+}
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -16,6 +16,7 @@
         fs::{self, File},
         net::{SocketAddr, TcpListener},
         ops::Range,
+        os::unix::process::ExitStatusExt,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         sync::{
@@ -251,11 +252,13 @@
         }
     }
 
-    /// Exit code of a node that has ended by itself; `None` while it runs or after it was waited for.
+    /// Exit code of a node that has ended by itself, or the negative number of the signal that it died of;
+    /// `None` while it runs or after it was waited for.
     pub fn ended_node(&mut self, position: usize) -> Option<i32> {
         let status = self.nodes[position].child.as_mut()?.try_wait().ok()??;
         self.nodes[position].child = None;
-        Some(status.code().unwrap_or(-1))
+        let signal = || status.signal().map_or(-1, |number| -number);
+        Some(status.code().unwrap_or_else(signal))
     }
 
     /// Most memory that a node has had, in kilobytes.
