Tests of what the soak found, failing

The stream is cut after its fourth event, and a request without an event gets 502 no_answer: a_stream_isnt_cut_when_an_engine_rejects_it_late_in_spite_of_a_reservation, a_request_isnt_lost_when_an_engine_rejects_it_late_in_spite_of_a_reservation.

--- a/crates/system/tests/hand_overs.rs
+++ b/crates/system/tests/hand_overs.rs
@@ -203,6 +203,22 @@
     assert_answered(&site, CHAT, &sent);
 }
 
+#[test]
+fn a_stream_isnt_cut_when_an_engine_rejects_it_late_in_spite_of_a_reservation() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let rejects = EngineFault::RejectsReservedAfter(OVERLAP);
+    let sent = send(&site, CHAT, EngineFault::PausesAfter(4), rejects);
+    assert_answered(&site, CHAT, &sent);
+}
+
+#[test]
+fn a_request_isnt_lost_when_an_engine_rejects_it_late_in_spite_of_a_reservation() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let rejects = EngineFault::RejectsReservedAfter(OVERLAP);
+    let sent = send(&site, CHAT, EngineFault::PausesAfter(0), rejects);
+    assert_answered(&site, CHAT, &sent);
+}
+
 #[test]
 fn an_engine_that_says_that_it_leaves_when_it_keeps_a_place_gets_no_request() {
     let site = Site::start(1, &[&["m0"], &["m0"]]);
