What keeps a site from serving is told by the test; a node logs its role in the mesh and whom it misses

Seen: `never: all nodes serve` in a_node_goes_by_what_it_knows_itself_of_an_engine, with the logs of 14 nodes and no word of which directory lacked whom. A node that took itself for one of a small mesh from its start to its end had no `mesh_role` line at all, since only a change of `core` was logged.

Change: the failure names each node that isn't ready and each directory with the nodes that it lacks. `mesh_role` is logged with the first role and at each change of it, with `first` and `small`; `peer_missed` when a node that should be heard isn't, and `peer_heard` when it is again. Each is one line for a change. No decision changes.

--- a/crates/node/src/control/peer_side.rs
+++ b/crates/node/src/control/peer_side.rs
@@ -131,8 +131,10 @@
         if knows_more {
             self.post.send(now, from.peers, &PeerMessage::RegistryWanted);
         }
-        if news.is_new {
+        if news.is_new || news.is_back {
             log::info!(peer = from.vm.as_str(), incarnation = from.incarnation.0; "peer_heard");
+        }
+        if news.is_new {
             self.welcome(now, &from.vm, from.peers);
         }
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -55,6 +55,8 @@
 pub(crate) struct BeatNews {
     /// The process wasn't known.
     pub(crate) is_new: bool,
+    /// It had been missed.
+    pub(crate) is_back: bool,
     /// Whether it takes callers has changed, or it is heard again.
     pub(crate) standing_changed: bool,
 }
@@ -101,10 +103,10 @@
         }
         peer.heard_seq = beat.seq;
         peer.heard_at = Some(now);
-        peer.missed_at = None;
+        let is_back = peer.missed_at.take().is_some();
         let standing_changed = was_serving != beat.serving;
         peer.beat = Some(beat);
-        BeatNews { is_new, standing_changed }
+        BeatNews { is_new, is_back, standing_changed }
     }
 
     /// Takes what a node, or its data centre, has under way.
@@ -134,8 +136,9 @@
             }
             let since = *peer.linked_since.get_or_insert(now);
             let silent_since = peer.heard_at.map_or(since, |at| at.max(since));
-            if now.saturating_duration_since(silent_since) > SILENT {
-                peer.missed_at.get_or_insert(now);
+            if peer.missed_at.is_none() && now.saturating_duration_since(silent_since) > SILENT {
+                peer.missed_at = Some(now);
+                log::info!(peer = vm.as_str(); "peer_missed");
             }
         }
     }
--- a/crates/node/src/post.rs
+++ b/crates/node/src/post.rs
@@ -82,6 +82,8 @@
     pub(crate) mesh: Mesh,
     carrier: Box<dyn Carrier>,
     parcels: HashMap<SocketAddr, Parcel>,
+    /// Role that was last logged: core, first core, in a small mesh.
+    logged_role: Option<(bool, bool, bool)>,
     work: Work,
 }
 
@@ -95,6 +97,7 @@
             mesh: Mesh::alone(),
             carrier,
             parcels: HashMap::new(),
+            logged_role: None,
             work,
         }
     }
@@ -291,13 +294,20 @@
         self.peers.link(now, &self.mesh);
         let mesh = Mesh::plan(now, &self.me, &self.peers);
         let has_role = mesh.is_core != self.mesh.is_core;
-        if has_role {
-            log::info!(core = mesh.is_core, nodes = self.peers.count() as u64 + 1; "mesh_role");
-        }
         self.mesh = mesh;
+        self.log_role();
         has_role
     }
 
+    fn log_role(&mut self) {
+        let role = (self.mesh.is_core, self.mesh.is_first, self.mesh.is_small);
+        if self.logged_role.replace(role) != Some(role) {
+            let (core, first, small) = role;
+            let nodes = self.peers.count() as u64 + 1;
+            log::info!(core = core, first = first, small = small, nodes = nodes; "mesh_role");
+        }
+    }
+
     /// Sends a sign of life to every node that this one talks to; leaves know the registry up to
     /// `leaf_revision` if they know everything that they are told.
     pub(crate) fn beat(&mut self, now: Instant, beat: &Beat, leaf_revision: Revision) {
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -287,14 +287,26 @@
 
     /// Waits until all nodes say that they are ready and are named by every directory.
     pub fn all_serve(&self) {
-        let callers: Vec<SocketAddr> = self.nodes.iter().map(|node| node.addrs.callers).collect();
-        self.eventually("all nodes serve", || {
-            self.nodes.iter().all(|node| {
-                let named = self.resolve(node.addrs.directory).unwrap_or_default();
-                self.is_ready(node.addrs.readiness)
-                    && callers.iter().all(|addr| named.contains(addr))
-            })
-        });
+        self.wait_for(
+            "all nodes serve",
+            || (0..self.nodes.len()).all(|position| self.serving_gap(position).is_none()),
+            || (0..self.nodes.len()).filter_map(|position| self.serving_gap(position)).collect(),
+        );
+    }
+
+    /// What keeps a node from being ready with a directory that names all nodes, as a line.
+    fn serving_gap(&self, position: usize) -> Option<String> {
+        let addrs = self.addrs(position);
+        if !self.is_ready(addrs.readiness) {
+            return Some(format!("node-{position} isn't ready\n"));
+        }
+        let Some(named) = self.resolve(addrs.directory) else {
+            return Some(format!("the directory of node-{position} doesn't answer\n"));
+        };
+        let lacks = |other: &usize| !named.contains(&self.nodes[*other].addrs.callers);
+        let missing: Vec<usize> = (0..self.nodes.len()).filter(lacks).collect();
+        let gap = || format!("the directory of node-{position} lacks nodes {missing:?}\n");
+        (!missing.is_empty()).then(gap)
     }
 
     /// Position of the node that gives orders, by the fencing token in the lease's row.
@@ -367,10 +379,16 @@
     /// # Panics
     ///
     /// It isn't for a minute.
-    pub fn eventually(&self, what: &str, mut holds: impl FnMut() -> bool) {
+    pub fn eventually(&self, what: &str, holds: impl FnMut() -> bool) {
+        self.wait_for(what, holds, String::new);
+    }
+
+    /// Waits until `holds` is true; `gaps` tells what is missing if that takes too long.
+    fn wait_for(&self, what: &str, mut holds: impl FnMut() -> bool, gaps: impl Fn() -> String) {
         let began = Instant::now();
         while !holds() {
-            assert!(began.elapsed() < PATIENCE, "never: {what}\n{}", self.last_lines());
+            let waited = began.elapsed();
+            assert!(waited < PATIENCE, "never: {what}\n{}{}", gaps(), self.last_lines());
             self.pause(LOOK_EVERY);
         }
     }
