A node that starts again hears the others however long they have run

What callers saw: from 2 s after a node had started again, its directory named it alone, and it decided without the loads of the others, for as long as they had run before.

Cause: beats were numbered for each receiver, from 1 again once it had told of its new process. Beats that were on their way to its predecessor, or were queued for it, reach the new process with high numbers; it then ignored all later ones as late until they had caught up. So a number belongs to its sender, not to the pair.

Change: a process numbers its beats over its whole life, greetings included. The control thread's loop is split into steps that take the time, so that a deployment of them runs in virtual time.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -103,6 +103,7 @@
     demand: DemandPool,
     entrances: EntranceExchange,
     leaving: bool,
+    tick_at: Instant,
     beat_at: Instant,
     /// When demand and known nodes are passed on next.
     demand_at: Instant,
@@ -146,15 +147,16 @@
     let handle = ControlHandle { events: events.clone() };
     let deliver = handle.clone();
     let received = work.clone();
-    let post = Inbox::bind_frames(settings.listen.peers, move |bytes| {
+    let inbox_thread = Inbox::bind_frames(settings.listen.peers, move |bytes| {
         let parcel = PeerParcel::decode(bytes, &received)?;
         deliver.tell(Event::Peer(Box::new(parcel)));
         Ok(())
     })?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let run = move || {
-        let _post = post;
-        let control = Control::new(settings, clock, me, published, work, events);
+        let _inbox_thread = inbox_thread;
+        let post = Post::new(me, Box::new(Outbox::new()), work.clone());
+        let control = Control::new(settings, clock, post, published, work, events);
         LocalSet::new().block_on(&runtime, control.run(inbox));
     };
     thread::Builder::new().name("control".to_owned()).spawn(run)?;
@@ -165,7 +167,7 @@
     fn new(
         settings: Arc<NodeSettings>,
         clock: Arc<dyn Clock>,
-        me: PeerInfo,
+        post: Post,
         published: Published,
         work: Work,
         events: Sender<Event>,
@@ -176,8 +178,8 @@
         let store = Rc::new(PlatformStore::new(settings.store));
         let mut rng = fastrand::Rng::new();
         let terms = OrderTerms {
-            vm: me.vm.clone(),
-            incarnation: me.incarnation,
+            vm: post.me.vm.clone(),
+            incarnation: post.me.incarnation,
             turn: settings.timing.lease,
             engines_check_fences: settings.engines_check_fences,
         };
@@ -189,9 +191,9 @@
             events,
             store,
             health: StoreHealth::default(),
-            prompts: PromptExchange::new(&me),
+            prompts: PromptExchange::new(&post.me),
             starts: StartExchange::default(),
-            post: Post::new(me, Box::new(Outbox::new()), work.clone()),
+            post,
             desk,
             catalog: None,
             catalog_elsewhere: 0,
@@ -210,6 +212,7 @@
             demand: DemandPool::new(now),
             entrances: EntranceExchange::new(now),
             leaving: false,
+            tick_at: now,
             beat_at: now,
             demand_at: now,
             nodes_at: now,
@@ -225,40 +228,53 @@
 
     async fn run(mut self, mut inbox: Receiver<Event>) {
         self.spawn_feeds();
-        let now = self.clock.now();
-        for seed in self.settings.seeds.clone() {
-            self.post.greet(now, seed);
-        }
-        let mut tick_at = now;
+        self.greet_seeds(self.clock.now());
         loop {
             let now = self.clock.now();
             self.post.flush(now);
-            let due = [self.prompts.due(), self.post.due(), self.starts.due()];
-            let due = due.into_iter().flatten().min();
-            let wake_at = due.map_or(tick_at, |due| due.min(tick_at));
+            let wake_at = self.wake_at();
             tokio::select! {
                 event = inbox.recv() => {
                     let Some(event) = event else { return };
-                    let now = self.clock.now();
-                    let can_wait = event.is_prompts()
-                        || !self.post.mesh.is_small && event.is_routine();
-                    self.on_event(now, event);
-                    if !can_wait {
-                        self.act(now);
-                    }
+                    self.take(self.clock.now(), event);
                 }
                 () = sleep(wake_at.saturating_duration_since(now)) => {}
             }
-            let now = self.clock.now();
-            if now >= tick_at {
-                self.on_tick(now);
-                self.act(now);
-                tick_at = now + self.tick_every();
-            }
-            self.prompts.pass_on(now, &mut self.post);
-            if self.starts.due().is_some_and(|due| due <= now) {
-                self.look_at_starts(now);
-            }
+            self.do_due(self.clock.now());
+        }
+    }
+
+    fn greet_seeds(&mut self, now: Instant) {
+        for seed in self.settings.seeds.clone() {
+            self.post.greet(now, seed);
+        }
+    }
+
+    /// When there is something to do, whatever happens until then.
+    fn wake_at(&self) -> Instant {
+        let due = [self.prompts.due(), self.post.due(), self.starts.due()];
+        due.into_iter().flatten().fold(self.tick_at, Instant::min)
+    }
+
+    /// Takes note of an event, and does what follows from it unless that can wait for the next tick.
+    fn take(&mut self, now: Instant, event: Event) {
+        let can_wait = event.is_prompts() || !self.post.mesh.is_small && event.is_routine();
+        self.on_event(now, event);
+        if !can_wait {
+            self.act(now);
+        }
+    }
+
+    /// Does what is due.
+    fn do_due(&mut self, now: Instant) {
+        if now >= self.tick_at {
+            self.on_tick(now);
+            self.act(now);
+            self.tick_at = now + self.tick_every();
+        }
+        self.prompts.pass_on(now, &mut self.post);
+        if self.starts.due().is_some_and(|due| due <= now) {
+            self.look_at_starts(now);
         }
     }
 
@@ -494,3 +510,6 @@
         self.published.changed.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -37,7 +37,6 @@
     /// Highest own number that came back, and when that last grew or the connection was opened.
     echoed_seq: u64,
     echoed_at: Instant,
-    sent_seq: u64,
     known_since: Instant,
     beat: Option<Beat>,
     /// What it last said to have under way.
@@ -65,6 +64,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     by_vm: BTreeMap<VmId, Peer>,
+    /// Number of the last round of beats.
+    sent_seq: u64,
 }
 
 impl Peers {
@@ -149,19 +150,24 @@
         missed_at.is_some_and(|at| now.saturating_duration_since(at) < MISSED_TIME)
     }
 
-    /// Numbers the next beat to each peer that `mesh` links: its name and address, the number, and the
+    /// The next beat to each peer that `mesh` links: its name and address, the beat's number, and the
     /// highest number heard.
     pub(crate) fn next_beats(&mut self, mesh: &Mesh) -> Vec<(VmId, SocketAddr, u64, u64)> {
+        let seq = self.next_seq();
         self.by_vm
-            .iter_mut()
+            .iter()
             .filter(|(vm, _)| mesh.talks_to(vm))
-            .map(|(vm, peer)| {
-                peer.sent_seq += 1;
-                (vm.clone(), peer.info.peers, peer.sent_seq, peer.heard_seq)
-            })
+            .map(|(vm, peer)| (vm.clone(), peer.info.peers, seq, peer.heard_seq))
             .collect()
     }
 
+    /// Number of the next beats. It grows for as long as this process lives, whoever the receivers are:
+    /// one that has started again may already have heard a beat that was meant for its predecessor.
+    pub(crate) fn next_seq(&mut self) -> u64 {
+        self.sent_seq += 1;
+        self.sent_seq
+    }
+
     /// Addresses of peers that don't seem to hear this node; connections to them are opened anew.
     pub(crate) fn unheard(&mut self, now: Instant) -> Vec<SocketAddr> {
         self.by_vm
@@ -269,7 +275,6 @@
             heard_seq: 0,
             echoed_seq: 0,
             echoed_at: now,
-            sent_seq: 0,
             known_since: now,
             beat: None,
             loads: Vec::new(),
--- a/crates/node/src/post.rs
+++ b/crates/node/src/post.rs
@@ -324,7 +324,8 @@
     /// Sends a first sign of life to a node of which only the address is known.
     pub(crate) fn greet(&mut self, now: Instant, addr: SocketAddr) {
         if addr != self.me.peers {
-            self.send(now, addr, &PeerMessage::Beat(Beat::greeting()));
+            let seq = self.peers.next_seq();
+            self.send(now, addr, &PeerMessage::Beat(Beat::greeting(seq)));
         }
     }
 
@@ -339,9 +340,9 @@
 
 impl Beat {
     /// A sign of life of a node that has just started.
-    fn greeting() -> Self {
+    fn greeting(seq: u64) -> Self {
         Self {
-            seq: 1,
+            seq,
             heard_seq: 0,
             core: false,
             serving: false,
