A node that starts again isn't dialled anew by the echoes of its predecessor

A node that starts again takes the first echo that it hears for its own, though its predecessor sent that number; the true echoes, which are smaller, then count as none, so it opens the connection to that peer anew every 1.2 s until it has sent as many beats as its predecessor.

Change: an echo counts only if this process has sent that number. The new test failed before, at 1.2 s. Not measured on the real node.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -93,12 +93,14 @@
             let peer = Peer { replaced, ..Peer::new(now, from.clone()) };
             self.by_vm.insert(from.vm.clone(), peer);
         }
+        let sent_seq = self.sent_seq;
         let Some(peer) = self.by_vm.get_mut(&from.vm) else { return BeatNews::default() };
         if beat.seq <= peer.heard_seq {
             return BeatNews::default();
         }
         let was_serving = peer.is_live(now) && peer.beat.as_ref().is_some_and(|beat| beat.serving);
-        if beat.heard_seq > peer.echoed_seq {
+        // A number that this process hasn't sent yet was sent by its predecessor.
+        if beat.heard_seq > peer.echoed_seq && beat.heard_seq <= sent_seq {
             peer.echoed_seq = beat.heard_seq;
             peer.echoed_at = now;
         }
--- a/crates/node/src/peers/tests.rs
+++ b/crates/node/src/peers/tests.rs
@@ -64,6 +64,20 @@
     assert!(peers.unheard(at(2400)).is_empty(), "just opened anew");
 }
 
+#[test]
+fn an_echo_of_beats_of_a_predecessor_does_not_have_the_connection_opened_anew() {
+    let (now, mut peers) = (Instant::now(), Peers::default());
+    let at = |ms| now + Duration::from_millis(ms);
+    peers.on_beat(now, &info("a", 1), beat(1, 900));
+    let mesh = Mesh::plan(now, &info("me", 2), &peers);
+    peers.link(now, &mesh);
+    for round in 1..=10 {
+        assert_eq!(peers.next_beats(&mesh)[0].2, round);
+        peers.on_beat(at(200 * round), &info("a", 1), beat(1 + round, round));
+        assert!(peers.unheard(at(200 * round + 100)).is_empty(), "{round}");
+    }
+}
+
 #[test]
 fn the_latest_claim_names_the_holder() {
     let (now, mut peers) = (Instant::now(), Peers::default());
