Nodes agree on whether all talk to all, by the word of the one that would be the first core

What callers saw: of 13 nodes or a few more that started together, some named only themselves and two or three others in their directories, for as long as they ran; they also decided without the loads of the rest and without the coordinator.

Cause: each node chose between the small mesh and the large one by the number of nodes that it knew. One that had read few rows of the roll call stayed in the small mesh and waited for the signs of life of all; the others had gone over to the large one and sent theirs to the two cores. The cores took the node for a core, as it said so, and told it neither of other nodes nor of entrances, which is what leaves are told. So nothing ended it.

Ruled out: lost messages and nodes that aren't ready. All others were named, and in virtual time nothing is lost.

Change: signs of life say whether all talk to all. A node goes by the word of the first node in the order of cores that it hears, and by its own count if that is itself; one that hasn't read the roll call has no say, so that a first core that starts again doesn't shrink the mesh. Rows of nodes that are long gone therefore no longer make one node alone go over to the large mesh either. Format version 4.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -347,7 +347,7 @@
             }
             Event::StoreLost(..) => {}
             Event::NodeRows(rows) => {
-                self.post.learn(now, &rows);
+                self.post.learn_all(now, &rows);
                 self.is_enrolled = true;
                 self.beat_at = now;
             }
@@ -465,6 +465,7 @@
             seq: 0,
             heard_seq: 0,
             core: self.post.mesh.is_core,
+            mesh_size: self.post.mesh.size(self.post.knows_nodes),
             serving: self.is_serving(),
             catalog_version: self.catalog_version(),
             holder: self.desk.claim(),
--- a/crates/node/src/control/tests/deployment.rs
+++ b/crates/node/src/control/tests/deployment.rs
@@ -146,7 +146,6 @@
         running().filter_map(gap).collect()
     }
 
-
     fn call(&mut self) -> Duration {
         Duration::from_millis(self.rng.u64(1..=CALL_MAX_MS))
     }
--- a/crates/node/src/fixtures.rs
+++ b/crates/node/src/fixtures.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        mesh::MeshSize,
         peer_message::{Beat, PeerInfo},
         post::{Carrier, Post},
         store_health::StoreView,
@@ -48,6 +49,7 @@
         seq,
         heard_seq: 0,
         core,
+        mesh_size: MeshSize::Unknown,
         serving: true,
         catalog_version: 1,
         holder: None,
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -6,11 +6,14 @@
 //! nodes; what it is told still does, see docs/CAPACITY.md. The first core of a data centre speaks for
 //! it and passes on what comes from elsewhere; the second takes its place as soon as it falls silent.
 //! Every node works the cores out for itself from what it knows; where two differ for a while there is
-//! a core too many, which costs messages and nothing else.
+//! a core too many, which costs messages and nothing else. Whether all talk to all is not for each node
+//! to work out: one that knows few others would wait for signs of life that they don't send. The node
+//! that would be the first core of all decides, and the others go by what it says.
 
 use {
     crate::{peer_message::PeerInfo, peers::Peers},
     glade_types::{VmId, rendezvous_score},
+    serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
         collections::{BTreeMap, BTreeSet},
@@ -24,6 +27,19 @@
 /// Cores of a data centre.
 const CORES_EACH: usize = 2;
 
+/// Whether all nodes of a deployment talk to all, as a node says in its signs of life.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum MeshSize {
+    /// The node has yet to learn which others there are.
+    #[default]
+    Unknown,
+    /// All talk to all.
+    Small,
+    /// Leaves talk to their cores alone.
+    Large,
+}
+
 /// Who a node talks to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Mesh {
@@ -49,21 +65,19 @@
         Self { is_core: true, is_first: true, is_small: true, ..Self::default() }
     }
 
-    /// Works out who `me` talks to.
-    pub(crate) fn plan(now: Instant, me: &PeerInfo, peers: &Peers) -> Self {
+    /// Works out who `me` talks to. `knows_nodes` says whether it has learnt which others there are.
+    pub(crate) fn plan(now: Instant, me: &PeerInfo, knows_nodes: bool, peers: &Peers) -> Self {
         let mut by_place: BTreeMap<&str, Vec<&PeerInfo>> = BTreeMap::new();
         for info in peers.infos().chain([me]) {
             by_place.entry(info.data_centre.as_str()).or_default().push(info);
         }
-        if peers.count() < SMALL {
+        if is_small(now, me, knows_nodes, peers) {
             let cores = peers.infos().map(|info| info.vm.clone()).collect();
             return Self { cores, ..Self::alone() };
         }
         let mut mesh = Self::default();
         for (place, nodes) in &mut by_place {
-            nodes.sort_by_cached_key(|info| {
-                (Reverse(info.cpu_millis), Reverse(rendezvous_score("core", info.vm.as_str())))
-            });
+            nodes.sort_by_cached_key(|info| rank(info));
             let is_up = |info: &&&PeerInfo| info.vm == me.vm || !peers.is_missed(now, &info.vm);
             let chosen: Vec<&PeerInfo> =
                 nodes.iter().filter(is_up).take(CORES_EACH).copied().collect();
@@ -97,6 +111,15 @@
         }
     }
 
+    /// What this node says of the mesh.
+    pub(crate) fn size(&self, knows_nodes: bool) -> MeshSize {
+        match (knows_nodes, self.is_small) {
+            (false, _) => MeshSize::Unknown,
+            (true, true) => MeshSize::Small,
+            (true, false) => MeshSize::Large,
+        }
+    }
+
     /// True if this node passes on to the holder of the lease what `from` has sent for it.
     pub(crate) fn speaks_for(&self, from: &VmId) -> bool {
         self.is_core && self.leaves.contains(from)
@@ -122,5 +145,19 @@
     }
 }
 
+/// True if all nodes talk to all: by the word of the first node in rank that `me` hears, or by the number
+/// of nodes if that is `me`. Nodes go only by those before them, so that none hears its own word again.
+fn is_small(now: Instant, me: &PeerInfo, knows_nodes: bool, peers: &Peers) -> bool {
+    let goes_before = |info: &PeerInfo| !knows_nodes || rank(info) < rank(me);
+    let heard = peers.live(now).filter(|(_, beat)| beat.mesh_size != MeshSize::Unknown);
+    let first = heard.filter(|(info, _)| goes_before(info)).min_by_key(|(info, _)| rank(info));
+    first.map_or(peers.count() < SMALL, |(_, beat)| beat.mesh_size == MeshSize::Small)
+}
+
+/// Place of a node among all, the smallest first.
+fn rank(info: &PeerInfo) -> (Reverse<u32>, Reverse<u64>) {
+    (Reverse(info.cpu_millis), Reverse(rendezvous_score("core", info.vm.as_str())))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/peer_message.rs
+++ b/crates/node/src/peer_message.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        leaf_digest::LeafDigest, published::Entrances, registry_news::RegistryNews,
+        leaf_digest::LeafDigest, mesh::MeshSize, published::Entrances, registry_news::RegistryNews,
         store_health::StoreView, told_prompt::ToldPrompt, work::Work,
     },
     glade_catalog::{Catalog, DemandReport, ServerKey},
@@ -73,6 +73,8 @@
     pub(crate) heard_seq: u64,
     /// It is a core of its data centre.
     pub(crate) core: bool,
+    /// Whether all nodes talk to all.
+    pub(crate) mesh_size: MeshSize,
     /// Whether it takes new callers.
     pub(crate) serving: bool,
     /// Version of the configuration in force there; 0 if none.
--- a/crates/node/src/post.rs
+++ b/crates/node/src/post.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        mesh::Mesh,
+        mesh::{Mesh, MeshSize},
         peer_message::{Beat, PeerInfo, PeerMessage},
         peers::Peers,
         work::Work,
@@ -80,6 +80,8 @@
     mark: u64,
     pub(crate) peers: Peers,
     pub(crate) mesh: Mesh,
+    /// This node has learnt from the store which others there are.
+    pub(crate) knows_nodes: bool,
     carrier: Box<dyn Carrier>,
     parcels: HashMap<SocketAddr, Parcel>,
     /// Role that was last logged: core, first core, in a small mesh.
@@ -95,6 +97,7 @@
             me,
             peers: Peers::default(),
             mesh: Mesh::alone(),
+            knows_nodes: false,
             carrier,
             parcels: HashMap::new(),
             logged_role: None,
@@ -109,6 +112,12 @@
         }
     }
 
+    /// Takes note of all nodes, as the store tells them.
+    pub(crate) fn learn_all(&mut self, now: Instant, rows: &[PeerInfo]) {
+        self.learn(now, rows);
+        self.knows_nodes = true;
+    }
+
     /// Sends `message` to the node at `addr` at once, behind what waits for it already. One that
     /// can't be queued there is dropped.
     pub(crate) fn send(&mut self, now: Instant, addr: SocketAddr, message: &PeerMessage) {
@@ -292,7 +301,7 @@
     /// Works out anew who this node talks to. Returns true if it has become a core, or is none any more.
     pub(crate) fn plan(&mut self, now: Instant) -> bool {
         self.peers.link(now, &self.mesh);
-        let mesh = Mesh::plan(now, &self.me, &self.peers);
+        let mesh = Mesh::plan(now, &self.me, self.knows_nodes, &self.peers);
         let has_role = mesh.is_core != self.mesh.is_core;
         self.mesh = mesh;
         self.log_role();
@@ -345,6 +354,7 @@
             seq,
             heard_seq: 0,
             core: false,
+            mesh_size: MeshSize::Unknown,
             serving: false,
             catalog_version: 0,
             holder: None,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -11,7 +11,7 @@
 const ENCODABLE: &str = "messages are plain data of known size";
 
 /// Version of the message format. A change that older processes can't read raises it.
-pub const FORMAT_VERSION: u16 = 3;
+pub const FORMAT_VERSION: u16 = 4;
 
 /// Encodes `message`.
 pub fn encode<M: Serialize>(message: &M) -> Vec<u8> {
