A core that was lost stays out of its place until it is heard, and nodes that miss it go on telling it that they live

What callers saw: from 10 to 30 s after the first core of a large deployment was lost for good, new nodes and changes of the others reached no directory, and some directories shrank to a node or two; there were no sums of loads either. A node that didn't hear the first core, while that heard it, was left out by all others after 3 s.

Cause: a node that was missed counted as missed for 10 s and then as a core again, without being heard, until it was forgotten. So the second core waited for the first one to speak. That second chance was there since a node sends nothing to a core that it misses, and two that miss each other would do so for ever.

Change: missed is missed until heard. The cores that a node would have chosen but misses stay among those it talks to, so either side is heard again as soon as there is a way.

--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -5,6 +5,7 @@
 use {
     self::deployment::Deployment,
     crate::{fixtures::node, peer_message::PeerInfo},
+    glade_types::rendezvous_order,
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -25,9 +26,17 @@
     deployment
 }
 
-/// A deployment that has served for `time`.
+/// Positions of `count` nodes, the first core before the others.
+fn by_rank(count: u8) -> Vec<usize> {
+    let nodes = equal_nodes(count);
+    let order = rendezvous_order("core", nodes.iter().map(|info| info.vm.as_str()));
+    let position = |name: &&str| nodes.iter().position(|info| info.vm.as_str() == *name);
+    order.iter().filter_map(position).collect()
+}
+
+/// A deployment that has served for `time`, with a node that hasn't been started, the last.
 fn deployment_after(time: Duration, count: u8) -> Deployment {
-    let mut deployment = Deployment::new(1, equal_nodes(count));
+    let mut deployment = Deployment::new(1, equal_nodes(count + 1));
     for position in 0..usize::from(count) {
         deployment.start(position);
         deployment.play(Duration::from_secs(1));
@@ -61,3 +70,29 @@
         }
     }
 }
+
+#[test]
+fn a_new_node_is_named_however_long_ago_the_first_core_was_lost_for_good() {
+    let count = 16;
+    for lost_s in [3, 9, 15, 25, 40] {
+        let mut deployment = deployment_after(Duration::from_secs(5), count);
+        deployment.kill(by_rank(count)[0]);
+        deployment.play(Duration::from_secs(lost_s));
+        deployment.start(usize::from(count));
+        deployment.play(CONTACT_TIME);
+        assert_eq!(deployment.gaps(), BTreeMap::new(), "lost {lost_s} s ago");
+    }
+}
+
+#[test]
+fn a_leaf_that_does_not_hear_the_first_core_stays_named() {
+    let ranked = by_rank(16);
+    for leaf in [ranked[2], ranked[9]] {
+        let mut deployment = deployment_after(Duration::from_secs(5), 16);
+        deployment.cut.insert((ranked[0], leaf));
+        for second in 1..=20 {
+            deployment.play(Duration::from_secs(1));
+            assert_eq!(deployment.gaps(), BTreeMap::new(), "{leaf} after {second} s");
+        }
+    }
+}
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -57,6 +57,9 @@
     pub(crate) near_cores: Vec<VmId>,
     /// The first cores of the other data centres.
     pub(crate) far_firsts: Vec<VmId>,
+    /// Nodes that would be cores if they were heard. They are still told that this node lives: it is
+    /// they who may not be heard here.
+    pub(crate) missed: BTreeSet<VmId>,
 }
 
 impl Mesh {
@@ -78,11 +81,8 @@
         let mut mesh = Self::default();
         for (place, nodes) in &mut by_place {
             nodes.sort_by_cached_key(|info| rank(info));
-            let is_up = |info: &&&PeerInfo| info.vm == me.vm || !peers.is_missed(now, &info.vm);
-            let chosen: Vec<&PeerInfo> =
-                nodes.iter().filter(is_up).take(CORES_EACH).copied().collect();
             let is_near = *place == me.data_centre.as_str();
-            mesh.add_place(&chosen, me, is_near);
+            mesh.add_place(nodes, me, is_near, peers);
         }
         // Other nodes may see a data centre differently.
         mesh.cores
@@ -91,12 +91,22 @@
             let near = by_place.get(me.data_centre.as_str()).into_iter().flatten();
             let leaves = near.map(|info| &info.vm).filter(|vm| **vm != me.vm);
             mesh.leaves = leaves.filter(|vm| !mesh.cores.contains(*vm)).cloned().collect();
+        } else {
+            let is_near = |info: &PeerInfo| info.data_centre == me.data_centre;
+            mesh.missed.retain(|vm| peers.info(vm).is_some_and(is_near));
         }
         mesh
     }
 
-    fn add_place(&mut self, chosen: &[&PeerInfo], me: &PeerInfo, is_near: bool) {
-        for (rank, info) in chosen.iter().enumerate() {
+    /// Chooses the cores of a data centre from its `nodes`, which are in order.
+    fn add_place(&mut self, nodes: &[&PeerInfo], me: &PeerInfo, is_near: bool, peers: &Peers) {
+        let mut ranks = 0..CORES_EACH;
+        for info in nodes {
+            if peers.is_missed(&info.vm) {
+                self.missed.insert(info.vm.clone());
+                continue;
+            }
+            let Some(rank) = ranks.next() else { break };
             if info.vm == me.vm {
                 self.is_core = true;
                 self.is_first = rank == 0;
@@ -138,9 +148,9 @@
     /// True if this node sends its signs of life to `vm`.
     pub(crate) fn talks_to(&self, vm: &VmId) -> bool {
         if self.is_core {
-            self.cores.contains(vm) || self.leaves.contains(vm)
+            self.cores.contains(vm) || self.leaves.contains(vm) || self.missed.contains(vm)
         } else {
-            self.near_cores.contains(vm)
+            self.near_cores.contains(vm) || self.missed.contains(vm)
         }
     }
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -21,8 +21,6 @@
 const UNHEARD: Duration = Duration::from_millis(1200);
 /// Time without a word of a node, its own or another's, after which it is forgotten.
 const FORGOTTEN: Duration = Duration::from_secs(30);
-/// Time for which a node that should have been heard and wasn't counts as missed.
-const MISSED_TIME: Duration = Duration::from_secs(10);
 
 /// Another node.
 #[derive(Clone, Debug)]
@@ -45,8 +43,8 @@
     place_loads: Option<(Vec<ServerLoad>, Instant)>,
     /// Since when this node and that one have been meant to talk to each other.
     linked_since: Option<Instant>,
-    /// When it was last found missing.
-    missed_at: Option<Instant>,
+    /// It should have been heard and wasn't, and hasn't been since.
+    is_missed: bool,
 }
 
 /// What a beat has changed.
@@ -106,7 +104,7 @@
         }
         peer.heard_seq = beat.seq;
         peer.heard_at = Some(now);
-        let is_back = peer.missed_at.take().is_some();
+        let is_back = std::mem::take(&mut peer.is_missed);
         let standing_changed = was_serving != beat.serving;
         peer.beat = Some(beat);
         BeatNews { is_new, is_back, standing_changed }
@@ -139,17 +137,16 @@
             }
             let since = *peer.linked_since.get_or_insert(now);
             let silent_since = peer.heard_at.map_or(since, |at| at.max(since));
-            if peer.missed_at.is_none() && now.saturating_duration_since(silent_since) > SILENT {
-                peer.missed_at = Some(now);
+            if !peer.is_missed && now.saturating_duration_since(silent_since) > SILENT {
+                peer.is_missed = true;
                 log::info!(peer = vm.as_str(); "peer_missed");
             }
         }
     }
 
-    /// True if a node should have been heard lately and wasn't.
-    pub(crate) fn is_missed(&self, now: Instant, vm: &VmId) -> bool {
-        let missed_at = self.by_vm.get(vm).and_then(|peer| peer.missed_at);
-        missed_at.is_some_and(|at| now.saturating_duration_since(at) < MISSED_TIME)
+    /// True if a node should have been heard and wasn't, and hasn't been since.
+    pub(crate) fn is_missed(&self, vm: &VmId) -> bool {
+        self.by_vm.get(vm).is_some_and(|peer| peer.is_missed)
     }
 
     /// The next beat to each peer that `mesh` links: its name and address, the beat's number, and the
@@ -282,7 +279,7 @@
             loads: Vec::new(),
             place_loads: None,
             linked_since: None,
-            missed_at: None,
+            is_missed: false,
         }
     }
 
--- a/crates/node/src/peers/tests.rs
+++ b/crates/node/src/peers/tests.rs
@@ -88,18 +88,18 @@
 }
 
 #[test]
-fn a_node_that_should_be_heard_and_is_not_is_missed_for_a_while() {
+fn a_node_that_should_be_heard_and_is_not_is_missed_until_it_is() {
     let (now, mut peers) = (Instant::now(), Peers::default());
     let at = |ms| now + Duration::from_millis(ms);
     peers.on_info(now, &info("a", 1));
     let mesh = Mesh::plan(now, &info("me", 1), true, &peers);
     peers.link(now, &mesh);
     peers.link(at(1300), &mesh);
-    assert!(!peers.is_missed(at(1300), &VmId::new("a")), "it may just have started");
+    assert!(!peers.is_missed(&VmId::new("a")), "it may just have started");
     peers.link(at(1500), &mesh);
-    assert!(peers.is_missed(at(1500), &VmId::new("a")));
+    assert!(peers.is_missed(&VmId::new("a")));
     peers.on_beat(at(1600), &info("a", 1), beat(1, 0));
-    assert!(!peers.is_missed(at(1600), &VmId::new("a")));
+    assert!(!peers.is_missed(&VmId::new("a")));
 }
 
 #[test]
