A leaf talks to every node that takes itself for a core, so that one core too many hears its data centre

What callers saw: a node that alone had ceased to hear the first core took itself for a core, and its directory named the second core and itself, since leaves sent their signs of life to those that they had chosen. The module says of such a node that it costs messages and nothing else.

Change: nodes that say that they are cores of a large mesh are talked to, and aren't missed when they cease to say so. The first of the two tests of the mesh failed before.

--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -60,6 +60,8 @@
     /// Nodes that would be cores if they were heard. They are still told that this node lives: it is
     /// they who may not be heard here.
     pub(crate) missed: BTreeSet<VmId>,
+    /// Nodes that take themselves for cores of a large mesh, and that this one hasn't chosen.
+    pub(crate) unchosen: BTreeSet<VmId>,
 }
 
 impl Mesh {
@@ -85,8 +87,12 @@
             mesh.add_place(nodes, me, is_near, peers);
         }
         // Other nodes may see a data centre differently.
-        mesh.cores
-            .extend(peers.live(now).filter(|(_, beat)| beat.core).map(|(info, _)| info.vm.clone()));
+        for (info, beat) in peers.live(now).filter(|(_, beat)| beat.core) {
+            let is_unchosen = mesh.cores.insert(info.vm.clone());
+            if is_unchosen && beat.mesh_size == MeshSize::Large {
+                mesh.unchosen.insert(info.vm.clone());
+            }
+        }
         if mesh.is_core {
             let near = by_place.get(me.data_centre.as_str()).into_iter().flatten();
             let leaves = near.map(|info| &info.vm).filter(|vm| **vm != me.vm);
@@ -147,11 +153,17 @@
 
     /// True if this node sends its signs of life to `vm`.
     pub(crate) fn talks_to(&self, vm: &VmId) -> bool {
-        if self.is_core {
-            self.cores.contains(vm) || self.leaves.contains(vm) || self.missed.contains(vm)
+        self.expects(vm) || self.unchosen.contains(vm)
+    }
+
+    /// True if signs of life of `vm` are due.
+    pub(crate) fn expects(&self, vm: &VmId) -> bool {
+        let is_of_role = if self.is_core {
+            self.cores.contains(vm) && !self.unchosen.contains(vm) || self.leaves.contains(vm)
         } else {
-            self.near_cores.contains(vm) || self.missed.contains(vm)
-        }
+            self.near_cores.contains(vm)
+        };
+        is_of_role || self.missed.contains(vm)
     }
 }
 
--- a/crates/node/src/mesh/tests.rs
+++ b/crates/node/src/mesh/tests.rs
@@ -2,7 +2,10 @@
 
 use {
     super::*,
-    crate::fixtures::{beat, deployment, node, post_of, vm},
+    crate::{
+        fixtures::{beat, deployment, node, post_of, vm},
+        peer_message::Beat,
+    },
     std::time::Duration,
 };
 
@@ -40,6 +43,33 @@
     }
 }
 
+#[test]
+fn a_leaf_talks_to_every_node_that_takes_itself_for_its_core() {
+    let (now, nodes) = (Instant::now(), deployment(10));
+    let mut post = post_of(now, &nodes, 5);
+    let claim = Beat { mesh_size: MeshSize::Large, ..beat(1, true) };
+    post.peers.on_beat(now, &nodes[7], claim);
+    post.plan(now);
+    assert!(post.mesh.talks_to(&nodes[7].vm));
+    assert_eq!(post.mesh.near_cores, [vm(1, 1), vm(1, 2)], "it has chosen others");
+    let later = now + Duration::from_millis(500);
+    post.peers.on_beat(later, &nodes[7], beat(2, false));
+    post.plan(later);
+    assert!(!post.mesh.talks_to(&nodes[7].vm));
+}
+
+#[test]
+fn a_node_that_ceases_to_take_itself_for_a_core_is_not_missed() {
+    let (now, nodes) = (Instant::now(), deployment(10));
+    let mut post = post_of(now, &nodes, 5);
+    let claim = Beat { mesh_size: MeshSize::Large, ..beat(1, true) };
+    post.peers.on_beat(now, &nodes[7], claim);
+    for step in 0..10 {
+        post.plan(now + Duration::from_millis(350 * step));
+    }
+    assert!(!post.peers.is_missed(&nodes[7].vm));
+}
+
 #[test]
 fn who_talks_to_whom_is_the_same_from_both_ends() {
     let (now, nodes) = (Instant::now(), deployment(9));
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -137,7 +137,8 @@
             }
             let since = *peer.linked_since.get_or_insert(now);
             let silent_since = peer.heard_at.map_or(since, |at| at.max(since));
-            if !peer.is_missed && now.saturating_duration_since(silent_since) > SILENT {
+            let is_due = mesh.expects(vm) && !peer.is_missed;
+            if is_due && now.saturating_duration_since(silent_since) > SILENT {
                 peer.is_missed = true;
                 log::info!(peer = vm.as_str(); "peer_missed");
             }
