A leaf that the first core doesn't tell where callers can connect asks a core that it hears

What callers saw: a leaf that alone had ceased to hear the first core had a directory of the second core and itself from 3.5 s on. The second core hears all leaves but tells none, since for it the first one lives.

Change: a leaf whose list is 2 s old asks, each second; the list still counts while the answer is on its way. The loads of other nodes are still unknown to such a leaf.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -18,7 +18,7 @@
         peer_message::{Beat, PeerInfo, PeerMessage, PeerParcel},
         post::Post,
         prompt_exchange::PromptExchange,
-        published::Published,
+        published::{Entrances, Published},
         readers::{ReaderPlace, Reading, reading},
         registry::Registry,
         registry_news::RegistryNews,
@@ -491,10 +491,14 @@
         self.is_serving().then_some(self.post.me.callers)
     }
 
+    fn current_entrances(&self, now: Instant) -> Entrances {
+        self.entrances.current(now, self.own_entrance(), &self.post)
+    }
+
     /// Tells traffic what is believed now.
     fn publish(&mut self, now: Instant) {
         self.work.on_view();
-        let entrances = self.entrances.current(now, self.own_entrance(), &self.post);
+        let entrances = self.current_entrances(now);
         let live_vms = (entrances.near.len() + entrances.far.len()).max(1) as u32;
         let others = self.loads.others(now, &self.post);
         let view = View {
--- a/crates/node/src/control/peer_side.rs
+++ b/crates/node/src/control/peer_side.rs
@@ -50,6 +50,10 @@
                 }
             }
             PeerMessage::Entrances(list) => self.dirty |= self.entrances.on_list(now, from, list),
+            PeerMessage::EntrancesWanted => {
+                let list = self.current_entrances(now);
+                self.post.send(now, from.peers, &PeerMessage::Entrances(list));
+            }
             PeerMessage::Nodes(infos) => self.on_nodes(now, from, infos),
             PeerMessage::Registry(news) => self.on_told_registry(now, from, news),
             PeerMessage::RegistryWanted => {
--- a/crates/node/src/entrance_exchange.rs
+++ b/crates/node/src/entrance_exchange.rs
@@ -20,6 +20,8 @@
 
 /// Period at which a list that hasn't changed is told again, in case a message was lost.
 const REPEAT_EVERY: Duration = Duration::from_secs(1);
+/// Age of the last list from which a leaf asks for another: one that was lost.
+const ASK_AGE: Duration = Duration::from_secs(2);
 /// Age after which a list no longer counts: three that were lost.
 const LIST_MAX_AGE: Duration = Duration::from_millis(3500);
 
@@ -29,11 +31,12 @@
     heard: BTreeMap<VmId, (PeerInfo, Entrances, Instant)>,
     told: Entrances,
     told_at: Instant,
+    asked_at: Option<Instant>,
 }
 
 impl EntranceExchange {
     pub(crate) fn new(now: Instant) -> Self {
-        Self { heard: BTreeMap::new(), told: Entrances::default(), told_at: now }
+        Self { heard: BTreeMap::new(), told: Entrances::default(), told_at: now, asked_at: None }
     }
 
     /// Takes a list. Returns true if it says something new.
@@ -44,9 +47,12 @@
         is_new
     }
 
-    /// Tells others what has changed, and now and then what hasn't.
+    /// Tells others what has changed, and now and then what hasn't. A leaf that isn't told asks.
     pub(crate) fn exchange(&mut self, now: Instant, own: Option<SocketAddr>, post: &mut Post) {
         self.heard.retain(|_, (_, _, at)| is_fresh(now, *at));
+        if !post.mesh.is_core {
+            self.ask_if_untold(now, post);
+        }
         if post.mesh.is_small || !post.mesh.is_first {
             return;
         }
@@ -62,6 +68,19 @@
         post.tell_leaves(now, &PeerMessage::Entrances(list));
     }
 
+    /// Asks a core that this leaf hears: the first one may be silent for this node alone.
+    fn ask_if_untold(&mut self, now: Instant, post: &mut Post) {
+        let since = |at| now.saturating_duration_since(at);
+        let told_at = self.fresh(now).map(|(info, at, _)| (info, at, at));
+        let told_at = latest_here(told_at, &post.me.data_centre);
+        let is_told = told_at.is_some_and(|at| since(at) < ASK_AGE);
+        let is_asked = self.asked_at.is_some_and(|at| since(at) < REPEAT_EVERY);
+        if !is_told && !is_asked {
+            self.asked_at = Some(now);
+            post.tell_speaker(now, &PeerMessage::EntrancesWanted);
+        }
+    }
+
     /// Where callers can connect; `own` is this node's port while it takes callers.
     pub(crate) fn current(&self, now: Instant, own: Option<SocketAddr>, post: &Post) -> Entrances {
         let here = &post.me.data_centre;
--- a/crates/node/src/entrance_exchange/tests.rs
+++ b/crates/node/src/entrance_exchange/tests.rs
@@ -2,7 +2,11 @@
 
 use {
     super::*,
-    crate::fixtures::{deployment, post_of},
+    crate::{
+        fixtures::{beat, carried_post_of, deployment, post_of},
+        peer_message::PeerParcel,
+        work::Work,
+    },
 };
 
 fn list(near: &[&PeerInfo], far: &[&PeerInfo]) -> Entrances {
@@ -61,3 +65,37 @@
     let found = exchange.current(later, Some(nodes[5].callers), &post);
     assert_eq!(found.near, [nodes[5].callers]);
 }
+
+#[test]
+fn a_leaf_that_is_not_told_asks_a_core_that_it_hears() {
+    let (now, nodes) = (Instant::now(), deployment(10));
+    let (mut post, carried) = carried_post_of(now, &nodes, 5);
+    let mut exchange = EntranceExchange::new(now);
+    let mut asks_after = |time: Duration, list: Option<Entrances>| {
+        let now = now + time;
+        for core in &nodes[..2] {
+            post.peers.on_beat(now, core, beat(time.as_millis() as u64, true));
+        }
+        if let Some(list) = list {
+            exchange.on_list(now, &nodes[0], list);
+        }
+        exchange.exchange(now, Some(nodes[5].callers), &mut post);
+        post.flush(now + Duration::from_secs(1));
+        let parcels = std::mem::take(&mut *carried.parcels.borrow_mut());
+        let messages = parcels.iter().flat_map(|(_, bytes)| {
+            PeerParcel::decode(bytes, &Work::default()).expect("a parcel").messages
+        });
+        messages.filter(|message| *message == PeerMessage::EntrancesWanted).count()
+    };
+    assert_eq!(asks_after(Duration::from_millis(100), None), 1);
+    assert_eq!(asks_after(Duration::from_millis(400), None), 0, "it has just asked");
+    assert_eq!(asks_after(Duration::from_millis(1200), None), 1);
+    let told = Some(list(&[&nodes[6]], &[]));
+    assert_eq!(asks_after(Duration::from_millis(2400), told), 0);
+    assert_eq!(asks_after(Duration::from_millis(4300), None), 0);
+    assert_eq!(
+        asks_after(Duration::from_millis(4400), None),
+        1,
+        "before the list no longer counts"
+    );
+}
--- a/crates/node/src/peer_message.rs
+++ b/crates/node/src/peer_message.rs
@@ -150,6 +150,8 @@
         /// Engines that changed, or all of them.
         engines: Vec<LeafDigest>,
     },
+    /// Asks a core for the nodes that take callers.
+    EntrancesWanted,
 }
 
 impl PeerMessage {
@@ -164,6 +166,7 @@
                 | Self::Demand(_)
                 | Self::Nodes(_)
                 | Self::Entrances(_)
+                | Self::EntrancesWanted
                 | Self::StartWanted(_)
                 | Self::Starts(_)
                 | Self::StartEvents(_)
@@ -192,6 +195,7 @@
             Self::StartWanted(_) => 16,
             Self::Starts(_) => 17,
             Self::StartEvents(_) => 18,
+            Self::EntrancesWanted => 19,
         }
     }
 }
--- a/crates/node/src/work.rs
+++ b/crates/node/src/work.rs
@@ -12,7 +12,7 @@
 };
 
 /// Kinds of message, in the order of [`crate::peer_message::PeerMessage::kind`].
-pub(crate) const KINDS: [&str; 19] = [
+pub(crate) const KINDS: [&str; 20] = [
     "beat",
     "loads",
     "prompts",
@@ -32,6 +32,7 @@
     "start_wanted",
     "starts",
     "start_events",
+    "entrances_wanted",
 ];
 
 /// Messages of one kind and their bytes.
