A directory changes when a node falls silent, whatever else happens

Seen: in virtual time, of two nodes the one that was left named the other for the 68 s played. The view for traffic was published when a message or the store brought news; that a node isn't heard any more is none.

Change: with each beat a node compares where callers can connect with what it has published. The new test failed before.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -414,6 +414,7 @@
             self.post.peers.sweep(now);
             self.choose_readers(now);
             self.entrances.exchange(now, self.own_entrance(), &mut self.post);
+            self.dirty |= self.current_entrances(now) != **self.published.entrances.load();
             self.tell_nodes(now);
         }
     }
--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -101,3 +101,15 @@
         }
     }
 }
+
+#[test]
+fn a_node_that_is_lost_is_named_no_more_though_nothing_else_happens() {
+    for count in [2, 3, 8, 16] {
+        for lost in 0..usize::from(count) {
+            let mut deployment = deployment_after(Duration::from_secs(5), count);
+            deployment.kill(lost);
+            deployment.play(CONTACT_TIME);
+            assert_eq!(deployment.leftovers(), BTreeMap::new(), "{lost} of {count}");
+        }
+    }
+}
--- a/crates/node/src/control/tests/deployment.rs
+++ b/crates/node/src/control/tests/deployment.rs
@@ -134,16 +134,27 @@
         }
     }
 
+    /// Directories of running nodes that name others that don't run, with those.
+    pub(super) fn leftovers(&self) -> BTreeMap<usize, Vec<usize>> {
+        self.directories(|is_named, other| is_named && self.nodes[other].is_none())
+    }
+
     /// Directories of running nodes that lack others, with those.
     pub(super) fn gaps(&self) -> BTreeMap<usize, Vec<usize>> {
-        let running = || (0..self.nodes.len()).filter(|position| self.nodes[*position].is_some());
-        let gap = |position: usize| {
-            let named = self.nodes[position].as_ref()?.published.entrances.load();
-            let is_named = |other: &usize| named.near.contains(&self.infos[*other].callers);
-            let missing: Vec<usize> = running().filter(|other| !is_named(other)).collect();
-            (!missing.is_empty()).then_some((position, missing))
+        self.directories(|is_named, other| !is_named && self.nodes[other].is_some())
+    }
+
+    /// Directories of running nodes, with the nodes that are wrong there by whether they are named.
+    fn directories(&self, is_wrong: impl Fn(bool, usize) -> bool) -> BTreeMap<usize, Vec<usize>> {
+        let wrong = |position: usize| {
+            let entrances = self.nodes[position].as_ref()?.published.entrances.load();
+            let is_named = |other: usize| entrances.near.contains(&self.infos[other].callers);
+            let all = 0..self.infos.len();
+            let wrong: Vec<usize> =
+                all.filter(|other| is_wrong(is_named(*other), *other)).collect();
+            (!wrong.is_empty()).then_some((position, wrong))
         };
-        running().filter_map(gap).collect()
+        (0..self.infos.len()).filter_map(wrong).collect()
     }
 
     fn call(&mut self) -> Duration {
