Entry and planner daemons number heartbeats over their whole life, and take no echo of a predecessor for their own

A peer that wasn't listed for a while got heartbeats from 1 again once it was, and ignored them until they had caught up, 100 s in the test. A process that started again took the echo of its predecessor for its own and dialled the peer anew every 3 s, 10 times in the 30 s of the test.

Not played on real daemons.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -82,6 +82,8 @@
     peers: BTreeMap<(VmId, Role), Peer>,
     table: Arc<Table>,
     store_heard_at: Instant,
+    /// Number of the last round of heartbeats. A peer that is listed again still knows earlier ones.
+    sent_seq: u64,
     beat_at: Instant,
     head_at: Instant,
     fetch_at: Option<Instant>,
@@ -97,6 +99,7 @@
             peers: BTreeMap::new(),
             table: Arc::default(),
             store_heard_at: now,
+            sent_seq: 0,
             beat_at: now,
             head_at: now,
             fetch_at: None,
@@ -202,7 +205,7 @@
         let addr = peer.addr;
         match envelope.message {
             Message::Heartbeat(beat) => {
-                peer.on_heartbeat(now, from.incarnation, &beat);
+                peer.on_heartbeat(now, from.incarnation, &beat, self.sent_seq);
                 self.on_version(now, addr, beat.table_version, out);
             }
             Message::TableHead { version } => self.on_version(now, addr, version, out),
@@ -252,12 +255,12 @@
         let store_heard = now < self.store_heard_at + self.config.isolated_after;
         let (table_version, draining) = (self.table.version.0, self.draining);
         let silent = self.config.peer_silent;
+        self.sent_seq += 1;
+        let seq = self.sent_seq;
         for key in keys {
             let Some(peer) = self.peers.get_mut(&key) else { continue };
-            peer.sent_seq += 1;
             let heard_seq = peer.heard_seq;
-            let beat =
-                Heartbeat { seq: peer.sent_seq, heard_seq, table_version, draining, store_heard };
+            let beat = Heartbeat { seq, heard_seq, table_version, draining, store_heard };
             // The peer is heard but doesn't hear: the connection towards it has gone silent.
             let heard = peer.heard_at.is_some_and(|at| now < at + silent);
             let deaf = heard && now >= peer.echoed.1 + silent;
--- a/crates/membership/src/peer.rs
+++ b/crates/membership/src/peer.rs
@@ -20,8 +20,6 @@
     pub(crate) heard_at: Option<Instant>,
     /// Highest heartbeat number heard from the peer.
     pub(crate) heard_seq: u64,
-    /// Number of the last heartbeat sent to the peer.
-    pub(crate) sent_seq: u64,
     /// Highest number that the peer says it heard from here, and when that last grew.
     pub(crate) echoed: (u64, Instant),
     pub(crate) table_version: u64,
@@ -40,7 +38,6 @@
             incarnation: Incarnation(0),
             heard_at: None,
             heard_seq: 0,
-            sent_seq: 0,
             echoed: (0, now),
             table_version: 0,
             draining: false,
@@ -49,7 +46,14 @@
     }
 
     /// Takes a heartbeat; one of an earlier incarnation or an earlier number changes nothing.
-    pub(crate) fn on_heartbeat(&mut self, now: Instant, from: Incarnation, beat: &Heartbeat) {
+    /// Takes a heartbeat; `sent_seq` is the number of the last one that this process has sent.
+    pub(crate) fn on_heartbeat(
+        &mut self,
+        now: Instant,
+        from: Incarnation,
+        beat: &Heartbeat,
+        sent_seq: u64,
+    ) {
         let newer_life = from > self.incarnation;
         if from < self.incarnation || (!newer_life && beat.seq <= self.heard_seq) {
             return;
@@ -63,7 +67,8 @@
         self.table_version = beat.table_version;
         self.draining = beat.draining;
         self.store_heard = beat.store_heard;
-        if beat.heard_seq > self.echoed.0 {
+        // A number that this process hasn't sent yet was sent by its predecessor.
+        if beat.heard_seq > self.echoed.0 && beat.heard_seq <= sent_seq {
             self.echoed = (beat.heard_seq, now);
         }
     }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct Heartbeat {
-    /// Number of this heartbeat, growing by one for each sent to this peer.
+    /// Number of this heartbeat; grows over the life of the sender.
     pub seq: u64,
     /// Highest number heard from the receiver; tells it whether its own messages arrive.
     pub heard_seq: u64,
