--- a/crates/system/tests/node.rs
+++ b/crates/system/tests/node.rs
@@ -283,6 +283,21 @@
     assert!(site.engines.iter().any(|engine| engine.fence() >= 2), "with a later fencing token");
 }
 
+#[test]
+fn a_node_that_was_killed_and_starts_again_goes_on_hearing_the_others() {
+    let mut site = Site::start(3, &[&["m0"]]);
+    site.pause(Duration::from_secs(6));
+    site.kill_node(1);
+    site.pause(Duration::from_millis(500));
+    site.start_node(1);
+    site.all_serve();
+    for _ in 0..20 {
+        site.pause(Duration::from_millis(200));
+        let named = site.resolve(site.addrs(1).directory).unwrap_or_default();
+        assert_eq!(named.len(), 3, "{named:?}");
+    }
+}
+
 #[test]
 fn service_goes_on_while_the_store_is_away() {
     let mut site = Site::start(2, &[&["m0"], &["m1"]]);
