The second core of a data centre knows the nodes of the others too

Callers rarely see it, as two nodes of the own data centre are named alone, but the node takes the whole for smaller than it is and so its part of the budget for repeats for larger. Cause: other data centres tell the first core alone, and a core went only by what it is told from there.

Change: a core that isn't the first takes the list of the first for what lies elsewhere.

--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -17,9 +17,16 @@
     (1..=count).map(|number| node(1, number, 250)).collect()
 }
 
-fn start_all(seed: u64, count: u8) -> Deployment {
-    let mut deployment = Deployment::new(seed, equal_nodes(count));
-    for position in 0..usize::from(count) {
+/// Data centres of `each` nodes that are all of the same size.
+fn wide_nodes(places: u8, each: u8) -> Vec<PeerInfo> {
+    let nodes = |number| (1..=places).map(move |place| node(place, number, 250));
+    (1..=each).flat_map(nodes).collect()
+}
+
+fn start_all(seed: u64, nodes: Vec<PeerInfo>) -> Deployment {
+    let count = nodes.len();
+    let mut deployment = Deployment::new(seed, nodes);
+    for position in 0..count {
         deployment.start(position);
         deployment.play(Duration::from_millis(5));
     }
@@ -50,7 +57,7 @@
 fn no_node_of_many_that_start_together_is_left_out() {
     for count in [8, 12, 13, 14, 20] {
         for seed in 0..30 {
-            let mut deployment = start_all(seed, count);
+            let mut deployment = start_all(seed, equal_nodes(count));
             deployment.play(CONTACT_TIME);
             assert_eq!(deployment.gaps(), BTreeMap::new(), "{count} nodes, seed {seed}");
         }
@@ -113,3 +120,14 @@
         }
     }
 }
+
+#[test]
+fn every_node_names_those_of_the_other_data_centres() {
+    for (places, each) in [(2, 6), (2, 7), (3, 5), (5, 3)] {
+        for seed in 0..10 {
+            let mut deployment = start_all(seed, wide_nodes(places, each));
+            deployment.play(CONTACT_TIME);
+            assert_eq!(deployment.gaps(), BTreeMap::new(), "{places} of {each}, seed {seed}");
+        }
+    }
+}
--- a/crates/node/src/control/tests/deployment.rs
+++ b/crates/node/src/control/tests/deployment.rs
@@ -148,7 +148,8 @@
     fn directories(&self, is_wrong: impl Fn(bool, usize) -> bool) -> BTreeMap<usize, Vec<usize>> {
         let wrong = |position: usize| {
             let entrances = self.nodes[position].as_ref()?.published.entrances.load();
-            let is_named = |other: usize| entrances.near.contains(&self.infos[other].callers);
+            let named: Vec<&SocketAddr> = entrances.near.iter().chain(&entrances.far).collect();
+            let is_named = |other: usize| named.contains(&&self.infos[other].callers);
             let all = 0..self.infos.len();
             let wrong: Vec<usize> =
                 all.filter(|other| is_wrong(is_named(*other), *other)).collect();
--- a/crates/node/src/entrance_exchange.rs
+++ b/crates/node/src/entrance_exchange.rs
@@ -96,6 +96,12 @@
             serving().filter(|info| !is_near(info)).map(|info| info.callers).collect();
         if !post.mesh.is_small {
             far.extend(latest_elsewhere(self.fresh(now), here).flat_map(|list| &list.near));
+            if !post.mesh.is_first {
+                // Other data centres tell the first core alone.
+                far.extend(
+                    latest_here(self.fresh(now), here).into_iter().flat_map(|list| &list.far),
+                );
+            }
             far.sort_unstable();
             far.dedup();
         }
