--- a/crates/node/src/control/tests/deployment.rs
+++ b/crates/node/src/control/tests/deployment.rs
@@ -29,7 +29,7 @@
 const STEP: Duration = Duration::from_millis(5);
 /// Time for which a parcel waits for the process at its address to start.
 const KEPT: Duration = Duration::from_secs(1);
-/// Longest time that a message or a call to the store takes.
+/// Longest time that a message takes.
 const WAY_MAX_MS: u64 = 20;
 /// Longest time that a call to the store takes.
 const CALL_MAX_MS: u64 = 150;
@@ -59,7 +59,7 @@
     rng: fastrand::Rng,
     infos: Vec<PeerInfo>,
     nodes: Vec<Option<Running>>,
-    pub(super) rows: Vec<PeerInfo>,
+    rows: Vec<PeerInfo>,
     parcels: BTreeMap<(Instant, u64), OnTheWay>,
     /// When the last parcel on each way arrives: none overtakes another.
     last_due: BTreeMap<(usize, SocketAddr), Instant>,
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -170,7 +170,8 @@
 /// True if all nodes talk to all: by the word of the first node in rank that `me` hears, or by the number
 /// of nodes if that is `me`. Nodes go only by those before them, so that none hears its own word again.
 fn is_small(now: Instant, me: &PeerInfo, knows_nodes: bool, peers: &Peers) -> bool {
-    let goes_before = |info: &PeerInfo| !knows_nodes || rank(info) < rank(me);
+    let own = rank(me);
+    let goes_before = |info: &PeerInfo| !knows_nodes || rank(info) < own;
     let heard = peers.live(now).filter(|(_, beat)| beat.mesh_size != MeshSize::Unknown);
     let first = heard.filter(|(info, _)| goes_before(info)).min_by_key(|(info, _)| rank(info));
     first.map_or(peers.count() < SMALL, |(_, beat)| beat.mesh_size == MeshSize::Small)
