--- a/crates/node/src/control/peer_side.rs
+++ b/crates/node/src/control/peer_side.rs
@@ -50,6 +50,10 @@
                 }
             }
             PeerMessage::Entrances(list) => self.dirty |= self.entrances.on_list(now, from, list),
+            PeerMessage::EntrancesWanted => {
+                let list = self.current_entrances(now);
+                self.post.send(now, from.peers, &PeerMessage::Entrances(list));
+            }
             PeerMessage::Nodes(infos) => self.on_nodes(now, from, infos),
             PeerMessage::Registry(news) => self.on_told_registry(now, from, news),
             PeerMessage::RegistryWanted => {
@@ -132,8 +136,10 @@
         if knows_more {
             self.post.send(now, from.peers, &PeerMessage::RegistryWanted);
         }
-        if news.is_new {
+        if news.is_new || news.is_back {
             log::info!(peer = from.vm.as_str(), incarnation = from.incarnation.0; "peer_heard");
+        }
+        if news.is_new {
             self.welcome(now, &from.vm, from.peers);
         }
     }
--- a/crates/node/src/mesh.rs
+++ b/crates/node/src/mesh.rs
@@ -6,11 +6,14 @@
 //! nodes; what it is told still does, see docs/CAPACITY.md. The first core of a data centre speaks for
 //! it and passes on what comes from elsewhere; the second takes its place as soon as it falls silent.
 //! Every node works the cores out for itself from what it knows; where two differ for a while there is
-//! a core too many, which costs messages and nothing else.
+//! a core too many, which costs messages and nothing else. Whether all talk to all is not for each node
+//! to work out: one that knows few others would wait for signs of life that they don't send. The node
+//! that would be the first core of all decides, and the others go by what it says.
 
 use {
     crate::{peer_message::PeerInfo, peers::Peers},
     glade_types::{VmId, rendezvous_score},
+    serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
         collections::{BTreeMap, BTreeSet},
@@ -24,6 +27,19 @@
 /// Cores of a data centre.
 const CORES_EACH: usize = 2;
 
+/// Whether all nodes of a deployment talk to all, as a node says in its signs of life.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum MeshSize {
+    /// The node has yet to learn which others there are.
+    #[default]
+    Unknown,
+    /// All talk to all.
+    Small,
+    /// Leaves talk to their cores alone.
+    Large,
+}
+
 /// Who a node talks to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Mesh {
@@ -41,6 +57,11 @@
     pub(crate) near_cores: Vec<VmId>,
     /// The first cores of the other data centres.
     pub(crate) far_firsts: Vec<VmId>,
+    /// Nodes that would be cores if they were heard. They are still told that this node lives: it is
+    /// they who may not be heard here.
+    pub(crate) missed: BTreeSet<VmId>,
+    /// Nodes that take themselves for cores of a large mesh, and that this one hasn't chosen.
+    pub(crate) unchosen: BTreeSet<VmId>,
 }
 
 impl Mesh {
@@ -49,40 +70,49 @@
         Self { is_core: true, is_first: true, is_small: true, ..Self::default() }
     }
 
-    /// Works out who `me` talks to.
-    pub(crate) fn plan(now: Instant, me: &PeerInfo, peers: &Peers) -> Self {
+    /// Works out who `me` talks to. `knows_nodes` says whether it has learnt which others there are.
+    pub(crate) fn plan(now: Instant, me: &PeerInfo, knows_nodes: bool, peers: &Peers) -> Self {
         let mut by_place: BTreeMap<&str, Vec<&PeerInfo>> = BTreeMap::new();
         for info in peers.infos().chain([me]) {
             by_place.entry(info.data_centre.as_str()).or_default().push(info);
         }
-        if peers.count() < SMALL {
+        if is_small(now, me, knows_nodes, peers) {
             let cores = peers.infos().map(|info| info.vm.clone()).collect();
             return Self { cores, ..Self::alone() };
         }
         let mut mesh = Self::default();
         for (place, nodes) in &mut by_place {
-            nodes.sort_by_cached_key(|info| {
-                (Reverse(info.cpu_millis), Reverse(rendezvous_score("core", info.vm.as_str())))
-            });
-            let is_up = |info: &&&PeerInfo| info.vm == me.vm || !peers.is_missed(now, &info.vm);
-            let chosen: Vec<&PeerInfo> =
-                nodes.iter().filter(is_up).take(CORES_EACH).copied().collect();
+            nodes.sort_by_cached_key(|info| rank(info));
             let is_near = *place == me.data_centre.as_str();
-            mesh.add_place(&chosen, me, is_near);
+            mesh.add_place(nodes, me, is_near, peers);
         }
         // Other nodes may see a data centre differently.
-        mesh.cores
-            .extend(peers.live(now).filter(|(_, beat)| beat.core).map(|(info, _)| info.vm.clone()));
+        for (info, beat) in peers.live(now).filter(|(_, beat)| beat.core) {
+            let is_unchosen = mesh.cores.insert(info.vm.clone());
+            if is_unchosen && beat.mesh_size == MeshSize::Large {
+                mesh.unchosen.insert(info.vm.clone());
+            }
+        }
         if mesh.is_core {
             let near = by_place.get(me.data_centre.as_str()).into_iter().flatten();
             let leaves = near.map(|info| &info.vm).filter(|vm| **vm != me.vm);
             mesh.leaves = leaves.filter(|vm| !mesh.cores.contains(*vm)).cloned().collect();
+        } else {
+            let is_near = |info: &PeerInfo| info.data_centre == me.data_centre;
+            mesh.missed.retain(|vm| peers.info(vm).is_some_and(is_near));
         }
         mesh
     }
 
-    fn add_place(&mut self, chosen: &[&PeerInfo], me: &PeerInfo, is_near: bool) {
-        for (rank, info) in chosen.iter().enumerate() {
+    /// Chooses the cores of a data centre from its `nodes`, which are in order.
+    fn add_place(&mut self, nodes: &[&PeerInfo], me: &PeerInfo, is_near: bool, peers: &Peers) {
+        let mut ranks = 0..CORES_EACH;
+        for info in nodes {
+            if peers.is_missed(&info.vm) {
+                self.missed.insert(info.vm.clone());
+                continue;
+            }
+            let Some(rank) = ranks.next() else { break };
             if info.vm == me.vm {
                 self.is_core = true;
                 self.is_first = rank == 0;
@@ -97,6 +127,15 @@
         }
     }
 
+    /// What this node says of the mesh.
+    pub(crate) fn size(&self, knows_nodes: bool) -> MeshSize {
+        match (knows_nodes, self.is_small) {
+            (false, _) => MeshSize::Unknown,
+            (true, true) => MeshSize::Small,
+            (true, false) => MeshSize::Large,
+        }
+    }
+
     /// True if this node passes on to the holder of the lease what `from` has sent for it.
     pub(crate) fn speaks_for(&self, from: &VmId) -> bool {
         self.is_core && self.leaves.contains(from)
@@ -114,13 +153,34 @@
 
     /// True if this node sends its signs of life to `vm`.
     pub(crate) fn talks_to(&self, vm: &VmId) -> bool {
-        if self.is_core {
-            self.cores.contains(vm) || self.leaves.contains(vm)
+        self.expects(vm) || self.unchosen.contains(vm)
+    }
+
+    /// True if signs of life of `vm` are due.
+    pub(crate) fn expects(&self, vm: &VmId) -> bool {
+        let is_of_role = if self.is_core {
+            self.cores.contains(vm) && !self.unchosen.contains(vm) || self.leaves.contains(vm)
         } else {
             self.near_cores.contains(vm)
-        }
+        };
+        is_of_role || self.missed.contains(vm)
     }
 }
 
+/// True if all nodes talk to all: by the word of the first node in rank that `me` hears, or by the number
+/// of nodes if that is `me`. Nodes go only by those before them, so that none hears its own word again.
+fn is_small(now: Instant, me: &PeerInfo, knows_nodes: bool, peers: &Peers) -> bool {
+    let own = rank(me);
+    let goes_before = |info: &PeerInfo| !knows_nodes || rank(info) < own;
+    let heard = peers.live(now).filter(|(_, beat)| beat.mesh_size != MeshSize::Unknown);
+    let first = heard.filter(|(info, _)| goes_before(info)).min_by_key(|(info, _)| rank(info));
+    first.map_or(peers.count() < SMALL, |(_, beat)| beat.mesh_size == MeshSize::Small)
+}
+
+/// Place of a node among all, the smallest first.
+fn rank(info: &PeerInfo) -> (Reverse<u32>, Reverse<u64>) {
+    (Reverse(info.cpu_millis), Reverse(rendezvous_score("core", info.vm.as_str())))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/peer_message.rs
+++ b/crates/node/src/peer_message.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        leaf_digest::LeafDigest, published::Entrances, registry_news::RegistryNews,
+        leaf_digest::LeafDigest, mesh::MeshSize, published::Entrances, registry_news::RegistryNews,
         store_health::StoreView, told_prompt::ToldPrompt, work::Work,
     },
     glade_catalog::{Catalog, DemandReport, ServerKey},
@@ -73,6 +73,8 @@
     pub(crate) heard_seq: u64,
     /// It is a core of its data centre.
     pub(crate) core: bool,
+    /// Whether all nodes talk to all.
+    pub(crate) mesh_size: MeshSize,
     /// Whether it takes new callers.
     pub(crate) serving: bool,
     /// Version of the configuration in force there; 0 if none.
@@ -148,6 +150,8 @@
         /// Engines that changed, or all of them.
         engines: Vec<LeafDigest>,
     },
+    /// Asks a core for the nodes that take callers.
+    EntrancesWanted,
 }
 
 impl PeerMessage {
@@ -162,6 +166,7 @@
                 | Self::Demand(_)
                 | Self::Nodes(_)
                 | Self::Entrances(_)
+                | Self::EntrancesWanted
                 | Self::StartWanted(_)
                 | Self::Starts(_)
                 | Self::StartEvents(_)
@@ -190,6 +195,7 @@
             Self::StartWanted(_) => 16,
             Self::Starts(_) => 17,
             Self::StartEvents(_) => 18,
+            Self::EntrancesWanted => 19,
         }
     }
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -21,8 +21,6 @@
 const UNHEARD: Duration = Duration::from_millis(1200);
 /// Time without a word of a node, its own or another's, after which it is forgotten.
 const FORGOTTEN: Duration = Duration::from_secs(30);
-/// Time for which a node that should have been heard and wasn't counts as missed.
-const MISSED_TIME: Duration = Duration::from_secs(10);
 
 /// Another node.
 #[derive(Clone, Debug)]
@@ -37,7 +35,6 @@
     /// Highest own number that came back, and when that last grew or the connection was opened.
     echoed_seq: u64,
     echoed_at: Instant,
-    sent_seq: u64,
     known_since: Instant,
     beat: Option<Beat>,
     /// What it last said to have under way.
@@ -46,8 +43,8 @@
     place_loads: Option<(Vec<ServerLoad>, Instant)>,
     /// Since when this node and that one have been meant to talk to each other.
     linked_since: Option<Instant>,
-    /// When it was last found missing.
-    missed_at: Option<Instant>,
+    /// It should have been heard and wasn't, and hasn't been since.
+    is_missed: bool,
 }
 
 /// What a beat has changed.
@@ -55,6 +52,8 @@
 pub(crate) struct BeatNews {
     /// The process wasn't known.
     pub(crate) is_new: bool,
+    /// It had been missed.
+    pub(crate) is_back: bool,
     /// Whether it takes callers has changed, or it is heard again.
     pub(crate) standing_changed: bool,
 }
@@ -63,6 +62,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     by_vm: BTreeMap<VmId, Peer>,
+    /// Number of the last round of beats.
+    sent_seq: u64,
 }
 
 impl Peers {
@@ -90,21 +91,23 @@
             let peer = Peer { replaced, ..Peer::new(now, from.clone()) };
             self.by_vm.insert(from.vm.clone(), peer);
         }
+        let sent_seq = self.sent_seq;
         let Some(peer) = self.by_vm.get_mut(&from.vm) else { return BeatNews::default() };
         if beat.seq <= peer.heard_seq {
             return BeatNews::default();
         }
         let was_serving = peer.is_live(now) && peer.beat.as_ref().is_some_and(|beat| beat.serving);
-        if beat.heard_seq > peer.echoed_seq {
+        // A number that this process hasn't sent yet was sent by its predecessor.
+        if beat.heard_seq > peer.echoed_seq && beat.heard_seq <= sent_seq {
             peer.echoed_seq = beat.heard_seq;
             peer.echoed_at = now;
         }
         peer.heard_seq = beat.seq;
         peer.heard_at = Some(now);
-        peer.missed_at = None;
+        let is_back = std::mem::take(&mut peer.is_missed);
         let standing_changed = was_serving != beat.serving;
         peer.beat = Some(beat);
-        BeatNews { is_new, standing_changed }
+        BeatNews { is_new, is_back, standing_changed }
     }
 
     /// Takes what a node, or its data centre, has under way.
@@ -134,31 +137,37 @@
             }
             let since = *peer.linked_since.get_or_insert(now);
             let silent_since = peer.heard_at.map_or(since, |at| at.max(since));
-            if now.saturating_duration_since(silent_since) > SILENT {
-                peer.missed_at.get_or_insert(now);
+            let is_due = mesh.expects(vm) && !peer.is_missed;
+            if is_due && now.saturating_duration_since(silent_since) > SILENT {
+                peer.is_missed = true;
+                log::info!(peer = vm.as_str(); "peer_missed");
             }
         }
     }
 
-    /// True if a node should have been heard lately and wasn't.
-    pub(crate) fn is_missed(&self, now: Instant, vm: &VmId) -> bool {
-        let missed_at = self.by_vm.get(vm).and_then(|peer| peer.missed_at);
-        missed_at.is_some_and(|at| now.saturating_duration_since(at) < MISSED_TIME)
+    /// True if a node should have been heard and wasn't, and hasn't been since.
+    pub(crate) fn is_missed(&self, vm: &VmId) -> bool {
+        self.by_vm.get(vm).is_some_and(|peer| peer.is_missed)
     }
 
-    /// Numbers the next beat to each peer that `mesh` links: its name and address, the number, and the
+    /// The next beat to each peer that `mesh` links: its name and address, the beat's number, and the
     /// highest number heard.
     pub(crate) fn next_beats(&mut self, mesh: &Mesh) -> Vec<(VmId, SocketAddr, u64, u64)> {
+        let seq = self.next_seq();
         self.by_vm
-            .iter_mut()
+            .iter()
             .filter(|(vm, _)| mesh.talks_to(vm))
-            .map(|(vm, peer)| {
-                peer.sent_seq += 1;
-                (vm.clone(), peer.info.peers, peer.sent_seq, peer.heard_seq)
-            })
+            .map(|(vm, peer)| (vm.clone(), peer.info.peers, seq, peer.heard_seq))
             .collect()
     }
 
+    /// Number of the next beats. It grows for as long as this process lives, whoever the receivers are:
+    /// one that has started again may already have heard a beat that was meant for its predecessor.
+    pub(crate) fn next_seq(&mut self) -> u64 {
+        self.sent_seq += 1;
+        self.sent_seq
+    }
+
     /// Addresses of peers that don't seem to hear this node; connections to them are opened anew.
     pub(crate) fn unheard(&mut self, now: Instant) -> Vec<SocketAddr> {
         self.by_vm
@@ -266,13 +275,12 @@
             heard_seq: 0,
             echoed_seq: 0,
             echoed_at: now,
-            sent_seq: 0,
             known_since: now,
             beat: None,
             loads: Vec::new(),
             place_loads: None,
             linked_since: None,
-            missed_at: None,
+            is_missed: false,
         }
     }
 
--- a/crates/node/src/post.rs
+++ b/crates/node/src/post.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        mesh::Mesh,
+        mesh::{Mesh, MeshSize},
         peer_message::{Beat, PeerInfo, PeerMessage},
         peers::Peers,
         work::Work,
@@ -80,8 +80,12 @@
     mark: u64,
     pub(crate) peers: Peers,
     pub(crate) mesh: Mesh,
+    /// This node has learnt from the store which others there are.
+    pub(crate) knows_nodes: bool,
     carrier: Box<dyn Carrier>,
     parcels: HashMap<SocketAddr, Parcel>,
+    /// Role that was last logged: core, first core, in a small mesh.
+    logged_role: Option<(bool, bool, bool)>,
     work: Work,
 }
 
@@ -93,8 +97,10 @@
             me,
             peers: Peers::default(),
             mesh: Mesh::alone(),
+            knows_nodes: false,
             carrier,
             parcels: HashMap::new(),
+            logged_role: None,
             work,
         }
     }
@@ -106,6 +112,12 @@
         }
     }
 
+    /// Takes note of all nodes, as the store tells them.
+    pub(crate) fn learn_all(&mut self, now: Instant, rows: &[PeerInfo]) {
+        self.learn(now, rows);
+        self.knows_nodes = true;
+    }
+
     /// Sends `message` to the node at `addr` at once, behind what waits for it already. One that
     /// can't be queued there is dropped.
     pub(crate) fn send(&mut self, now: Instant, addr: SocketAddr, message: &PeerMessage) {
@@ -289,15 +301,22 @@
     /// Works out anew who this node talks to. Returns true if it has become a core, or is none any more.
     pub(crate) fn plan(&mut self, now: Instant) -> bool {
         self.peers.link(now, &self.mesh);
-        let mesh = Mesh::plan(now, &self.me, &self.peers);
+        let mesh = Mesh::plan(now, &self.me, self.knows_nodes, &self.peers);
         let has_role = mesh.is_core != self.mesh.is_core;
-        if has_role {
-            log::info!(core = mesh.is_core, nodes = self.peers.count() as u64 + 1; "mesh_role");
-        }
         self.mesh = mesh;
+        self.log_role();
         has_role
     }
 
+    fn log_role(&mut self) {
+        let role = (self.mesh.is_core, self.mesh.is_first, self.mesh.is_small);
+        if self.logged_role.replace(role) != Some(role) {
+            let (core, first, small) = role;
+            let nodes = self.peers.count() as u64 + 1;
+            log::info!(core = core, first = first, small = small, nodes = nodes; "mesh_role");
+        }
+    }
+
     /// Sends a sign of life to every node that this one talks to; leaves know the registry up to
     /// `leaf_revision` if they know everything that they are told.
     pub(crate) fn beat(&mut self, now: Instant, beat: &Beat, leaf_revision: Revision) {
@@ -314,7 +333,8 @@
     /// Sends a first sign of life to a node of which only the address is known.
     pub(crate) fn greet(&mut self, now: Instant, addr: SocketAddr) {
         if addr != self.me.peers {
-            self.send(now, addr, &PeerMessage::Beat(Beat::greeting()));
+            let seq = self.peers.next_seq();
+            self.send(now, addr, &PeerMessage::Beat(Beat::greeting(seq)));
         }
     }
 
@@ -329,11 +349,12 @@
 
 impl Beat {
     /// A sign of life of a node that has just started.
-    fn greeting() -> Self {
+    fn greeting(seq: u64) -> Self {
         Self {
-            seq: 1,
+            seq,
             heard_seq: 0,
             core: false,
+            mesh_size: MeshSize::Unknown,
             serving: false,
             catalog_version: 0,
             holder: None,
