A server that was left only for its silence may be asked again once the other proves not to run the request

Callers saw: an engine pauses, the next reserves room for the request and rejects it all the same, 600 ms after it came: the stream is cut, or 502. Cause: the silent engine's connection is closed after 250 ms, since two engines may not work on a stream for long; and a server that was tried isn't asked again, so with two engines nobody was left. Change: a rejection that proves that the request doesn't run where it went lets the servers be asked again that were left only for their silence. Attempts count as before.

--- a/crates/relay/src/admitted.rs
+++ b/crates/relay/src/admitted.rs
@@ -86,6 +86,11 @@
         self.spent.borrow_mut().forget_unreserved();
     }
 
+    /// Lets servers be asked again that were only silent.
+    pub(crate) fn forget_silent(&self) {
+        self.spent.borrow_mut().forget_silent();
+    }
+
     /// Keeps the failure that a server has answered.
     pub(crate) fn keep_failed(&self, whole: Whole) {
         *self.failed.borrow_mut() = Some(whole);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -195,6 +195,10 @@
         } else {
             self.spend(admitted, server, failure);
         }
+        if !failure.may_have_run() {
+            // They were left for a server that doesn't run the request.
+            admitted.forget_silent();
+        }
     }
 
     /// Takes note of a failure of `server`.
--- a/crates/relay/src/spent.rs
+++ b/crates/relay/src/spent.rs
@@ -14,6 +14,8 @@
     pub(crate) tried: Vec<ServerIdx>,
     /// Those of them that reserved no room for it. It was never sent there.
     unreserved: Vec<ServerIdx>,
+    /// Those of them that were only silent.
+    silent: Vec<ServerIdx>,
     /// Attempts that may have run.
     runs: u32,
     /// Attempts that arrived and are proved not to have run.
@@ -32,6 +34,7 @@
             self.unreached += 1;
         } else if failure.may_have_run() {
             self.runs += 1;
+            self.silent.extend((failure == LegFailure::Silent).then_some(server));
         } else {
             self.refusals += 1;
         }
@@ -43,6 +46,12 @@
         self.tried.retain(|server| !unreserved.contains(server));
     }
 
+    /// Lets servers be asked again that were only silent.
+    pub(crate) fn forget_silent(&mut self) {
+        let silent = std::mem::take(&mut self.silent);
+        self.tried.retain(|server| !silent.contains(server));
+    }
+
     /// True if an attempt has arrived at a server, so that another one is a repeat.
     pub(crate) fn has_arrived(&self) -> bool {
         self.runs + self.refusals > 0
