Log what a broken attempt held and whether its answer had begun

Callers saw one engine end after the other. The lines about broken attempts couldn't tell whether a request ended its engine or was one of those that it ran. attempt_failed gets answering_ms and parts, attempt_failures the label stage.

--- a/crates/relay/src/admitted_request.rs
+++ b/crates/relay/src/admitted_request.rs
@@ -10,7 +10,7 @@
     glade_dispatch::ServerIdx,
     hyper::http::request::Parts,
     std::{
-        cell::{Ref, RefCell},
+        cell::{Cell, Ref, RefCell},
         time::{Duration, Instant},
     },
 };
@@ -36,6 +36,8 @@
     /// An error that a server has answered, which is passed on in preference to an answer of this
     /// VM.
     error_answer: RefCell<Option<CompleteAnswer>>,
+    /// The server whose answer began last, and when it began.
+    answer_began: Cell<Option<(ServerIdx, Instant)>>,
     end_line: EndLine,
 }
 
@@ -57,10 +59,22 @@
             answer_by,
             failed_attempts,
             error_answer,
+            answer_began: Cell::new(None),
             end_line,
         }
     }
 
+    /// Records that the answer of `server` has begun.
+    pub(crate) fn begin_answer(&self, now: Instant, server: ServerIdx) {
+        self.answer_began.set(Some((server, now)));
+    }
+
+    /// Time since the answer of `server` began; `None` if it hasn't begun.
+    pub(crate) fn answering_for(&self, now: Instant, server: ServerIdx) -> Option<Duration> {
+        let began = self.answer_began.get().filter(|(answering, _)| *answering == server);
+        began.map(|(_, at)| now.saturating_duration_since(at))
+    }
+
     /// Records that the request has entered `stage`.
     pub(crate) fn enter_stage(&self, stage: &'static str) {
         self.end_line.enter_stage(stage);
--- a/crates/relay/src/answering_attempt.rs
+++ b/crates/relay/src/answering_attempt.rs
@@ -64,6 +64,7 @@
         let first = timeout(within, self.next_event()).await;
         let first = first.unwrap_or(Err(AttemptFailure::Silent))?;
         self.record_first_byte();
+        admitted.begin_answer(self.now(), self.server());
         Ok(first)
     }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -44,7 +44,10 @@
         Self {
             answers: counter("answers", "Answers of backend servers passed on, by status."),
             own_answers: counter("own_answers", "Answers of the system itself, by cause."),
-            failures: counter("attempt_failures", "Attempts without a usable answer, by kind."),
+            failures: counter(
+                "attempt_failures",
+                "Attempts without a usable answer, by kind and by whether the answer had begun.",
+            ),
             retries: counter("repeats", "Sends of a request beyond its first."),
             resumed_streams: counter("stream_resumes", "Streams continued at another server."),
             streams: counter("streams", "Streams that ended, by outcome."),
@@ -67,8 +70,10 @@
         self.own_answers.add(1, &[KeyValue::new("cause", cause)]);
     }
 
-    pub(crate) fn on_failure(&self, failure: AttemptFailure) {
-        self.failures.add(1, &[KeyValue::new("kind", failure.name())]);
+    pub(crate) fn on_failure(&self, failure: AttemptFailure, is_answering: bool) {
+        let stage = if is_answering { "answering" } else { "waiting" };
+        let attributes = [KeyValue::new("kind", failure.name()), KeyValue::new("stage", stage)];
+        self.failures.add(1, &attributes);
     }
 
     pub(crate) fn on_retry(&self) {
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -60,7 +60,9 @@
         failure: AttemptFailure,
         ejected_for: Option<Duration>,
     ) {
-        self.metrics.on_failure(failure);
+        let now = self.clock.now();
+        let answering = admitted.answering_for(now, server);
+        self.metrics.on_failure(failure, answering.is_some());
         let dispatcher = self.dispatcher.borrow();
         let id = dispatcher.record(server).key.id.as_str();
         log::info!(
@@ -68,6 +70,8 @@
             server = id,
             failure = failure.name(),
             may_have_run = failure.may_have_run(),
+            answering_ms = answering.map(|time| time.as_millis() as u64),
+            parts = part_list(admitted.routed.shared_parts()).as_str(),
             after_ms = self.after_ms(admitted);
             "attempt_failed"
         );
@@ -219,3 +223,9 @@
         u64::try_from(after.as_millis()).unwrap_or(u64::MAX)
     }
 }
+
+/// The hashes of a prompt's parts as in the caller's header, for logs.
+fn part_list(parts: impl Iterator<Item = u64>) -> String {
+    let names: Vec<String> = parts.map(|hash| format!("{hash:x}")).collect();
+    names.join(",")
+}
--- a/crates/relay/src/routed_request.rs
+++ b/crates/relay/src/routed_request.rs
@@ -73,6 +73,13 @@
         Ok(Self { id, route, terms, catalog: Arc::clone(catalog), arrived_at })
     }
 
+    /// Hashes of the parts of the prompt that other requests may share: all but the last, which is
+    /// unique to the request or its session.
+    pub(crate) fn shared_parts(&self) -> impl Iterator<Item = u64> + '_ {
+        let parts = &self.terms.prompt_parts;
+        parts[..parts.len().saturating_sub(1)].iter().map(|part| part.hash)
+    }
+
     /// When the final answer is due.
     pub(crate) fn answer_by(&self) -> Instant {
         let deadline = self.terms.deadline.unwrap_or(DEFAULT_DEADLINE);
@@ -102,10 +109,7 @@
         let model_spec = class
             .zip(self.terms.model.as_ref())
             .and_then(|(class, model)| class.model(base_model_of(model)));
-        let parts = &self.terms.prompt_parts;
-        // The last part is unique to the request or its session, so it is left out of the shared
-        // prefix.
-        let prompt_prefix_id = parts.len().checked_sub(2).map(|last| parts[last].hash);
+        let prompt_prefix_id = self.shared_parts().last();
         Some(RequestSpec {
             service,
             model: self.terms.model.clone(),
