--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -35,6 +35,7 @@
         time::Duration,
     },
     tokio::{
+        net::TcpListener,
         sync::mpsc::{Sender, channel},
         task::JoinHandle,
         time::sleep,
@@ -47,6 +48,10 @@
 const TRICKLE_PAUSE: Duration = Duration::from_millis(40);
 /// Time for which an engine sends nothing, longer than a node waits before it asks another.
 const LONG_PAUSE: Duration = Duration::from_millis(1_800);
+/// Time for which a server that a request has crashed doesn't listen.
+const RESTART_TIME: Duration = Duration::from_millis(1_500);
+/// Pause between attempts to listen again.
+const LISTEN_RETRY: Duration = Duration::from_millis(20);
 /// Events under way to a caller.
 const EVENTS_IN_HAND: usize = 4;
 
@@ -84,6 +89,14 @@
     reservations_made: u64,
     /// Least length of a whole answer.
     answer_bytes: usize,
+    /// Part of a prompt on which it crashes as it begins to answer, unless the part is the last.
+    crash_part: Option<u64>,
+    /// Times that a request has crashed it.
+    crashes: u64,
+    /// Serves its connections while it runs.
+    task: Option<JoinHandle<()>>,
+    /// It has ended for good.
+    ended: bool,
 }
 
 #[derive(Debug)]
@@ -98,12 +111,13 @@
 #[derive(Debug)]
 pub struct SiteServer {
     shared: Arc<Shared>,
-    task: JoinHandle<()>,
 }
 
 impl Drop for SiteServer {
     fn drop(&mut self) {
-        self.task.abort();
+        let mut state = self.shared.lock();
+        state.ended = true;
+        state.task.take().into_iter().for_each(|task| task.abort());
     }
 }
 
@@ -138,6 +152,10 @@
             reservations: BTreeSet::new(),
             reservations_made: 0,
             answer_bytes: 0,
+            crash_part: None,
+            crashes: 0,
+            task: None,
+            ended: false,
         };
         let shared = Arc::new(Shared {
             spec,
@@ -146,9 +164,23 @@
             state: Mutex::new(state),
         });
         shared.register();
-        let served = Arc::clone(&shared);
-        let task = serve(listener, move |req| handle(Arc::clone(&served), req));
-        Self { shared, task }
+        shared.serve_on(listener);
+        Self { shared }
+    }
+
+    /// Has the server crash on each request whose prompt holds `part` before its last part.
+    pub fn crash_on(&self, part: Option<u64>) {
+        self.shared.lock().crash_part = part;
+    }
+
+    /// Times that a request has crashed the server.
+    pub fn crashes(&self) -> u64 {
+        self.shared.lock().crashes
+    }
+
+    /// Ends the process of the server, which starts again after a while, whatever it runs.
+    pub fn crash(&self) {
+        self.shared.crash();
     }
 
     /// Its name.
@@ -240,6 +272,56 @@
 }
 
 impl Shared {
+    fn serve_on(self: &Arc<Self>, listener: TcpListener) {
+        let served = Arc::clone(self);
+        let task = serve(listener, move |req| handle(Arc::clone(&served), req));
+        self.lock().task = Some(task);
+    }
+
+    /// True if a request with `terms` crashes the server.
+    fn crashes_on(&self, terms: &RequestMetadata) -> bool {
+        let shared_parts = terms.prompt_parts.iter().rev().skip(1);
+        self.lock()
+            .crash_part
+            .is_some_and(|part| shared_parts.into_iter().any(|at| at.hash == part))
+    }
+
+    /// Breaks all connections, and starts again after a while, with the models of its first start.
+    fn crash(self: &Arc<Self>) {
+        let addr = {
+            let mut state = self.lock();
+            let Some(task) = state.task.take() else { return };
+            task.abort();
+            state.crashes += 1;
+            state.record.addr
+        };
+        tokio::spawn(Arc::clone(self).start_again(addr));
+    }
+
+    async fn start_again(self: Arc<Self>, addr: SocketAddr) {
+        sleep(RESTART_TIME).await;
+        let listener = loop {
+            match TcpListener::bind(addr).await {
+                Ok(listener) => break listener,
+                Err(_) => sleep(LISTEN_RETRY).await,
+            }
+        };
+        {
+            let mut state = self.lock();
+            if state.ended {
+                return;
+            }
+            state.record.key.start_time_ms += 1;
+            state.orders_accepted = 0;
+            state.fence = 0;
+            state.loading = false;
+            state.bases =
+                self.spec.models.iter().map(|name| (ModelName::new(name), Vec::new())).collect();
+        }
+        self.register();
+        self.serve_on(listener);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -413,6 +495,10 @@
         stopped: false,
         overlaps: false,
     });
+    if shared.crashes_on(&terms) {
+        shared.crash();
+        return Err(broken());
+    }
     match fault {
         EngineFault::Hangs => return pending().await,
         EngineFault::Fails | EngineFault::FailsAfter(_) => {
--- a/crates/standins/src/site/run_log.rs
+++ b/crates/standins/src/site/run_log.rs
@@ -72,6 +72,13 @@
         self.lock().runs.iter().filter(is_of).cloned().collect()
     }
 
+    /// Number of times that a request has reached a server, which has run or rejected it.
+    pub fn arrivals_of(&self, request_id: &str) -> usize {
+        let entries = self.lock();
+        let runs = entries.runs.iter().filter(|run| run.request_id == request_id).count();
+        runs + entries.rejections.iter().filter(|(id, _)| id == request_id).count()
+    }
+
     /// Servers that have run or rejected a request, or kept a place that nobody came for, of those after
     /// the first `places_before`: it may have been this request's.
     pub fn servers_of(&self, request_id: &str, places_before: usize) -> BTreeSet<String> {
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -3,8 +3,8 @@
 use {
     crate::programs::program,
     glade_catalog::{
-        CallerLimits, Catalog, EngineClass, ModelSpec, RequestMetadata, RetryPolicy, Route,
-        Service, WeightedService,
+        CallerLimits, Catalog, EngineClass, ModelSpec, PromptPart, RequestMetadata, RetryPolicy,
+        Route, Service, WeightedService,
     },
     glade_standins::site::{
         Caller, EndlessPart, EndlessServer, EngineFault, Pace, Reply, RunLog, ServerSpec,
@@ -373,6 +373,19 @@
         path: &str,
         model: Option<&str>,
         id: &str,
+    ) -> JoinHandle<Option<Reply>> {
+        self.begin_with_parts(caller, node, path, model, id, &[])
+    }
+
+    /// The same with the hashes of the parts of the prompt.
+    pub fn begin_with_parts(
+        &self,
+        caller: Caller,
+        node: usize,
+        path: &str,
+        model: Option<&str>,
+        id: &str,
+        parts: &[u64],
     ) -> JoinHandle<Option<Reply>> {
         let addr = self.nodes[node].addrs.callers;
         let terms = RequestMetadata {
@@ -381,6 +394,7 @@
             model: model.map(ModelName::new),
             prompt_tokens: if model.is_some() { 100 } else { 0 },
             output_tokens_max: if model.is_some() { 60 } else { 0 },
+            prompt_parts: parts.iter().map(|hash| PromptPart { hash: *hash, tokens: 20 }).collect(),
             ..RequestMetadata::default()
         };
         let path = path.to_owned();
