Quarantine parts of prompts that crash engines

Callers saw engine after engine end: a request whose prompt crashes the engine that begins to answer it was repeated and resumed on the next engine, and the next such request was sent as if nothing had happened.

Cause: nothing related what requests hold to the ends of the engines that ran them.

Change: a new crate names the parts that explain crashes. Nodes report attempts that broke before their answers had begun and find out whether the engine has ended; cores add them up; a part that was there at three moments, with none of its requests answered since, isn't sent any more, by attempts of any kind. What can't be told apart yet is kept away as a combination only. Entries go to all nodes and into the store, and are lifted by an answer; one trial at a time is claimed in the store.

--- a/crates/dispatch/src/cluster_view.rs
+++ b/crates/dispatch/src/cluster_view.rs
@@ -3,6 +3,7 @@
 use {
     crate::load::Load,
     glade_catalog::{Catalog, ServerRecord},
+    glade_quarantine::QuarantineView,
     glade_types::ModelName,
     std::{
         collections::{HashMap, HashSet},
@@ -42,4 +43,6 @@
     pub has_coordinator: bool,
     /// Number of VMs that take requests, including this one; at least 1.
     pub live_vms: u32,
+    /// Parts of prompts that crash engines.
+    pub quarantine: Arc<QuarantineView>,
 }
--- a/crates/dispatch/src/verdict.rs
+++ b/crates/dispatch/src/verdict.rs
@@ -18,6 +18,8 @@
     Overloaded,
     /// This VM is about to end, and the request would take longer.
     Leaving,
+    /// The prompt holds parts that crash engines.
+    Quarantined,
 }
 
 impl Refusal {
@@ -28,6 +30,7 @@
             Self::NotResident => "not_resident",
             Self::Overloaded => "overloaded",
             Self::Leaving => "leaving",
+            Self::Quarantined => "quarantined",
         }
     }
 }
@@ -39,6 +42,7 @@
             Self::NotResident => "the model isn't loaded at present",
             Self::Overloaded => "all servers are busy",
             Self::Leaving => "this VM is about to end",
+            Self::Quarantined => "the prompt holds parts that crash engines",
         })
     }
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,6 +4,7 @@
 //! and unload orders to all engines while the node holds the leader lease.
 
 mod peer_handlers;
+mod quarantine_handlers;
 mod store_handlers;
 mod traffic_handlers;
 
@@ -22,12 +23,14 @@
         peer_network::PeerNetwork,
         prompt_exchange::PromptExchange,
         published_state::{CallerEndpoints, PublishedState},
+        quarantine_exchange::QuarantineExchange,
+        quarantine_store::{self, QuarantineStore},
         read_role::{ReadConditions, ReadRole, read_role},
         registry::Registry,
         registry_update::RegistryUpdate,
         start_exchange::StartExchange,
         store_health::StoreHealth,
-        table_watcher::{TableWatcher, WatchPosition},
+        table_watcher::{LONG_POLL_WAIT, TableWatcher, WatchPosition},
     },
     glade_adapter::{config, platform_store::PlatformStore, registry},
     glade_catalog::Catalog,
@@ -67,6 +70,9 @@
 /// Time after a node's start during which it waits for other nodes to send it the tables that it
 /// would otherwise read from the store.
 const STARTUP_WAIT: Duration = Duration::from_millis(1200);
+/// Longest wait of one call for changes of the quarantined parts. Other nodes send them too, so the table is read
+/// sparingly.
+const QUARANTINE_POLL_WAIT: Duration = Duration::from_secs(10);
 
 /// State of the control thread.
 struct Control {
@@ -93,6 +99,7 @@
     name_table: NameTable,
     registry_position: WatchPosition,
     config_position: WatchPosition,
+    quarantine_position: WatchPosition,
     /// True outside a full mesh; shared with the table watchers.
     in_large_mesh: Rc<Cell<bool>>,
     /// Node discovery has read the rows of all nodes, or one of its calls to the store has failed.
@@ -107,6 +114,8 @@
     loads: LoadExchange,
     prompts: PromptExchange,
     starts: StartExchange,
+    quarantine: QuarantineExchange,
+    quarantine_store: QuarantineStore,
     demand: DemandAggregator,
     endpoints: EndpointExchange,
     is_shutting_down: bool,
@@ -208,6 +217,8 @@
             store_health: StoreHealth::default(),
             prompts: PromptExchange::new(&network.me),
             starts: StartExchange::default(),
+            quarantine: QuarantineExchange::new(),
+            quarantine_store: QuarantineStore::default(),
             network,
             leadership,
             catalog: None,
@@ -219,6 +230,7 @@
             name_table: NameTable::default(),
             registry_position: WatchPosition::new(),
             config_position: WatchPosition::new(),
+            quarantine_position: WatchPosition::new(),
             in_large_mesh: Rc::default(),
             discovery_settled: false,
             startup_ends_at,
@@ -306,15 +318,22 @@
 
     fn spawn_store_tasks(&mut self) {
         let watched = [
-            (config::TABLE, WatchedTable::Configuration, &self.config_position),
-            (registry::TABLE, WatchedTable::Registry, &self.registry_position),
+            (config::TABLE, WatchedTable::Configuration, &self.config_position, LONG_POLL_WAIT),
+            (registry::TABLE, WatchedTable::Registry, &self.registry_position, LONG_POLL_WAIT),
+            (
+                quarantine_store::TABLE,
+                WatchedTable::Quarantine,
+                &self.quarantine_position,
+                QUARANTINE_POLL_WAIT,
+            ),
         ];
-        for (table, watched, position) in watched {
+        for (table, watched, position, long_poll_wait) in watched {
             let watcher = TableWatcher {
                 store: Rc::clone(&self.store),
                 table,
                 watched,
                 position: position.clone(),
+                long_poll_wait,
                 role: self.read_role.subscribe(),
                 in_large_mesh: Rc::clone(&self.in_large_mesh),
                 events: self.events.clone(),
@@ -366,6 +385,17 @@
                     RegistryUpdate::from_changes(after, &changes, self.store_was_unreachable(now)),
                 );
             }
+            Event::Snapshot(WatchedTable::Quarantine, snapshot) => {
+                self.on_quarantine_snapshot(now, &snapshot);
+            }
+            Event::Changes(WatchedTable::Quarantine, _, changes) => {
+                self.quarantine_position.advance_to(changes.revision);
+                self.on_quarantine_changes(now, &changes.changes);
+            }
+            Event::QuarantineWritten(_, entry, answer) => {
+                self.on_quarantine_written(now, &entry, answer);
+            }
+            Event::TrialClaimed(_, entry, claim) => self.on_trial_claimed(now, &entry, claim),
             Event::StoreCallFailed(..) => {}
             Event::NodesRead(rows) => {
                 self.network.add_all_nodes(now, &rows);
@@ -397,6 +427,15 @@
                     self.network.broadcast(now, &PeerMessage::ServerLeaving(key));
                 }
             }
+            Event::TrafficUpdate(TrafficUpdate::AttemptLost(attempt)) => {
+                self.quarantine.on_local_attempt(now, attempt, self.network.mesh.is_core);
+            }
+            Event::TrafficUpdate(TrafficUpdate::PartsServed(parts)) => {
+                self.quarantine.on_local_served(now, &parts);
+            }
+            Event::TrafficUpdate(TrafficUpdate::TrialWanted(key)) => {
+                self.on_trial_wanted(now, key);
+            }
             Event::TrafficUpdate(TrafficUpdate::ServerBackoff(key, time)) => {
                 self.leadership.on_backoff(&key, now + time)
             }
@@ -436,6 +475,7 @@
             &self.store_health,
         );
         self.forward_demand(now);
+        self.tick_quarantine(now);
         if now >= self.next_heartbeat_at {
             if self.network.update_mesh(now) {
                 self.on_role_change(now);
@@ -548,6 +588,7 @@
             models_ready_at: self.registry.models_ready_at(),
             has_coordinator: self.has_coordinator(now),
             live_vms,
+            quarantine: Arc::clone(self.quarantine.view()),
         };
         self.starts.update_view(&view);
         self.published.view.store(Arc::new(view));
--- a/crates/node/src/control/peer_handlers.rs
+++ b/crates/node/src/control/peer_handlers.rs
@@ -100,6 +100,15 @@
                     self.network.forward(now, &from.vm, &PeerMessage::ServerLeaving(key));
                 }
             }
+            PeerMessage::AttemptsLost(attempts) => {
+                self.quarantine.on_peer_attempts(now, from, attempts, &self.network);
+            }
+            PeerMessage::PartsServed(parts) => {
+                self.quarantine.on_peer_served(now, from, &parts, &self.network);
+            }
+            PeerMessage::Quarantine { entries, suspects } => {
+                self.quarantine.on_entries(now, &entries, suspects, self.network.mesh.is_core);
+            }
             PeerMessage::Residents { epoch, engines } => self.apply_residents(now, epoch, engines),
             PeerMessage::LeafResidents { epoch, engines } => {
                 let engines = self.name_table.decode_all(&engines, self.registry.keys());
@@ -162,6 +171,9 @@
         }
         let nodes = self.network.peers.infos().cloned().collect();
         self.network.send(now, addr, &PeerMessage::Nodes(nodes));
+        if let Some(message) = self.quarantine.entries_message(now) {
+            self.network.send(now, addr, &message);
+        }
         if self.network.mesh.is_full_mesh {
             self.leadership.repeat_residents(now);
             return;
@@ -252,6 +264,7 @@
     /// Records that a server's process is gone. Returns false if the server was already known to
     /// take no work.
     pub(super) fn mark_server_gone(&mut self, now: Instant, key: &ServerKey) -> bool {
+        self.on_server_ended(now, key);
         let is_new = self.registry.mark_gone(now, key);
         if is_new {
             self.on_records_changed(now);
--- a/crates/node/src/control/store_handlers.rs
+++ b/crates/node/src/control/store_handlers.rs
@@ -7,6 +7,7 @@
         event::{Event, WatchedTable},
         leaf_digest::NameTable,
         peer_message::PeerMessage,
+        quarantine_store::TrialClaim,
         registry_update::RegistryUpdate,
     },
     glade_adapter::config,
@@ -36,6 +37,7 @@
             Event::Snapshot(..)
             | Event::Changes(..)
             | Event::NodesRead(_)
+            | Event::QuarantineWritten(_, _, Ok(_))
             | Event::LeaseRead(_, Ok(_))
             | Event::LeaseWritten(_, Ok(_)) => self.store_health.record_answer(now),
             Event::StoreCallFailed(began_at, reason) => {
@@ -44,6 +46,10 @@
             Event::LeaseRead(began_at, Err(err)) | Event::LeaseWritten(began_at, Err(err)) => {
                 self.store_health.record_failure(now, *began_at, &err.to_string());
             }
+            Event::QuarantineWritten(began_at, _, Err(err))
+            | Event::TrialClaimed(began_at, _, TrialClaim::Failed(err)) => {
+                self.store_health.record_failure(now, *began_at, &err.to_string());
+            }
             _ => {}
         }
     }
--- a/crates/node/src/control_metrics.rs
+++ b/crates/node/src/control_metrics.rs
@@ -12,7 +12,7 @@
 };
 
 /// Kinds of messages, indexed by [`crate::peer_message::PeerMessage::kind`].
-pub(crate) const MESSAGE_KINDS: [&str; 20] = [
+pub(crate) const MESSAGE_KINDS: [&str; 23] = [
     "beat",
     "loads",
     "prompts",
@@ -33,6 +33,9 @@
     "starts",
     "start_events",
     "entrances_wanted",
+    "attempts_lost",
+    "parts_served",
+    "quarantine",
 ];
 
 /// Number of messages of one kind, and their bytes.
@@ -66,6 +69,7 @@
     batches_sent: MessageCounter,
     batches_received: MessageCounter,
     views: AtomicU64,
+    quarantines: AtomicU64,
 }
 
 impl ControlMetrics {
@@ -94,6 +98,11 @@
         self.counters.views.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a combination of parts of prompts that this node has found to crash engines.
+    pub(crate) fn on_quarantine(&self) {
+        self.counters.quarantines.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Registers the counters with `metrics`.
     pub(crate) fn register(&self, metrics: &Metrics) {
         self.register_kinds(
@@ -111,7 +120,7 @@
         self.register_kinds(metrics, "peer_bytes_received", "Bytes of these.", |counters| {
             counters.received.each_ref().map(|counter| &counter.bytes)
         });
-        let totals: [(&'static str, &'static str, CounterSelector); 5] = [
+        let totals: [(&'static str, &'static str, CounterSelector); 6] = [
             ("peer_parcels_sent", "Parcels of messages to other nodes.", |counters| {
                 &counters.batches_sent.messages
             }),
@@ -123,6 +132,11 @@
                 &counters.batches_received.bytes
             }),
             ("views_published", "Views handed to traffic.", |counters| &counters.views),
+            (
+                "quarantines",
+                "Combinations of parts of prompts that this node found to crash engines.",
+                |counters| &counters.quarantines,
+            ),
         ];
         for (name, description, select) in totals {
             let counters = Arc::clone(&self.counters);
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,10 +1,14 @@
 //! Events that the control thread receives from the store, other nodes, engines and the relay.
 
 use {
-    crate::peer_message::{PeerBatch, PeerInfo, PeerMessage},
+    crate::{
+        peer_message::{PeerBatch, PeerInfo, PeerMessage},
+        quarantine_store::TrialClaim,
+    },
     glade_catalog::{DemandReport, EngineOrder, EngineReport, OrderAnswer, ServerKey},
     glade_dispatch::{PromptSent, ServerLoad, StartEvent},
     glade_platform::{Changes, Revision, Snapshot, StoreError, StoredRow, TxnAnswer},
+    glade_quarantine::Entry,
     glade_relay::TrafficUpdate,
     std::{net::SocketAddr, time::Instant},
 };
@@ -16,6 +20,8 @@
     Configuration,
     /// The registry of backend servers.
     Registry,
+    /// The quarantined parts of prompts.
+    Quarantine,
 }
 
 /// An input of the control thread.
@@ -46,6 +52,10 @@
     LeaseRead(Instant, Result<Option<StoredRow>, StoreError>),
     /// A write of the lease's row, which began at this time, has ended.
     LeaseWritten(Instant, Result<TxnAnswer, StoreError>),
+    /// A write of a quarantined entry, which began at this time, has ended.
+    QuarantineWritten(Instant, Entry, Result<TxnAnswer, StoreError>),
+    /// An attempt to claim the trial of a quarantined entry, which began at this time, has ended.
+    TrialClaimed(Instant, Entry, TrialClaim),
     /// An engine has answered an order, or the order has failed.
     OrderAnswered(EngineOrder, OrderAnswer),
     /// An engine has reported which models it holds; `None` if it didn't answer.
@@ -72,7 +82,11 @@
     pub(crate) fn is_routine(&self) -> bool {
         match self {
             Self::PromptsSent(_) | Self::TrafficReport(_) | Self::StartEvents(_) => true,
-            Self::TrafficUpdate(TrafficUpdate::StartWanted(_)) => true,
+            Self::TrafficUpdate(
+                TrafficUpdate::StartWanted(_)
+                | TrafficUpdate::AttemptLost(_)
+                | TrafficUpdate::PartsServed(_),
+            ) => true,
             Self::PeerBatch(batch) => batch.is_routine(),
             _ => false,
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,8 @@
 mod peers;
 mod prompt_exchange;
 mod published_state;
+mod quarantine_exchange;
+mod quarantine_store;
 mod read_role;
 mod registry;
 mod registry_update;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -185,6 +185,7 @@
     spawn_local(report_prompts(relay.clone(), control.clone()));
     spawn_local(receive_prompts(peer_updates.prompts, relay.clone()));
     spawn_local(receive_start_replies(peer_updates.start_replies, relay.clone()));
+    spawn_local(receive_trials(peer_updates.trials, relay.clone()));
     spawn_local(report_start_events(relay.clone(), control.clone()));
     spawn_local(watch_view(published, relay.clone(), Rc::clone(&lifecycle)));
     let in_force = Rc::new(RefCell::new(settings));
@@ -292,6 +293,13 @@
     }
 }
 
+/// Passes permitted trials of quarantined parts to traffic.
+async fn receive_trials(mut receiver: Receiver<u64>, relay: RelayHandle<PlatformDialect>) {
+    while let Some(key) = receiver.recv().await {
+        relay.grant_trial(key);
+    }
+}
+
 /// Reports requests in flight, as they change, and demand to the control thread.
 async fn report_traffic(relay: RelayHandle<PlatformDialect>, control: ControlHandle) {
     let mut ticks = interval(LOADS_INTERVAL);
--- a/crates/node/src/peer_message.rs
+++ b/crates/node/src/peer_message.rs
@@ -9,6 +9,7 @@
     glade_catalog::{Catalog, DemandReport, ServerKey},
     glade_dispatch::{ServerLoad, StartEvent, StartReply, StartRequest},
     glade_platform::Revision,
+    glade_quarantine::{EntryUpdate, LostAttempt},
     glade_residency::EngineDigest,
     glade_types::{DataCentre, Incarnation, ModelName, VmId, stable_hash},
     glade_wire::{WireError, frame},
@@ -172,6 +173,17 @@
     /// Requests from a core the addresses at which nodes accept callers.
     #[serde(rename = "entrances_wanted")]
     CallerEndpointsWanted,
+    /// Attempts that broke before their answers had begun, or just after.
+    AttemptsLost(Vec<LostAttempt>),
+    /// Requests with these suspected parts of prompts were answered.
+    PartsServed(Vec<u64>),
+    /// Parts of prompts that crash engines.
+    Quarantine {
+        /// All entries that the sender has.
+        entries: Vec<EntryUpdate>,
+        /// Parts of which it must be known whether requests with them are answered.
+        suspects: Vec<u64>,
+    },
 }
 
 impl PeerMessage {
@@ -190,6 +202,9 @@
                 | Self::StartRequests(_)
                 | Self::StartReplies(_)
                 | Self::StartEvents(_)
+                | Self::AttemptsLost(_)
+                | Self::PartsServed(_)
+                | Self::Quarantine { .. }
         )
     }
 
@@ -216,6 +231,9 @@
             Self::StartReplies(_) => 17,
             Self::StartEvents(_) => 18,
             Self::CallerEndpointsWanted => 19,
+            Self::AttemptsLost(_) => 20,
+            Self::PartsServed(_) => 21,
+            Self::Quarantine { .. } => 22,
         }
     }
 }
--- a/crates/node/src/published_state.rs
+++ b/crates/node/src/published_state.rs
@@ -17,6 +17,9 @@
 /// Capacity of the channel for replies of coordinators.
 const START_REPLIES_CAPACITY: usize = 256;
 
+/// Capacity of the channel for permitted trials, of which there are few.
+const TRIALS_CAPACITY: usize = 16;
+
 /// Addresses at which nodes accept callers.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -37,6 +40,8 @@
     pub(crate) prompts: Receiver<Vec<PromptSent>>,
     /// Replies of coordinators, each with the coordinator's address for events.
     pub(crate) start_replies: Receiver<(SocketAddr, Vec<StartReply>)>,
+    /// Keys of quarantined combinations of which this node may try one request.
+    pub(crate) trials: Receiver<u64>,
 }
 
 /// State and channels by which the control thread publishes to the traffic thread.
@@ -48,6 +53,8 @@
     pub(crate) prompts: Sender<Vec<PromptSent>>,
     /// Replies of coordinators, each with the coordinator's address for events.
     pub(crate) start_replies: Sender<(SocketAddr, Vec<StartReply>)>,
+    /// Keys of quarantined combinations of which this node may try one request.
+    pub(crate) trials: Sender<u64>,
     /// Notified after each change of the view.
     pub(crate) view_changed: Arc<Notify>,
 }
@@ -57,13 +64,18 @@
     pub(crate) fn new() -> (Self, PeerUpdates) {
         let (prompts, prompts_receiver) = channel(PROMPTS_CAPACITY);
         let (start_replies, start_replies_receiver) = channel(START_REPLIES_CAPACITY);
-        let receivers =
-            PeerUpdates { prompts: prompts_receiver, start_replies: start_replies_receiver };
+        let (trials, trials_receiver) = channel(TRIALS_CAPACITY);
+        let receivers = PeerUpdates {
+            prompts: prompts_receiver,
+            start_replies: start_replies_receiver,
+            trials: trials_receiver,
+        };
         let published = Self {
             view: Arc::new(ArcSwap::from_pointee(ClusterView::default())),
             endpoints: Arc::new(ArcSwap::from_pointee(CallerEndpoints::default())),
             prompts,
             start_replies,
+            trials,
             view_changed: Arc::default(),
         };
         (published, receivers)
--- a/crates/node/src/table_watcher.rs
+++ b/crates/node/src/table_watcher.rs
@@ -18,7 +18,7 @@
 /// Longest wait of one call for changes. When a reader's connection stops delivering data without
 /// being closed, the reader must notice soon enough for other nodes to read in its place before a
 /// change is overdue.
-const LONG_POLL_WAIT: Duration = Duration::from_millis(700);
+pub(crate) const LONG_POLL_WAIT: Duration = Duration::from_millis(700);
 /// Pause after changes, so that several changes in quick succession cost one call.
 const BATCHING_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after changes for the standby reader, whose changes are used only if those of the primary
@@ -64,6 +64,8 @@
     pub(crate) table: &'static str,
     pub(crate) watched: WatchedTable,
     pub(crate) position: WatchPosition,
+    /// Longest wait of one call for changes.
+    pub(crate) long_poll_wait: Duration,
     /// Whether this node reads the table itself at present, and as primary or standby reader.
     pub(crate) role: watch::Receiver<ReadRole>,
     /// True if the deployment is too large for a full mesh.
@@ -122,7 +124,7 @@
             let snapshot = self.store.snapshot(self.table).await.map_err(FeedError::Store)?;
             return Ok(Event::Snapshot(self.watched, snapshot));
         }
-        let changes = self.store.changes(self.table, after, LONG_POLL_WAIT).await?;
+        let changes = self.store.changes(self.table, after, self.long_poll_wait).await?;
         Ok(Event::Changes(self.watched, after, changes))
     }
 }
--- /dev/null
+++ b/crates/quarantine/src/crash_log.rs
@@ -0,0 +1,265 @@
+//! Attempts that broke when their engines ended, and the parts of prompts that explain these crashes.
+//!
+//! A part is quarantined if requests with it were among those whose answers hadn't begun at several crashes, at moments
+//! of their own, and if none of its requests has been answered since the first of them. Requests that only happened to
+//! be at a crashed engine are repeated elsewhere and answered, which clears all their parts; a part that most requests
+//! share is cleared all the time. Parts that can't be told apart yet, because every such request holds all of them, are
+//! quarantined as a combination, so that requests which hold only some of them are still sent.
+
+use {
+    crate::quarantine::Quarantine,
+    serde::{Deserialize, Serialize},
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        time::{Duration, Instant},
+    },
+};
+
+/// Moments of crashes after which a part is quarantined.
+const MOMENTS_MIN: usize = 3;
+/// The same for a part that is in several of the requests at each crash, as a part is that many requests share.
+const UNSPECIFIC_MOMENTS_MIN: usize = 6;
+/// Most requests with a part at a crash, on average, up to which the part is specific to the crashes.
+const SPECIFIC_REQUESTS_MAX: usize = 2;
+/// Requests with a part, different ones, that must have been at crashes. The attempts of one unlucky request prove
+/// little.
+const REQUESTS_MIN: usize = 2;
+/// Moments of crashes after which it is asked whether requests with a part are answered.
+const SUSPECT_MOMENTS_MIN: usize = 2;
+/// Time for an answer to a request with a suspected part to become known. It covers an attempt and the messages about
+/// it in a large deployment.
+const ANSWER_KNOWN_WITHIN: Duration = Duration::from_millis(500);
+/// Crashes within this time count as one moment: engines that end together have a cause of their own, and nodes notice
+/// the same crash up to about 100 ms apart.
+const MOMENT: Duration = Duration::from_millis(200);
+/// Time within which the end of an engine must be known, before or after the attempts that broke there. Without it
+/// only connections broke.
+const CONFIRMED_WITHIN: Duration = Duration::from_secs(5);
+/// Time for which crashes are kept.
+const CRASH_KEPT_FOR: Duration = Duration::from_secs(120);
+/// Largest number of crashes that are kept.
+const CRASHES_MAX: usize = 128;
+/// Largest number of broken attempts that are kept for a crash.
+const ATTEMPTS_PER_CRASH_MAX: usize = 64;
+/// Largest number of parts that are kept for an attempt: the first ones.
+const PARTS_PER_ATTEMPT_MAX: usize = 16;
+/// Largest number of suspected parts.
+const SUSPECTS_MAX: usize = 64;
+
+/// An attempt that broke before its answer had begun, or just after.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct LostAttempt {
+    /// Hash that identifies the run of the server.
+    pub server: u32,
+    /// Hash of the request's id.
+    pub request: u64,
+    /// Hashes of the prompt's parts that other requests may share, in their order.
+    pub parts: Vec<u64>,
+}
+
+/// A combination of parts that explains crashes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attribution {
+    /// Hashes of the parts, in the order of the prompt.
+    pub parts: Vec<u64>,
+    /// Number of crashes that the parts explain.
+    pub crashes: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Crash {
+    server: u32,
+    at: Instant,
+    /// The server is known to have ended.
+    is_confirmed: bool,
+    attempts: Vec<LostAttempt>,
+}
+
+/// The recent crashes of engines, as far as one node has heard of them.
+#[derive(Clone, Debug, Default)]
+pub struct CrashLog {
+    crashes: VecDeque<Crash>,
+    /// Servers that have ended recently.
+    ended: VecDeque<(u32, Instant)>,
+    /// Parts that were at several crashes, and since when that is known.
+    suspected_since: BTreeMap<u64, Instant>,
+}
+
+/// What is known of one part.
+#[derive(Clone, Debug, Default)]
+struct Tally {
+    moments: usize,
+    last_moment_at: Option<Instant>,
+    crashes: usize,
+    requests: BTreeSet<u64>,
+    attempts: usize,
+    /// The parts that all attempts with this one hold, in the order of the prompt.
+    common_parts: Vec<u64>,
+}
+
+impl CrashLog {
+    /// Records an attempt that broke.
+    pub fn on_lost(&mut self, now: Instant, mut attempt: LostAttempt) {
+        attempt.parts.truncate(PARTS_PER_ATTEMPT_MAX);
+        if attempt.parts.is_empty() {
+            return;
+        }
+        let server = attempt.server;
+        let is_confirmed = self.ended.iter().any(|(ended, _)| *ended == server);
+        let known = self.crashes.iter().position(|crash| crash.server == server);
+        let position = known.unwrap_or_else(|| {
+            if self.crashes.len() == CRASHES_MAX {
+                self.crashes.pop_front();
+            }
+            self.crashes.push_back(Crash { server, at: now, is_confirmed, attempts: Vec::new() });
+            self.crashes.len() - 1
+        });
+        let crash = &mut self.crashes[position];
+        if crash.attempts.len() < ATTEMPTS_PER_CRASH_MAX && !crash.attempts.contains(&attempt) {
+            crash.attempts.push(attempt);
+        }
+    }
+
+    /// Records that a server has ended.
+    pub fn on_ended(&mut self, now: Instant, server: u32) {
+        if self.ended.iter().any(|(ended, _)| *ended == server) {
+            return;
+        }
+        if self.ended.len() == CRASHES_MAX {
+            self.ended.pop_front();
+        }
+        self.ended.push_back((server, now));
+        let of_server = self.crashes.iter_mut().filter(|crash| crash.server == server);
+        of_server.for_each(|crash| crash.is_confirmed = true);
+    }
+
+    /// Records that requests with `parts` were answered: these parts explain no crash.
+    pub fn on_served(&mut self, parts: &[u64]) {
+        for crash in &mut self.crashes {
+            for attempt in &mut crash.attempts {
+                attempt.parts.retain(|part| !parts.contains(part));
+            }
+            crash.attempts.retain(|attempt| !attempt.parts.is_empty());
+        }
+        self.suspected_since.retain(|part, _| !parts.contains(part));
+    }
+
+    /// The parts of which it must be known whether requests with them are answered.
+    pub fn suspects(&self) -> impl Iterator<Item = u64> + '_ {
+        self.suspected_since.keys().copied().take(SUSPECTS_MAX)
+    }
+
+    /// True if nothing is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    /// Names the combinations of parts that explain the crashes which `quarantine` doesn't explain, the most likely
+    /// first, and updates the suspects.
+    pub fn attribute(&mut self, now: Instant, quarantine: &Quarantine) -> Vec<Attribution> {
+        self.forget_old(now);
+        let is_explained =
+            |crash: &Crash| crash.attempts.iter().any(|attempt| quarantine.blocks(&attempt.parts));
+        let mut open: Vec<&Crash> = self
+            .crashes
+            .iter()
+            .filter(|crash| crash.is_confirmed && !is_explained(crash))
+            .collect();
+        let tallies = tally(&open);
+        let is_suspect = |(_, tally): &(&u64, &Tally)| tally.moments >= SUSPECT_MOMENTS_MIN;
+        let suspects = tallies
+            .iter()
+            .filter(is_suspect)
+            .map(|(part, _)| (*part, self.suspected_since.get(part).copied().unwrap_or(now)));
+        let suspected_since: BTreeMap<u64, Instant> = suspects.collect();
+        let mut found = Vec::new();
+        while let Some(attribution) = most_likely(now, &tally(&open), &suspected_since) {
+            let is_explained = |crash: &&Crash| {
+                crash.attempts.iter().any(|attempt| attempt.holds(&attribution.parts))
+            };
+            open.retain(|crash| !is_explained(crash));
+            found.push(attribution);
+        }
+        self.suspected_since = suspected_since;
+        found
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        let age = |at: Instant| now.saturating_duration_since(at);
+        self.crashes.retain(|crash| {
+            let kept_for = if crash.is_confirmed { CRASH_KEPT_FOR } else { CONFIRMED_WITHIN };
+            age(crash.at) < kept_for && !crash.attempts.is_empty()
+        });
+        self.ended.retain(|(_, at)| age(*at) < CONFIRMED_WITHIN);
+    }
+}
+
+impl LostAttempt {
+    fn holds(&self, parts: &[u64]) -> bool {
+        crate::contains_all(&self.parts, parts)
+    }
+}
+
+/// Adds up what `crashes`, in the order of their times, show of each part.
+fn tally(crashes: &[&Crash]) -> BTreeMap<u64, Tally> {
+    let mut tallies: BTreeMap<u64, Tally> = BTreeMap::new();
+    for crash in crashes {
+        let parts: BTreeSet<u64> =
+            crash.attempts.iter().flat_map(|attempt| &attempt.parts).copied().collect();
+        for part in parts {
+            let tally = tallies.entry(part).or_default();
+            tally.crashes += 1;
+            let is_new_moment = |last: Instant| crash.at.saturating_duration_since(last) >= MOMENT;
+            if tally.last_moment_at.is_none_or(is_new_moment) {
+                tally.moments += 1;
+                tally.last_moment_at = Some(crash.at);
+            }
+            for attempt in crash.attempts.iter().filter(|attempt| attempt.parts.contains(&part)) {
+                tally.add(attempt);
+            }
+        }
+    }
+    tallies
+}
+
+impl Tally {
+    fn add(&mut self, attempt: &LostAttempt) {
+        if self.attempts == 0 {
+            self.common_parts.clone_from(&attempt.parts);
+        } else {
+            self.common_parts.retain(|part| attempt.parts.contains(part));
+        }
+        self.attempts += 1;
+        self.requests.insert(attempt.request);
+    }
+
+    /// True if the part is in about one request at each crash, as the part at fault is.
+    fn is_specific(&self) -> bool {
+        self.attempts <= SPECIFIC_REQUESTS_MAX * self.crashes
+    }
+
+    fn suffices(&self) -> bool {
+        let moments_min = if self.is_specific() { MOMENTS_MIN } else { UNSPECIFIC_MOMENTS_MIN };
+        self.moments >= moments_min && self.requests.len() >= REQUESTS_MIN
+    }
+}
+
+/// The combination that explains most crashes, of those that explain enough.
+fn most_likely(
+    now: Instant,
+    tallies: &BTreeMap<u64, Tally>,
+    suspected_since: &BTreeMap<u64, Instant>,
+) -> Option<Attribution> {
+    let is_due = |part: &u64| {
+        let since = suspected_since.get(part);
+        since.is_some_and(|at| now.saturating_duration_since(*at) >= ANSWER_KNOWN_WITHIN)
+    };
+    let sufficient = tallies.iter().filter(|(part, tally)| is_due(part) && tally.suffices());
+    let (_, best) = sufficient.max_by_key(|(_, tally)| {
+        (tally.is_specific(), tally.moments, tally.common_parts.len(), Reverse(tally.attempts))
+    })?;
+    let crashes = u32::try_from(best.crashes).unwrap_or(u32::MAX);
+    Some(Attribution { parts: best.common_parts.clone(), crashes })
+}
--- a/crates/relay/src/admitted_request.rs
+++ b/crates/relay/src/admitted_request.rs
@@ -38,6 +38,8 @@
     error_answer: RefCell<Option<CompleteAnswer>>,
     /// The server whose answer began last, and when it began.
     answer_began: Cell<Option<(ServerIdx, Instant)>>,
+    /// The request is a trial of quarantined parts, which is sent once.
+    is_trial: Cell<bool>,
     end_line: EndLine,
 }
 
@@ -60,6 +62,7 @@
             failed_attempts,
             error_answer,
             answer_began: Cell::new(None),
+            is_trial: Cell::new(false),
             end_line,
         }
     }
@@ -135,9 +138,19 @@
         self.open_request.spec.first_byte_deadline = self.routed.give_up_at(now);
     }
 
-    /// True if the route allows another attempt.
+    /// Makes the request a trial of quarantined parts.
+    pub(crate) fn begin_trial(&self) {
+        self.is_trial.set(true);
+    }
+
+    /// True if the request is a trial of quarantined parts.
+    pub(crate) fn is_trial(&self) -> bool {
+        self.is_trial.get()
+    }
+
+    /// True if another attempt is allowed.
     pub(crate) fn may_try_again(&self) -> bool {
-        self.failed_attempts().allows_another(&self.routed.route)
+        !self.is_trial() && self.failed_attempts().allows_another(&self.routed.route)
     }
 
     /// Longest silence of a server before its answer begins. After that another server is asked.
--- a/crates/relay/src/connected_attempt.rs
+++ b/crates/relay/src/connected_attempt.rs
@@ -25,7 +25,7 @@
 
 /// Time limit for opening a connection. Backend servers are a few milliseconds away; a lost SYN
 /// packet is retransmitted only after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit for the answer to a reservation request.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time after which a reservation lapses unless the request has arrived.
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -9,6 +9,7 @@
         attempt_failure::AttemptFailure,
         dialect::Dialect,
         event_splitter::Event,
+        quarantine::ANSWER_SURE_AFTER,
         relay::Relay,
     },
     bytes::Bytes,
@@ -30,6 +31,9 @@
 /// Shortest time between two events that counts as the time to generate one. Shorter gaps come from
 /// events that arrived together.
 const MIN_EVENT_GAP: Duration = Duration::from_millis(5);
+/// Age of an answer up to which it proves that the parts of its prompt don't crash engines. Parts may have become
+/// harmful since an older answer began.
+const PROOF_AGE_MAX: Duration = Duration::from_secs(2);
 /// Capacity of the channel between the server's and the caller's connection.
 const CHANNEL_EVENTS_MAX: usize = 4;
 
@@ -210,6 +214,9 @@
             }
             self.last_event_id = id;
             self.events += 1;
+            if self.answering_for(relay) >= ANSWER_SURE_AFTER {
+                self.report_served(relay, admitted);
+            }
         }
     }
 
@@ -219,6 +226,18 @@
         tokens_max > 0 && self.events > tokens_max.saturating_add(EXCESS_EVENTS_MAX)
     }
 
+    /// Time since the first event of this server.
+    fn answering_for(&self, relay: &Relay<D>) -> Duration {
+        relay.clock.now().saturating_duration_since(self.first_event_at)
+    }
+
+    /// Reports that the parts of the prompt are sound, unless the answer began too long ago to prove that.
+    fn report_served(&self, relay: &Relay<D>, admitted: &AdmittedRequest) {
+        if self.answering_for(relay) <= PROOF_AGE_MAX {
+            relay.report_served(admitted);
+        }
+    }
+
     /// Records the pause since the last event, which is over now.
     fn record_pause(&mut self) {
         let now = self.answering.now();
@@ -240,6 +259,7 @@
         let decode_step = self.min_event_gap.map(|gap| gap / tokens_per_event);
         self.answering.record_generation(tokens, time, decode_step);
         relay.log_stream_ended(admitted, "whole", "", self.longest_pause);
+        self.report_served(relay, admitted);
         self.answering.finish();
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -25,6 +25,7 @@
     streams: Counter<u64>,
     waits: Counter<u64>,
     caller_left: Counter<u64>,
+    quarantined: Counter<u64>,
     first_byte_s: Histogram<f64>,
     stream_pause_s: Histogram<f64>,
 }
@@ -53,6 +54,10 @@
             streams: counter("streams", "Streams that ended, by outcome."),
             waits: counter("waits", "Requests that waited for a server."),
             caller_left: counter("left", "Requests whose callers left before an answer, by stage."),
+            quarantined: counter(
+                "quarantined_requests",
+                "Requests kept from servers because of a part of their prompts.",
+            ),
             first_byte_s: histogram("first_byte", "Time to the first byte of an answer."),
             stream_pause_s: histogram(
                 "stream_pause",
@@ -93,6 +98,10 @@
         self.caller_left.add(1, &[KeyValue::new("stage", stage)]);
     }
 
+    pub(crate) fn on_quarantined(&self) {
+        self.quarantined.add(1, &[]);
+    }
+
     pub(crate) fn on_wait(&self) {
         self.waits.add(1, &[]);
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,6 +12,7 @@
         metrics::Metrics,
         open_request::OpenRequest,
         own_answer::OwnAnswer,
+        quarantine::QuarantineClient,
         routed_request::RoutedRequest,
         start_client::StartClient,
         traffic_update::OnTrafficUpdate,
@@ -90,6 +91,7 @@
     pub(crate) prompt_sent: Notify,
     pub(crate) on_update: OnTrafficUpdate,
     pub(crate) start_client: StartClient,
+    pub(crate) quarantine: QuarantineClient,
     pub(crate) metrics: Rc<Metrics>,
     drain: Cell<Option<Drain>>,
     drain_began: Notify,
@@ -115,6 +117,7 @@
     pub fn apply_view(&self) {
         let view = self.relay.view.load();
         self.relay.dispatcher.borrow_mut().update_view(&view);
+        self.relay.quarantine.on_view();
         self.relay.idle_connections.borrow_mut().close_expired(self.relay.clock.now());
         self.relay.wait_queue.wake();
     }
@@ -157,6 +160,11 @@
         self.relay.start_client.on_replies(coordinator, replies);
     }
 
+    /// Permits one request to be sent as the trial of the quarantined combination of parts `key`.
+    pub fn grant_trial(&self, key: u64) {
+        self.relay.quarantine.grant(self.relay.clock.now(), key);
+    }
+
     /// Replaces the limit on retried requests.
     pub fn set_retry_limit(&self, limit: RetryLimit) {
         self.relay.dispatcher.borrow_mut().set_retry_limit(limit);
@@ -206,6 +214,7 @@
             prompt_sent: Notify::new(),
             on_update,
             start_client: StartClient::new(rng.u32(..)),
+            quarantine: QuarantineClient::default(),
             metrics: Rc::new(Metrics::new(meter)),
             rng: RefCell::new(rng),
             drain: Cell::new(None),
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -7,6 +7,7 @@
         own_answer::OwnAnswer, relay::Relay,
     },
     glade_dispatch::ServerIdx,
+    glade_quarantine::BlockedParts,
     glade_types::{ModelName, RequestId},
     hyper::StatusCode,
     std::time::Duration,
@@ -218,6 +219,40 @@
         );
     }
 
+    /// Logs that a request must not be sent because it holds the `blocked` combination of parts.
+    pub(crate) fn log_quarantined(&self, admitted: &AdmittedRequest, blocked: &BlockedParts) {
+        self.metrics.on_quarantined();
+        let now = self.clock.now();
+        log::info!(
+            id = admitted.routed.id.as_str(),
+            parts = part_list(blocked.parts.iter().copied()).as_str(),
+            crashes = blocked.crashes,
+            known_ms = now.saturating_duration_since(blocked.since).as_millis() as u64,
+            trial_in_ms = blocked.trial_at.saturating_duration_since(now).as_millis() as u64,
+            after_ms = self.after_ms(admitted);
+            "request_quarantined"
+        );
+    }
+
+    /// Logs that a request is sent as the trial of the `blocked` combination of parts that it holds.
+    pub(crate) fn log_trial(&self, admitted: &AdmittedRequest, blocked: &BlockedParts) {
+        log::info!(
+            id = admitted.routed.id.as_str(),
+            parts = part_list(blocked.parts.iter().copied()).as_str(),
+            after_ms = self.after_ms(admitted);
+            "quarantine_trial_sent"
+        );
+    }
+
+    /// Logs that a server whose connection broke can't be connected to.
+    pub(crate) fn log_checked(&self, server: ServerIdx, failure: AttemptFailure) {
+        log::info!(
+            server = self.dispatcher.borrow().record(server).key.id.as_str(),
+            failure = failure.name();
+            "server_checked"
+        );
+    }
+
     fn after_ms(&self, admitted: &AdmittedRequest) -> u64 {
         let after = self.clock.now().saturating_duration_since(admitted.routed.arrived_at);
         u64::try_from(after.as_millis()).unwrap_or(u64::MAX)
--- a/crates/relay/src/server_answer.rs
+++ b/crates/relay/src/server_answer.rs
@@ -94,7 +94,13 @@
         if admitted.time_left(now).is_zero() || (!is_first && !admitted.may_try_again()) {
             return Err(None);
         }
-        let attempt = self.choose_server(admitted).await.map_err(Some)?;
+        self.start_trial_if_due(admitted).await;
+        let chosen = tokio::select! {
+            biased;
+            refused = self.until_quarantined(admitted) => Err(refused),
+            chosen = self.choose_server(admitted) => chosen,
+        };
+        let attempt = chosen.map_err(|refused| Some(self.keep_trial(admitted, refused)))?;
         let service = &admitted.open_request.spec.service;
         let mut dispatcher = self.dispatcher.borrow_mut();
         if is_first {
@@ -142,6 +148,9 @@
 
     fn forward(&self, admitted: &AdmittedRequest, answer: CompleteAnswer) -> Response<AnswerBody> {
         self.log_answered(admitted, answer.server, answer.head.status);
+        if answer.head.status.is_success() {
+            self.report_served(admitted);
+        }
         self.response(answer.head, AnswerBody::complete(answer.body))
     }
 
@@ -182,6 +191,8 @@
             OwnAnswer::not_run(cause, retry_after)
         } else if admitted.time_left(self.clock.now()).is_zero() {
             OwnAnswer::timed_out()
+        } else if refused.is_some_and(|refused| refused.reason == Refusal::Quarantined) {
+            OwnAnswer::unknown(Refusal::Quarantined.name())
         } else {
             OwnAnswer::unknown("no_answer")
         };
@@ -191,7 +202,7 @@
 
     /// Records a failed attempt at `server`, and counts it against the request.
     pub(crate) fn add_failed_attempt(
-        &self,
+        self: &Rc<Self>,
         admitted: &AdmittedRequest,
         server: ServerIdx,
         failure: AttemptFailure,
@@ -203,7 +214,7 @@
     /// Records a failed attempt at `server`, and counts it against the request unless it
     /// `is_counted` already.
     pub(crate) fn handle_failed_attempt(
-        &self,
+        self: &Rc<Self>,
         admitted: &AdmittedRequest,
         server: ServerIdx,
         failure: AttemptFailure,
@@ -225,7 +236,7 @@
     /// Records a failure of `server` with the dispatcher, the coordinator, the log and the
     /// connection pool.
     pub(crate) fn record_failure(
-        &self,
+        self: &Rc<Self>,
         admitted: &AdmittedRequest,
         server: ServerIdx,
         failure: AttemptFailure,
@@ -239,12 +250,18 @@
                 .report(None, StartEvent::Failed { server: tag, weight: failure.weight() });
         }
         self.log_failure(admitted, server, failure, ejected_for);
+        self.report_lost(admitted, server, failure);
         if failure.invalidates_connections() {
             self.idle_connections.borrow_mut().close_all(server);
         }
         if failure.proves_gone() {
-            let key = self.dispatcher.borrow_mut().mark_gone(server);
-            (self.on_update)(TrafficUpdate::ServerGone(key));
+            self.report_gone(server);
         }
     }
+
+    /// Records that the process of `server` is gone.
+    pub(crate) fn report_gone(&self, server: ServerIdx) {
+        let key = self.dispatcher.borrow_mut().mark_gone(server);
+        (self.on_update)(TrafficUpdate::ServerGone(key));
+    }
 }
--- a/crates/relay/src/traffic_update.rs
+++ b/crates/relay/src/traffic_update.rs
@@ -1,8 +1,8 @@
 //! Updates that the traffic thread sends to the control thread immediately.
 
 use {
-    glade_catalog::ServerKey, glade_dispatch::StartRequest, glade_types::ModelName,
-    std::time::Duration,
+    glade_catalog::ServerKey, glade_dispatch::StartRequest, glade_quarantine::LostAttempt,
+    glade_types::ModelName, std::time::Duration,
 };
 
 /// An observation or request of the traffic thread.
@@ -18,6 +18,12 @@
     ServerBackoff(ServerKey, Duration),
     /// A server's process is gone: nothing listens at its address, or another server does.
     ServerGone(ServerKey),
+    /// An attempt broke before its answer had begun, or just after.
+    AttemptLost(LostAttempt),
+    /// Requests with these suspected parts of prompts were answered.
+    PartsServed(Vec<u64>),
+    /// A request would be sent as the trial of the quarantined combination of parts with this key.
+    TrialWanted(u64),
 }
 
 /// Called with each update.
