Blame a part that many requests hold at each crash, and blame sooner

A part now counts as widely shared only if its requests have nothing else in common. What explains most crashes is blamed first.

--- a/crates/node/src/quarantine_exchange.rs
+++ b/crates/node/src/quarantine_exchange.rs
@@ -22,6 +22,11 @@
 
 /// Period at which cores repeat the entries while there are any.
 const REPEAT_PERIOD: Duration = Duration::from_secs(1);
+/// Time for an answer to a request with a suspected part to become known to a core: an attempt at another engine, and
+/// the message about it.
+const ANSWER_KNOWN_WITHIN: Duration = Duration::from_millis(300);
+/// The same in a mesh with leaves, over which messages take longer.
+const LARGE_MESH_ANSWER_KNOWN_WITHIN: Duration = Duration::from_millis(600);
 /// Shortest time between two messages about changed suspects.
 const SUSPECTS_INTERVAL: Duration = Duration::from_millis(100);
 /// Largest number of attempts that wait to be sent to other nodes. A crash breaks at most some hundred.
@@ -188,7 +193,7 @@
         network: &mut PeerNetwork,
     ) -> (Vec<Attribution>, bool) {
         self.send_evidence(now, network);
-        let found = self.find_parts_at_fault(now, network.mesh.is_core);
+        let found = self.find_parts_at_fault(now, network);
         self.quarantine.sweep(now);
         if network.mesh.is_core {
             self.send_entries(now, network);
@@ -209,11 +214,16 @@
         is_needed.then_some(PeerMessage::Quarantine { entries, suspects })
     }
 
-    fn find_parts_at_fault(&mut self, now: Instant, is_core: bool) -> Vec<Attribution> {
-        if !is_core || self.crash_log.is_empty() && self.suspects.is_empty() {
+    fn find_parts_at_fault(&mut self, now: Instant, network: &PeerNetwork) -> Vec<Attribution> {
+        let answer_known_within = if network.mesh.is_full_mesh {
+            ANSWER_KNOWN_WITHIN
+        } else {
+            LARGE_MESH_ANSWER_KNOWN_WITHIN
+        };
+        if !network.mesh.is_core || self.crash_log.is_empty() && self.suspects.is_empty() {
             return Vec::new();
         }
-        let found = self.crash_log.attribute(now, &self.quarantine);
+        let found = self.crash_log.attribute(now, &self.quarantine, answer_known_within);
         for attribution in &found {
             self.quarantine.add(now, attribution);
             self.entries_changed = true;
--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -7,7 +7,7 @@
 //! quarantined as a combination, so that requests which hold only some of them are still sent.
 
 use {
-    crate::quarantine::Quarantine,
+    crate::{contains_all, quarantine::Quarantine},
     serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
@@ -18,21 +18,18 @@
 
 /// Moments of crashes after which a part is quarantined.
 const MOMENTS_MIN: usize = 3;
-/// The same for a part that is in several of the requests at each crash, as a part is that many requests share.
-const UNSPECIFIC_MOMENTS_MIN: usize = 6;
-/// Most requests with a part at a crash, on average, up to which the part is specific to the crashes.
-const SPECIFIC_REQUESTS_MAX: usize = 2;
+/// The same for a part that different requests share, several of them at each crash.
+const WIDELY_SHARED_MOMENTS_MIN: usize = 6;
+/// Requests with a part at a crash, on average, above which the part is widely shared.
+const REQUESTS_PER_CRASH_MAX: usize = 2;
 /// Requests with a part, different ones, that must have been at crashes. The attempts of one unlucky request prove
 /// little.
 const REQUESTS_MIN: usize = 2;
 /// Moments of crashes after which it is asked whether requests with a part are answered.
 const SUSPECT_MOMENTS_MIN: usize = 2;
-/// Time for an answer to a request with a suspected part to become known. It covers an attempt and the messages about
-/// it in a large deployment.
-const ANSWER_KNOWN_WITHIN: Duration = Duration::from_millis(500);
 /// Crashes within this time count as one moment: engines that end together have a cause of their own, and nodes notice
 /// the same crash up to about 100 ms apart.
-const MOMENT: Duration = Duration::from_millis(200);
+const MOMENT: Duration = Duration::from_millis(120);
 /// Time within which the end of an engine must be known, before or after the attempts that broke there. Without it
 /// only connections broke.
 const CONFIRMED_WITHIN: Duration = Duration::from_secs(5);
@@ -74,7 +71,14 @@
     at: Instant,
     /// The server is known to have ended.
     is_confirmed: bool,
-    attempts: Vec<LostAttempt>,
+    attempts: Vec<KeptAttempt>,
+}
+
+#[derive(Clone, Debug)]
+struct KeptAttempt {
+    attempt: LostAttempt,
+    /// Its parts of which no request was answered since.
+    open_parts: Vec<u64>,
 }
 
 /// The recent crashes of engines, as far as one node has heard of them.
@@ -97,6 +101,8 @@
     attempts: usize,
     /// The parts that all attempts with this one hold, in the order of the prompt.
     common_parts: Vec<u64>,
+    /// Those of them of which no request was answered since.
+    open_parts: Vec<u64>,
 }
 
 impl CrashLog {
@@ -117,8 +123,10 @@
             self.crashes.len() - 1
         });
         let crash = &mut self.crashes[position];
-        if crash.attempts.len() < ATTEMPTS_PER_CRASH_MAX && !crash.attempts.contains(&attempt) {
-            crash.attempts.push(attempt);
+        let is_known = crash.attempts.iter().any(|kept| kept.attempt == attempt);
+        if !is_known && crash.attempts.len() < ATTEMPTS_PER_CRASH_MAX {
+            let open_parts = attempt.parts.clone();
+            crash.attempts.push(KeptAttempt { attempt, open_parts });
         }
     }
 
@@ -138,10 +146,10 @@
     /// Records that requests with `parts` were answered: these parts explain no crash.
     pub fn on_served(&mut self, parts: &[u64]) {
         for crash in &mut self.crashes {
-            for attempt in &mut crash.attempts {
-                attempt.parts.retain(|part| !parts.contains(part));
+            for kept in &mut crash.attempts {
+                kept.open_parts.retain(|part| !parts.contains(part));
             }
-            crash.attempts.retain(|attempt| !attempt.parts.is_empty());
+            crash.attempts.retain(|kept| !kept.open_parts.is_empty());
         }
         self.suspected_since.retain(|part, _| !parts.contains(part));
     }
@@ -157,11 +165,19 @@
     }
 
     /// Names the combinations of parts that explain the crashes which `quarantine` doesn't explain, the most likely
-    /// first, and updates the suspects.
-    pub fn attribute(&mut self, now: Instant, quarantine: &Quarantine) -> Vec<Attribution> {
+    /// first, and updates the suspects. An answer to a request with a suspected part becomes known here within
+    /// `answer_known_within`; no part is blamed before.
+    pub fn attribute(
+        &mut self,
+        now: Instant,
+        quarantine: &Quarantine,
+        answer_known_within: Duration,
+    ) -> Vec<Attribution> {
         self.forget_old(now);
-        let is_explained =
-            |crash: &Crash| crash.attempts.iter().any(|attempt| quarantine.blocks(&attempt.parts));
+        let suspected_by = now.checked_sub(answer_known_within).unwrap_or(now);
+        let is_explained = |crash: &Crash| {
+            crash.attempts.iter().any(|kept| quarantine.blocks(&kept.attempt.parts))
+        };
         let mut open: Vec<&Crash> = self
             .crashes
             .iter()
@@ -175,9 +191,12 @@
             .map(|(part, _)| (*part, self.suspected_since.get(part).copied().unwrap_or(now)));
         let suspected_since: BTreeMap<u64, Instant> = suspects.collect();
         let mut found = Vec::new();
-        while let Some(attribution) = most_likely(now, &tally(&open), &suspected_since) {
+        while let Some(attribution) = most_likely(&tally(&open), &suspected_since, suspected_by) {
             let is_explained = |crash: &&Crash| {
-                crash.attempts.iter().any(|attempt| attempt.holds(&attribution.parts))
+                crash
+                    .attempts
+                    .iter()
+                    .any(|kept| contains_all(&kept.attempt.parts, &attribution.parts))
             };
             open.retain(|crash| !is_explained(crash));
             found.push(attribution);
@@ -196,18 +215,12 @@
     }
 }
 
-impl LostAttempt {
-    fn holds(&self, parts: &[u64]) -> bool {
-        crate::contains_all(&self.parts, parts)
-    }
-}
-
 /// Adds up what `crashes`, in the order of their times, show of each part.
 fn tally(crashes: &[&Crash]) -> BTreeMap<u64, Tally> {
     let mut tallies: BTreeMap<u64, Tally> = BTreeMap::new();
     for crash in crashes {
         let parts: BTreeSet<u64> =
-            crash.attempts.iter().flat_map(|attempt| &attempt.parts).copied().collect();
+            crash.attempts.iter().flat_map(|kept| &kept.open_parts).copied().collect();
         for part in parts {
             let tally = tallies.entry(part).or_default();
             tally.crashes += 1;
@@ -216,8 +229,8 @@
                 tally.moments += 1;
                 tally.last_moment_at = Some(crash.at);
             }
-            for attempt in crash.attempts.iter().filter(|attempt| attempt.parts.contains(&part)) {
-                tally.add(attempt);
+            for kept in crash.attempts.iter().filter(|kept| kept.open_parts.contains(&part)) {
+                tally.add(kept);
             }
         }
     }
@@ -225,41 +238,48 @@
 }
 
 impl Tally {
-    fn add(&mut self, attempt: &LostAttempt) {
+    fn add(&mut self, kept: &KeptAttempt) {
+        let KeptAttempt { attempt, open_parts } = kept;
         if self.attempts == 0 {
             self.common_parts.clone_from(&attempt.parts);
+            self.open_parts.clone_from(open_parts);
         } else {
             self.common_parts.retain(|part| attempt.parts.contains(part));
+            self.open_parts.retain(|part| open_parts.contains(part));
         }
         self.attempts += 1;
         self.requests.insert(attempt.request);
     }
 
-    /// True if the part is in about one request at each crash, as the part at fault is.
-    fn is_specific(&self) -> bool {
-        self.attempts <= SPECIFIC_REQUESTS_MAX * self.crashes
+    /// True if the part is in several requests at each crash that have nothing else in common, as the first part of
+    /// most prompts is.
+    fn is_widely_shared(&self) -> bool {
+        self.common_parts.len() <= 1 && self.attempts > REQUESTS_PER_CRASH_MAX * self.crashes
     }
 
     fn suffices(&self) -> bool {
-        let moments_min = if self.is_specific() { MOMENTS_MIN } else { UNSPECIFIC_MOMENTS_MIN };
+        let moments_min =
+            if self.is_widely_shared() { WIDELY_SHARED_MOMENTS_MIN } else { MOMENTS_MIN };
         self.moments >= moments_min && self.requests.len() >= REQUESTS_MIN
     }
 }
 
-/// The combination that explains most crashes, of those that explain enough.
+/// The combination that explains most crashes, of those that explain enough and were suspected at `suspected_by`.
 fn most_likely(
-    now: Instant,
     tallies: &BTreeMap<u64, Tally>,
     suspected_since: &BTreeMap<u64, Instant>,
+    suspected_by: Instant,
 ) -> Option<Attribution> {
-    let is_due = |part: &u64| {
-        let since = suspected_since.get(part);
-        since.is_some_and(|at| now.saturating_duration_since(*at) >= ANSWER_KNOWN_WITHIN)
-    };
+    let is_due = |part: &u64| suspected_since.get(part).is_some_and(|at| *at <= suspected_by);
     let sufficient = tallies.iter().filter(|(part, tally)| is_due(part) && tally.suffices());
     let (_, best) = sufficient.max_by_key(|(_, tally)| {
-        (tally.is_specific(), tally.moments, tally.common_parts.len(), Reverse(tally.attempts))
+        (
+            !tally.is_widely_shared(),
+            tally.crashes,
+            tally.common_parts.len(),
+            Reverse(tally.attempts),
+        )
     })?;
     let crashes = u32::try_from(best.crashes).unwrap_or(u32::MAX);
-    Some(Attribution { parts: best.common_parts.clone(), crashes })
+    Some(Attribution { parts: best.open_parts.clone(), crashes })
 }
--- /dev/null
+++ b/crates/quarantine/tests/crash_log.rs
@@ -0,0 +1,229 @@
+//! Which parts of prompts a node's log of crashes blames.
+
+use {
+    glade_quarantine::{Attribution, CrashLog, LostAttempt, Quarantine},
+    std::time::{Duration, Instant},
+};
+
+const ANSWER_KNOWN_WITHIN: Duration = Duration::from_millis(300);
+const SHARED: u64 = 0xf1;
+const MIDDLE: u64 = 0x3d;
+const CRASHING: u64 = 0xdead;
+
+/// A log, the quarantine that its findings go to, and the time.
+struct Log {
+    now: Instant,
+    log: CrashLog,
+    quarantine: Quarantine,
+    servers: u32,
+    requests: u64,
+}
+
+impl Log {
+    fn new() -> Self {
+        let (log, quarantine) = (CrashLog::default(), Quarantine::default());
+        Self { now: Instant::now(), log, quarantine, servers: 0, requests: 0 }
+    }
+
+    fn pass_ms(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+    }
+
+    /// A server ends, at which one request with each of `prompts` had no answer yet.
+    fn crash(&mut self, prompts: &[&[u64]]) {
+        self.servers += 1;
+        let server = self.servers;
+        for prompt in prompts {
+            self.requests += 1;
+            self.lose(server, self.requests, prompt);
+        }
+        self.log.on_ended(self.now, server);
+    }
+
+    fn lose(&mut self, server: u32, request: u64, parts: &[u64]) {
+        self.log.on_lost(self.now, LostAttempt { server, request, parts: parts.to_vec() });
+    }
+
+    /// What the log blames now.
+    fn blame(&mut self) -> Vec<Vec<u64>> {
+        let found = self.log.attribute(self.now, &self.quarantine, ANSWER_KNOWN_WITHIN);
+        found.iter().for_each(|attribution| self.quarantine.add(self.now, attribution));
+        found.into_iter().map(|Attribution { parts, .. }| parts).collect()
+    }
+
+    /// What the log blames within a time that suffices for it to make up its mind.
+    fn blame_in_time(&mut self) -> Vec<Vec<u64>> {
+        let mut found = self.blame();
+        self.pass_ms(600);
+        found.extend(self.blame());
+        found
+    }
+
+    /// Crashes by requests with the crashing part, `ms` apart.
+    fn crash_often(&mut self, times: usize, ms: u64) {
+        for _ in 0..times {
+            self.crash(&[&[SHARED, MIDDLE, CRASHING], &[SHARED]]);
+            self.pass_ms(ms);
+        }
+    }
+}
+
+#[test]
+fn a_part_that_crashes_engines_is_blamed_before_the_fifth_crash() {
+    let mut log = Log::new();
+    log.crash_often(3, 300);
+    log.log.on_served(&[SHARED]);
+    log.log.on_served(&[MIDDLE]);
+    assert_eq!(log.blame_in_time(), [[CRASHING]]);
+}
+
+#[test]
+fn parts_that_cant_be_told_apart_are_blamed_as_a_combination_only() {
+    let mut log = Log::new();
+    log.crash_often(3, 300);
+    log.log.on_served(&[SHARED]);
+    assert_eq!(log.blame_in_time(), [[MIDDLE, CRASHING]]);
+    assert!(!log.quarantine.blocks(&[SHARED, MIDDLE]));
+    assert!(log.quarantine.blocks(&[SHARED, MIDDLE, CRASHING]));
+}
+
+#[test]
+fn the_crashing_part_is_blamed_beside_whatever_part_it_comes() {
+    let mut log = Log::new();
+    for middle in 0..4 {
+        log.crash(&[&[SHARED, 0x100 + middle, CRASHING], &[SHARED, 0x200 + middle]]);
+        log.pass_ms(300);
+    }
+    log.log.on_served(&[SHARED]);
+    assert_eq!(log.blame_in_time(), [[CRASHING]]);
+}
+
+#[test]
+fn a_crashing_first_part_is_blamed() {
+    let mut log = Log::new();
+    for middle in 0..3 {
+        log.crash(&[&[CRASHING, 0x100 + middle], &[SHARED, 0x100 + middle]]);
+        log.pass_ms(300);
+    }
+    log.log.on_served(&[SHARED]);
+    assert_eq!(log.blame_in_time(), [[CRASHING]]);
+}
+
+#[test]
+fn a_part_isnt_blamed_for_engines_that_end_together() {
+    let mut log = Log::new();
+    for _ in 0..20 {
+        log.crash(&[&[SHARED, MIDDLE], &[SHARED, MIDDLE]]);
+        log.pass_ms(8);
+    }
+    assert_eq!(log.blame_in_time(), [[0; 0]; 0]);
+}
+
+#[test]
+fn a_part_isnt_blamed_once_its_requests_are_answered_elsewhere() {
+    let mut log = Log::new();
+    for _ in 0..10 {
+        log.crash(&[&[SHARED, MIDDLE]]);
+        log.pass_ms(300);
+        log.log.on_served(&[SHARED, MIDDLE]);
+        assert_eq!(log.blame(), [[0; 0]; 0]);
+    }
+}
+
+#[test]
+fn connections_that_break_without_an_end_of_their_server_blame_no_part() {
+    let mut log = Log::new();
+    for server in 0..10 {
+        log.lose(server, u64::from(server), &[SHARED, CRASHING]);
+        log.pass_ms(300);
+    }
+    assert_eq!(log.blame_in_time(), [[0; 0]; 0]);
+}
+
+#[test]
+fn the_attempts_of_one_unlucky_request_blame_no_part() {
+    let mut log = Log::new();
+    for server in 0..4 {
+        log.lose(server, 1, &[SHARED, MIDDLE]);
+        log.log.on_ended(log.now, server);
+        log.pass_ms(300);
+    }
+    assert_eq!(log.blame_in_time(), [[0; 0]; 0]);
+}
+
+#[test]
+fn an_end_that_is_known_before_the_attempts_that_broke_counts() {
+    let mut log = Log::new();
+    for server in 0..3 {
+        log.log.on_ended(log.now, server);
+        log.pass_ms(80);
+        log.lose(server, u64::from(server), &[CRASHING]);
+        log.pass_ms(300);
+    }
+    assert_eq!(log.blame_in_time(), [[CRASHING]]);
+}
+
+#[test]
+fn several_crashing_parts_are_blamed_while_nothing_is_answered() {
+    let (first, second) = (0xdead, 0xbeef);
+    let mut log = Log::new();
+    for round in 0..4 {
+        let waiting: [&[u64]; 4] = [&[SHARED, 0x100 + round], &[SHARED], &[SHARED], &[SHARED]];
+        for part in [first, second] {
+            let mut prompts = waiting.to_vec();
+            let culprit = [SHARED, part];
+            prompts.push(&culprit);
+            log.crash(&prompts);
+            log.pass_ms(250);
+        }
+    }
+    let mut found = log.blame_in_time();
+    found.sort();
+    assert_eq!(found, [[SHARED, second], [SHARED, first]]);
+}
+
+#[test]
+fn a_part_that_begins_to_crash_engines_after_another_is_blamed_too() {
+    let mut log = Log::new();
+    log.crash_often(3, 300);
+    log.log.on_served(&[SHARED, MIDDLE]);
+    assert_eq!(log.blame_in_time(), [[CRASHING]]);
+    log.pass_ms(20_000);
+    for _ in 0..3 {
+        log.crash(&[&[SHARED, 0xbeef]]);
+        log.pass_ms(300);
+    }
+    log.log.on_served(&[SHARED]);
+    assert_eq!(log.blame_in_time(), [[0xbeef]]);
+}
+
+#[test]
+fn what_a_quarantined_part_explains_blames_nothing_else() {
+    let mut log = Log::new();
+    log.crash_often(3, 300);
+    log.log.on_served(&[SHARED, MIDDLE]);
+    assert_eq!(log.blame_in_time(), [[CRASHING]]);
+    for _ in 0..6 {
+        log.crash(&[&[SHARED, 0x77], &[SHARED, CRASHING]]);
+        log.pass_ms(300);
+    }
+    assert_eq!(log.blame_in_time(), [[0; 0]; 0]);
+}
+
+#[test]
+fn a_flood_of_crashes_and_parts_doesnt_grow_the_log() {
+    let mut log = Log::new();
+    let prompt: Vec<u64> = (0..400).collect();
+    for server in 0..2_000 {
+        for request in 0..100 {
+            log.lose(server, request, &prompt[..40]);
+        }
+        log.log.on_ended(log.now, server);
+    }
+    log.pass_ms(300);
+    let _ = log.blame();
+    assert!(log.log.suspects().count() <= 64);
+    let text = format!("{:?}", log.log);
+    let attempts = text.matches("LostAttempt").count();
+    assert!(attempts <= 128 * 64, "{attempts} attempts are kept");
+}
