Give up attempts in flight when their parts are quarantined

Attempts whose answers haven't begun are closed now; their callers get 502, since they may have run. Answers that have begun go on and can still lift the quarantine.

--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -2,6 +2,7 @@
 //! connections, in virtual time.
 
 mod deployment;
+mod quarantine;
 
 use {
     self::deployment::Deployment,
--- a/crates/node/src/control/tests/deployment.rs
+++ b/crates/node/src/control/tests/deployment.rs
@@ -13,6 +13,7 @@
     },
     glade_catalog::{CallerLimits, Catalog},
     glade_clock::{Clock, ManualClock},
+    glade_dispatch::ClusterView,
     glade_settings::{NodeListen, NodeSettings, NodeTiming, RetryLimits},
     glade_types::Incarnation,
     std::{
@@ -70,6 +71,8 @@
     batches_sent: u64,
     /// Links, as sender and receiver, on which batches are lost.
     pub(super) cut_links: BTreeSet<(usize, usize)>,
+    /// Nodes that stand still.
+    pub(super) frozen_nodes: BTreeSet<usize>,
     /// Makes `spawn_local` work. The spawned calls to the store are never polled.
     _local_tasks: LocalEnterGuard,
 }
@@ -87,6 +90,7 @@
             last_arrival_at: BTreeMap::new(),
             batches_sent: 0,
             cut_links: BTreeSet::new(),
+            frozen_nodes: BTreeSet::new(),
             _local_tasks: LocalSet::new().enter(),
         }
     }
@@ -132,6 +136,36 @@
         self.nodes[position] = None;
     }
 
+    /// Passes an event to the control thread of a running node.
+    pub(super) fn handle(&mut self, position: usize, event: Event) {
+        let now = self.clock.now();
+        if let Some(node) = &mut self.nodes[position] {
+            node.control.handle_event(now, event);
+        }
+    }
+
+    /// The view that a running node has published.
+    pub(super) fn view(&self, position: usize) -> Option<Arc<ClusterView>> {
+        self.nodes[position].as_ref().map(|node| node.published.view.load_full())
+    }
+
+    /// Positions of the running nodes that aren't cores.
+    pub(super) fn leaves(&self) -> Vec<usize> {
+        let is_leaf = |node: &RunningNode| !node.control.network.mesh.is_core;
+        let positions = 0..self.nodes.len();
+        positions.filter(|at| self.nodes[*at].as_ref().is_some_and(is_leaf)).collect()
+    }
+
+    /// Positions of the running nodes that forward messages for leaves.
+    pub(super) fn primary_cores(&self) -> Vec<usize> {
+        let is_primary = |node: &RunningNode| {
+            let mesh = &node.control.network.mesh;
+            mesh.is_primary_core && !mesh.is_full_mesh
+        };
+        let positions = 0..self.nodes.len();
+        positions.filter(|at| self.nodes[*at].as_ref().is_some_and(is_primary)).collect()
+    }
+
     /// Lets virtual time pass.
     pub(super) fn run_for(&mut self, time: Duration) {
         let until = self.clock.now() + time;
@@ -190,11 +224,12 @@
             if self.cut_links.contains(&(batch.from, to)) {
                 continue;
             }
-            if let Some(node) = &mut self.nodes[to] {
+            let is_frozen = self.frozen_nodes.contains(&to);
+            if let Some(node) = self.nodes[to].as_mut().filter(|_| !is_frozen) {
                 let batch = PeerBatch::decode(&batch.bytes, &ControlMetrics::default());
                 let batch = Box::new(batch.expect("a batch"));
                 node.control.handle_event(now, Event::PeerBatch(batch));
-            } else if now < batch.sent_at + UNDELIVERED_KEPT_FOR {
+            } else if is_frozen || now < batch.sent_at + UNDELIVERED_KEPT_FOR {
                 let due = now + STEP;
                 self.last_arrival_at.insert((batch.from, batch.to), due);
                 self.in_transit.insert((due, number), batch);
@@ -203,6 +238,9 @@
     }
 
     fn run_node(&mut self, now: Instant, position: usize) {
+        if self.frozen_nodes.contains(&position) {
+            return;
+        }
         let Some(node) = self.nodes[position].as_mut() else { return };
         if node.writes_row_at.take_if(|at| *at <= now).is_some() {
             let me = &self.infos[position];
--- a/crates/node/src/quarantine_store.rs
+++ b/crates/node/src/quarantine_store.rs
@@ -234,3 +234,6 @@
     }
     TrialClaim::Denied(None)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/attempt_failure.rs
+++ b/crates/relay/src/attempt_failure.rs
@@ -29,6 +29,8 @@
     Foreign,
     /// No answer, or no further part of one, arrived in time.
     Silent,
+    /// The attempt was given up before its answer began, because parts of its prompt were quarantined.
+    Quarantined,
 }
 
 impl AttemptFailure {
@@ -42,7 +44,7 @@
             | Self::Refused(_)
             | Self::NotHeld
             | Self::OtherServer => false,
-            Self::Failed | Self::Broken | Self::Foreign | Self::Silent => true,
+            Self::Failed | Self::Broken | Self::Foreign | Self::Silent | Self::Quarantined => true,
         }
     }
 
@@ -61,7 +63,7 @@
     /// dropped, says nothing against the server.
     pub(crate) fn weight(self) -> u32 {
         match self {
-            Self::NotSent | Self::NotHeld => 0,
+            Self::NotSent | Self::NotHeld | Self::Quarantined => 0,
             Self::NotReserved | Self::Refused(_) | Self::Failed => 1,
             Self::Broken | Self::Foreign => 2,
             Self::NotConnected | Self::Down | Self::OtherServer | Self::Silent => 3,
@@ -77,7 +79,8 @@
             | Self::Refused(_)
             | Self::NotHeld
             | Self::Failed
-            | Self::Foreign => false,
+            | Self::Foreign
+            | Self::Quarantined => false,
         }
     }
 
@@ -95,6 +98,7 @@
             Self::Broken => "broken",
             Self::Foreign => "foreign",
             Self::Silent => "silent",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/relay/src/hedge.rs
+++ b/crates/relay/src/hedge.rs
@@ -64,7 +64,14 @@
     ) -> HedgedAnswer<T> {
         let mut is_counted = false;
         loop {
-            if let Ok(outcome) = timeout(admitted.silence_limit(), &mut answer).await {
+            let answered = async {
+                tokio::select! {
+                    biased;
+                    outcome = &mut answer => outcome,
+                    _ = self.until_blocked(admitted) => Err(AttemptFailure::Quarantined),
+                }
+            };
+            if let Ok(outcome) = timeout(admitted.silence_limit(), answered).await {
                 return HedgedAnswer { server, outcome, is_counted };
             }
             if !is_counted {
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,8 +1,9 @@
 //! Keeps requests whose prompts hold quarantined parts away from servers, and reports what shows which parts crash
 //! engines.
 //!
-//! Every attempt is checked, also repeats, hedges and resumed streams, and requests that wait for a server are refused
-//! as soon as their parts are quarantined. Attempts in flight go on: an answer to one of them lifts the quarantine.
+//! Every attempt is checked, also repeats, hedges and resumed streams. As soon as parts are quarantined, requests with
+//! them that wait for a server are refused, and attempts whose answers haven't begun are given up. Answers that have
+//! begun go on, and lift the quarantine if they show that the parts are sound.
 
 use {
     crate::{
@@ -146,23 +147,28 @@
         refused
     }
 
-    /// Returns why `admitted` must not be sent, as soon as it holds a quarantined combination.
-    pub(crate) async fn until_quarantined(&self, admitted: &AdmittedRequest) -> Refused {
+    /// Returns the quarantined combination that `admitted` holds, as soon as it holds one.
+    pub(crate) async fn until_blocked(&self, admitted: &AdmittedRequest) -> BlockedParts {
         if admitted.is_trial() {
             return pending().await;
         }
         loop {
             let changed = self.quarantine.changed.notified();
             if let Some(blocked) = self.blocked_parts(admitted) {
-                self.log_quarantined(admitted, &blocked);
-                let retry_after = blocked.trial_at.saturating_duration_since(self.clock.now());
-                let retry_after = retry_after.max(RETRY_AFTER_MIN);
-                return Refused { reason: Refusal::Quarantined, retry_after };
+                return blocked;
             }
             changed.await;
         }
     }
 
+    /// Returns why `admitted` must not be sent, as soon as it holds a quarantined combination.
+    pub(crate) async fn until_quarantined(&self, admitted: &AdmittedRequest) -> Refused {
+        let blocked = self.until_blocked(admitted).await;
+        self.log_quarantined(admitted, &blocked);
+        let trial_in = blocked.trial_at.saturating_duration_since(self.clock.now());
+        Refused { reason: Refusal::Quarantined, retry_after: trial_in.max(RETRY_AFTER_MIN) }
+    }
+
     /// Reports an attempt that broke, if the request may have ended `server`, and finds out whether it has ended.
     pub(crate) fn report_lost(
         self: &Rc<Self>,
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -11,6 +11,7 @@
 mod http;
 mod run_log;
 mod store;
+mod unframed;
 mod work;
 
 pub use self::{
@@ -20,4 +21,5 @@
     engine_fault::EngineFault,
     run_log::{Run, RunLog},
     store::{SiteStore, StoreFault},
+    unframed::{UnframedEnd, UnframedServer},
 };
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -8,7 +8,7 @@
     },
     glade_standins::site::{
         Caller, EndlessPart, EndlessServer, EngineFault, Pace, Reply, RunLog, ServerSpec,
-        SiteServer, SiteStore, StoreFault,
+        SiteServer, SiteStore, StoreFault, UnframedEnd, UnframedServer,
     },
     glade_types::{ModelName, RequestId, RouteName, ServiceName},
     rustix::process::{Pid, Signal, kill_process},
@@ -414,6 +414,11 @@
         self.engines.push(server);
     }
 
+    /// Starts a server whose answers end with their connections, and which nobody knows yet.
+    pub fn spawn_unframed(&self, pieces: Vec<String>, end: UnframedEnd) -> UnframedServer {
+        self.runtime.block_on(UnframedServer::spawn(pieces, end))
+    }
+
     /// Waits until `holds` is true.
     ///
     /// # Panics
--- a/crates/system/tests/crashing_part.rs
+++ b/crates/system/tests/crashing_part.rs
@@ -3,7 +3,7 @@
 
 use {
     glade_standins::site::{Caller, Reply},
-    glade_system::site::{CHAT, Site},
+    glade_system::site::{BATCH, CHAT, Site},
     std::time::{Duration, Instant},
     tokio::task::JoinHandle,
 };
@@ -28,6 +28,9 @@
 
 type Sent = JoinHandle<Option<Reply>>;
 
+/// Time within which a VM that starts has what the others know.
+const START_TIME: Duration = Duration::from_secs(3);
+
 /// Callers that send sound requests all the time, and now and then one with the crashing part.
 struct Traffic<'a> {
     site: &'a Site,
@@ -88,6 +91,30 @@
     }
 }
 
+/// Plays crashes until the part has been kept from engines for a while.
+fn quarantine(site: &Site) {
+    let mut traffic = Traffic::new(site);
+    traffic.play_for(Duration::from_secs(1));
+    site.engines.iter().for_each(|engine| engine.crash_on(Some(CRASHING_PART)));
+    let began = Instant::now();
+    let is_known = |node: usize| {
+        site.node_log(node).contains("quarantine_entry")
+            || site.node_log(node).contains("parts_quarantined")
+    };
+    while !(0..NODES).all(is_known) && began.elapsed() < CRASHES_WITHIN {
+        traffic.play_round();
+    }
+    assert!((0..NODES).all(is_known), "all nodes know of the part");
+}
+
+/// Sends a request with the crashing part; returns its id and the reply.
+fn send_crashing(site: &Site, node: usize, path: &str) -> (String, Option<Reply>) {
+    let id = site.request_id();
+    let parts = [FIRST_PART, MIDDLE_PART, CRASHING_PART, 7];
+    let sent = site.begin_with_parts(Caller::default(), node, path, Some("m0"), &id, &parts);
+    (id, site.finish(sent))
+}
+
 fn crashes(site: &Site) -> u64 {
     site.engines.iter().map(|engine| engine.crashes()).sum()
 }
@@ -113,3 +140,56 @@
     let (served, sent) = traffic.sound_since(sound_from);
     assert!(2 * served >= sent, "{served} of {sent} sound requests were served");
 }
+
+#[test]
+fn a_refusal_of_a_crashing_part_is_true_on_every_route() {
+    let models: &[&str] = &["m0", "m1"];
+    let site = Site::start(NODES, &[models; 8]);
+    quarantine(&site);
+    for node in 0..NODES {
+        for path in [CHAT, BATCH] {
+            let (id, reply) = send_crashing(&site, node, path);
+            let reply = reply.expect("an answer");
+            assert_eq!((reply.status, site.log.arrivals_of(&id)), (503, 0), "{reply:?}");
+            assert!(reply.headers.contains_key("retry-after"), "{reply:?}");
+            let is_named = |line: &str| line.contains("request_quarantined") && line.contains(&id);
+            site.eventually("the log names the parts", || {
+                site.node_log(node).lines().any(is_named)
+            });
+        }
+    }
+}
+
+#[test]
+fn a_request_that_has_crashed_an_engine_isnt_said_not_to_have_run() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    site.engines.iter().for_each(|engine| engine.crash_on(Some(CRASHING_PART)));
+    for path in [CHAT, BATCH] {
+        site.eventually("engines serve", || {
+            let reply = site.send(0, CHAT, Some("m0"), &site.request_id());
+            reply.is_some_and(|reply| reply.status == 200)
+        });
+        let (id, reply) = send_crashing(&site, 0, path);
+        assert!(site.log.arrivals_of(&id) > 0);
+        let status = reply.map_or(502, |reply| reply.status);
+        assert!(status == 502 || status == 504, "{status}");
+    }
+}
+
+#[test]
+fn a_quarantine_outlasts_the_end_of_all_nodes() {
+    let models: &[&str] = &["m0", "m1"];
+    let mut site = Site::start(NODES, &[models; 8]);
+    quarantine(&site);
+    let row = format!("quarantine/{CRASHING_PART:016x}");
+    site.eventually("the store has it", || site.store.read(&row).is_some());
+    (0..NODES).for_each(|node| site.kill_node(node));
+    (0..NODES).for_each(|node| site.start_node(node));
+    site.all_serve();
+    site.pause(START_TIME);
+    for node in 0..NODES {
+        let (id, reply) = send_crashing(&site, node, CHAT);
+        assert_eq!(reply.map(|reply| reply.status), Some(503));
+        assert_eq!(site.log.arrivals_of(&id), 0);
+    }
+}
