A part that crashes engines in the soak, and ends of engines by the registry

Behind a proxy that accepts connections for an engine that has ended, its end was never confirmed, and no part was blamed. An end is now also known from the registry: a run of a server at which attempts broke and which it no longer lists.

--- a/crates/node/src/control/quarantine_handlers.rs
+++ b/crates/node/src/control/quarantine_handlers.rs
@@ -15,6 +15,7 @@
 impl Control {
     /// Does the periodic work of the quarantine.
     pub(super) fn tick_quarantine(&mut self, now: Instant) {
+        self.quarantine.on_registry(now, self.registry.keys().map(ServerKey::short_hash));
         let (found, view_changed) = self.quarantine.tick(now, &mut self.network);
         for attribution in &found {
             self.control_metrics.on_quarantine();
--- a/crates/node/src/quarantine_exchange.rs
+++ b/crates/node/src/quarantine_exchange.rs
@@ -39,6 +39,8 @@
     quarantine: Quarantine,
     /// Suspected parts: by this node's crash log if it is a core, else as its core has sent them.
     suspects: BTreeSet<u64>,
+    /// Servers at which attempts broke, and which the registry lists.
+    listed: BTreeSet<u32>,
     /// Evidence to be sent to other nodes.
     pending_attempts: Vec<LostAttempt>,
     pending_served: BTreeSet<u64>,
@@ -56,6 +58,7 @@
             crash_log: CrashLog::default(),
             quarantine: Quarantine::default(),
             suspects: BTreeSet::new(),
+            listed: BTreeSet::new(),
             pending_attempts: Vec::new(),
             pending_served: BTreeSet::new(),
             entries_changed: false,
@@ -116,6 +119,22 @@
         self.crash_log.on_ended(now, server);
     }
 
+    /// Records that servers have ended at which attempts broke: those that the registry listed since then, and that
+    /// aren't among the `listed` ones any more. A server that starts again is listed as another one.
+    pub(crate) fn on_registry(&mut self, now: Instant, listed: impl Iterator<Item = u32>) {
+        let unconfirmed: BTreeSet<u32> = self.crash_log.unconfirmed().collect();
+        if unconfirmed.is_empty() {
+            self.listed.clear();
+            return;
+        }
+        let listed: BTreeSet<u32> = listed.filter(|server| unconfirmed.contains(server)).collect();
+        for server in self.listed.difference(&listed).filter(|server| unconfirmed.contains(server))
+        {
+            self.crash_log.on_ended(now, *server);
+        }
+        self.listed = listed;
+    }
+
     /// Handles that requests with `parts` were answered on this node.
     pub(crate) fn on_local_served(&mut self, now: Instant, parts: &[u64]) {
         self.apply_served(now, parts);
--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -143,6 +143,11 @@
         of_server.for_each(|crash| crash.is_confirmed = true);
     }
 
+    /// Servers at which attempts broke and which aren't known to have ended.
+    pub fn unconfirmed(&self) -> impl Iterator<Item = u32> + '_ {
+        self.crashes.iter().filter(|crash| !crash.is_confirmed).map(|crash| crash.server)
+    }
+
     /// Records that requests with `parts` were answered: these parts explain no crash.
     pub fn on_served(&mut self, parts: &[u64]) {
         for crash in &mut self.crashes {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,11 +3,12 @@
 //!
 //! A seed draws which faults come when: proxies that delay, reset, cut one way or silence
 //! connections; signals that kill, end, pause and reload nodes; a store and servers that misbehave;
-//! engines that pause, and that don't take what they seemed to take.
+//! engines that pause, and that don't take what they seemed to take; a part of prompts that crashes engines.
 //! They come in series and overlap, while callers go on. What must hold is checked from what callers
 //! got and servers ran. Ends only processes that it started itself.
 
 mod checks;
+mod crashing_part;
 mod harm;
 mod plan;
 mod proxy;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -35,6 +35,9 @@
     stall_gap_ms: u64,
     /// Engines run what they keep a place for
     keep_reservations: bool,
+    /// Second from which requests with a part that crashes engines come; 0 for none
+    #[bpaf(argument("S"), fallback(0))]
+    crashing_from_s: u64,
     /// Mean milliseconds between two requests
     #[bpaf(argument("MS"), fallback(5))]
     request_gap_ms: u64,
@@ -52,6 +55,8 @@
             reject_reserved: !args.keep_reservations,
         }),
         request_gap: Duration::from_millis(args.request_gap_ms.max(1)),
+        crashing_from: (args.crashing_from_s > 0)
+            .then(|| Duration::from_secs(args.crashing_from_s)),
     };
     let mut broken = 0;
     for seed in args.seed..args.seed.saturating_add(args.seeds) {
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -3,13 +3,14 @@
 use {
     crate::{
         checks::{Seen, Violation, check, check_overlap},
+        crashing_part::CrashingPart,
         harm::{Harm, Harmed},
         plan::{Fault, Planned, Stalls, Targets, plan, plan_restores, plan_stalls},
         proxy::{Link, Proxy},
         server_faults::ServerFaults,
     },
     glade_clock::Clock,
-    glade_standins::site::{EngineFault, Reply, SiteServer, StoreFault},
+    glade_standins::site::{Caller, EngineFault, Reply, SiteServer, StoreFault},
     glade_system::site::{BATCH, BROWSE, CHAT, CLAIM, Site},
     std::{
         collections::VecDeque,
@@ -49,6 +50,8 @@
     pub stalls: Option<Stalls>,
     /// Mean time between two requests.
     pub request_gap: Duration,
+    /// When requests with a part that crashes engines begin to come; `None` without any.
+    pub crashing_from: Option<Duration>,
 }
 
 /// What a soak has seen.
@@ -98,7 +101,9 @@
     /// Requests that have ended and that more than one server has run.
     moved: Vec<Seen>,
     version: u64,
-    fences: Vec<u64>,
+    /// Crashes of each engine, and the fence that it had since the last.
+    fences: Vec<(u64, u64)>,
+    crashing_part: Option<CrashingPart>,
     report: Report,
 }
 
@@ -123,8 +128,10 @@
         }
         site.configure(1);
         site.all_serve();
+        let of_parts = fastrand::Rng::with_seed(!seed);
         Self {
-            fences: vec![0; site.engines.len()],
+            crashing_part: size.crashing_from.map(|from| CrashingPart::new(of_parts, from)),
+            fences: vec![(0, 0); site.engines.len()],
             engine_faults: vec![ServerFaults::default(); site.engines.len()],
             plain_faults: vec![ServerFaults::default(); PLAIN],
             site,
@@ -269,7 +276,10 @@
         let id = self.site.request_id();
         let (sent_at, began_at) = (self.now, self.clock.now());
         let places_before = self.site.log.places();
-        let reply = self.site.begin(node, path, model, &id);
+        let crashing_part = self.crashing_part.as_mut().filter(|_| model.is_some());
+        let parts = crashing_part.map(|part| part.draw(self.now, &id, node)).unwrap_or_default();
+        let caller = Caller::default();
+        let reply = self.site.begin_with_parts(caller, node, path, model, &id, &parts);
         self.report.requests += 1;
         self.sent.push(Sent { id, path, node, sent_at, began_at, places_before, reply });
     }
@@ -279,7 +289,10 @@
         self.look_at_nodes();
         let ended: Vec<Sent> = self.sent.extract_if(.., |sent| sent.reply.is_finished()).collect();
         ended.into_iter().for_each(|sent| self.check(sent));
-        for (engine, known) in self.site.engines.iter().zip(&mut self.fences) {
+        if let Some(part) = &mut self.crashing_part {
+            part.watch(self.now, &self.site.engines);
+        }
+        for (engine, (crashes, known)) in self.site.engines.iter().zip(&mut self.fences) {
             let holds = engine.holds();
             let bases = holds.iter().filter(|name| !name.contains('/')).count();
             if bases > BASES_MAX {
@@ -287,7 +300,13 @@
                 let promise = "no engine holds more than fits";
                 self.report.violations.push(Violation { promise, seen });
             }
+            let crashes_before = std::mem::replace(crashes, engine.crashes());
             let fence = engine.fence();
+            // An engine that has crashed knows nothing of before.
+            if engine.crashes() != crashes_before {
+                *known = 0;
+                continue;
+            }
             if fence < *known {
                 let seen = format!("{}: {fence} after {known}", engine.id());
                 let promise = "no earlier holder is obeyed";
@@ -355,6 +374,9 @@
                 });
             }
         }
+        let of_part = self.crashing_part.iter();
+        let late = of_part.filter_map(|part| part.check(&self.site.log, &self.harm));
+        self.report.violations.extend(late);
         let found = self.moved.iter().filter_map(|seen| check_overlap(seen, &self.site.log));
         self.report.violations.extend(found);
     }
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -14,11 +14,19 @@
     gap: Duration::from_millis(400),
     stalls: None,
     request_gap: Duration::from_millis(10),
+    crashing_from: None,
 };
 const DENSE: Size = Size { nodes: 7, engines: 5, gap: Duration::from_millis(120), ..SMALL };
 const STALLING: Size = stalling(false);
 const REJECTING_RESERVED: Size = stalling(true);
 
+const CRASHING: Size = Size {
+    engines: 6,
+    time: Duration::from_secs(12),
+    crashing_from: Some(Duration::from_secs(1)),
+    ..SMALL
+};
+
 const fn stalling(reject_reserved: bool) -> Size {
     Size { stalls: Some(Stalls { gap: Duration::from_millis(150), reject_reserved }), ..SMALL }
 }
@@ -63,3 +71,13 @@
 fn promises_hold_while_engines_reject_reserved_requests_under_seed_12() {
     assert_eq!(violations(12, REJECTING_RESERVED), Vec::<String>::new());
 }
+
+#[test]
+fn promises_hold_while_a_part_crashes_engines_under_seed_1() {
+    assert_eq!(violations(1, CRASHING), Vec::<String>::new());
+}
+
+#[test]
+fn promises_hold_while_a_part_crashes_engines_under_seed_2() {
+    assert_eq!(violations(2, CRASHING), Vec::<String>::new());
+}
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -93,10 +93,14 @@
     crash_part: Option<u64>,
     /// Times that a request has crashed it.
     crashes: u64,
+    /// It has crashed and hasn't started again.
+    is_down: bool,
     /// Serves its connections while it runs.
     task: Option<JoinHandle<()>>,
     /// It has ended for good.
     ended: bool,
+    /// Where it listens, which may not be what the registry says.
+    addr: SocketAddr,
 }
 
 #[derive(Debug)]
@@ -154,8 +158,10 @@
             answer_bytes: 0,
             crash_part: None,
             crashes: 0,
+            is_down: false,
             task: None,
             ended: false,
+            addr,
         };
         let shared = Arc::new(Shared {
             spec,
@@ -293,8 +299,11 @@
             let Some(task) = state.task.take() else { return };
             task.abort();
             state.crashes += 1;
-            state.record.addr
+            state.is_down = true;
+            state.fence = 0;
+            state.addr
         };
+        self.log.crash(&self.spec.id);
         tokio::spawn(Arc::clone(self).start_again(addr));
     }
 
@@ -312,6 +321,7 @@
                 return;
             }
             state.record.key.start_time_ms += 1;
+            state.is_down = false;
             state.orders_accepted = 0;
             state.fence = 0;
             state.loading = false;
@@ -444,6 +454,9 @@
 async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Handled {
     let (head, body) = req.into_parts();
     let body = body.collect().await.map_err(|_| broken())?.to_bytes();
+    if shared.lock().is_down {
+        return Err(broken());
+    }
     match head.uri.path() {
         "/report" => Ok(shared.own(whole(StatusCode::OK, encode_report(&shared.report())))),
         "/order" => Ok(shared.own(whole(encode_order_answer(shared.order(&body)), Vec::new()))),
@@ -522,7 +535,8 @@
         | EngineFault::RejectsReservedAfter(_)
         | EngineFault::ReservesAfter(_)
         | EngineFault::LeavesWhenAsked
-        | EngineFault::Closed(_) => {}
+        | EngineFault::Closed(_)
+        | EngineFault::Crashes => {}
     }
     let marks = shared.marks(&id, true);
     if shared.spec.is_engine {
--- a/crates/standins/src/site/engine_fault.rs
+++ b/crates/standins/src/site/engine_fault.rs
@@ -37,6 +37,8 @@
     FailsAfter(Duration),
     /// It signs answers with another request's name.
     Crosses,
+    /// It ends while it runs the request.
+    Crashes,
 }
 
 impl EngineFault {
@@ -48,7 +50,8 @@
             | Self::Hangs
             | Self::Fails
             | Self::FailsAfter(_)
-            | Self::Crosses => true,
+            | Self::Crosses
+            | Self::Crashes => true,
             Self::None
             | Self::PausesAfter(_)
             | Self::Rejects
@@ -77,7 +80,8 @@
             | Self::LeavesWhenAsked
             | Self::Fails
             | Self::FailsAfter(_)
-            | Self::Crosses => None,
+            | Self::Crosses
+            | Self::Crashes => None,
         }
     }
 }
--- a/crates/standins/src/site/run_log.rs
+++ b/crates/standins/src/site/run_log.rs
@@ -108,6 +108,13 @@
         Work::new(self, position)
     }
 
+    /// A server ends with all that it runs.
+    pub(crate) fn crash(&self, server: &str) {
+        let mut entries = self.lock();
+        let running = entries.runs.iter_mut().filter(|run| run.server == server && !run.ended);
+        running.for_each(|run| run.fault = EngineFault::Crashes);
+    }
+
     pub(crate) fn change(&self, position: usize, change: impl FnOnce(&mut Run)) {
         change(&mut self.lock().runs[position]);
     }
