--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -31,6 +31,8 @@
         last_failure: Option<(String, String)>,
         /// Another attempt would have gone over the bound on repeats.
         budget_used_up: bool,
+        /// The quarantined parts that its prompt holds, if it was refused for them.
+        quarantined: Option<QuarantinedParts>,
     },
     /// Its stream was cut.
     Cut {
@@ -75,6 +77,15 @@
     Unfinished,
 }
 
+/// Parts of prompts that are kept from engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuarantinedParts {
+    /// Hashes of the parts, as in the caller's header.
+    pub parts: String,
+    /// Number of crashes that they explain.
+    pub crashes: u64,
+}
+
 /// What took longest before a first byte.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Delay {
@@ -126,6 +137,10 @@
                 attempts: line.number("attempts"),
                 last_failure: failure,
                 budget_used_up: last("repeat_budget_used_up").is_some(),
+                quarantined: last("request_quarantined").map(|line| QuarantinedParts {
+                    parts: line.text("parts").to_owned(),
+                    crashes: line.number("crashes"),
+                }),
             };
         }
         let ended = last("stream_ended");
@@ -203,12 +218,22 @@
                     reason_in_words(reason)
                 )
             }
-            Self::GivenUp { status, reason, attempts, last_failure, budget_used_up } => {
+            Self::GivenUp {
+                status,
+                reason,
+                attempts,
+                last_failure,
+                budget_used_up,
+                quarantined,
+            } => {
                 write!(
                     f,
                     "given up with {status} after {attempts} attempts: {}",
                     reason_in_words(reason)
                 )?;
+                if let Some(QuarantinedParts { parts, crashes }) = quarantined {
+                    write!(f, ": {parts}, which were at {crashes} crashes")?;
+                }
                 if let Some((server, failure)) = last_failure {
                     write!(
                         f,
@@ -296,6 +321,7 @@
         "body_late" => "its body didn't come in time",
         "not_resident" => "no server holds the model, and none would in time",
         "overloaded" => "every server was too busy to answer in time",
+        "quarantined" => "its prompt holds parts that crash engines",
         "no_server" => "no server of the service was usable",
         "refused" => "every server that was tried refused it",
         "timed_out" => "its time was over",
@@ -326,6 +352,7 @@
         "refused" => "it stated that it didn't run the request",
         "down" => "nothing listens there any more",
         "not_connected" => "no connection came about",
+        "quarantined" => "it was given up, since parts of its prompt were quarantined",
         "not_sent" => "the connection closed before the request left",
         "not_reserved" => "it reserved no room for the request",
         "not_held" => "it doesn't hold the model",
--- a/crates/explain/src/lib.rs
+++ b/crates/explain/src/lib.rs
@@ -8,4 +8,8 @@
 mod line;
 mod story;
 
-pub use crate::{cause::Cause, line::LogLine, story::Story};
+pub use crate::{
+    cause::{Cause, QuarantinedParts},
+    line::LogLine,
+    story::Story,
+};
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -149,3 +149,14 @@
          (waiting_for_model)"
     );
 }
+
+#[test]
+fn a_refusal_for_quarantined_parts_names_them_and_their_crashes() {
+    let refused = r#"{"t_ms":101,"vm":"vm-1","event":"request_quarantined","id":"r1","parts":"f1,dead","crashes":5,"known_ms":900,"trial_in_ms":14100,"after_ms":0}
+{"t_ms":101,"vm":"vm-1","event":"request_given_up","id":"r1","status":503,"cause":"quarantined","retry_after_ms":14100,"model":"m0","attempts":0,"after_ms":0}"#;
+    assert_eq!(
+        cause(refused),
+        "given up with 503 after 0 attempts: its prompt holds parts that crash engines (quarantined): f1,dead, which \
+         were at 5 crashes"
+    );
+}
--- a/crates/system/tests/crashing_part.rs
+++ b/crates/system/tests/crashing_part.rs
@@ -107,6 +107,11 @@
     assert!((0..NODES).all(is_known), "all nodes know of the part");
 }
 
+/// Key of the row of the crashing part.
+fn row() -> String {
+    format!("quarantine/{CRASHING_PART:016x}")
+}
+
 /// Sends a request with the crashing part; returns its id and the reply.
 fn send_crashing(site: &Site, node: usize, path: &str) -> (String, Option<Reply>) {
     let id = site.request_id();
@@ -181,7 +186,7 @@
     let models: &[&str] = &["m0", "m1"];
     let mut site = Site::start(NODES, &[models; 8]);
     quarantine(&site);
-    let row = format!("quarantine/{CRASHING_PART:016x}");
+    let row = row();
     site.eventually("the store has it", || site.store.read(&row).is_some());
     (0..NODES).for_each(|node| site.kill_node(node));
     (0..NODES).for_each(|node| site.start_node(node));
@@ -193,3 +198,19 @@
         assert_eq!(site.log.arrivals_of(&id), 0);
     }
 }
+
+#[test]
+fn a_quarantine_ends_when_its_row_is_deleted() {
+    let models: &[&str] = &["m0", "m1"];
+    let site = Site::start(NODES, &[models; 8]);
+    quarantine(&site);
+    site.eventually("the store has it", || site.store.read(&row()).is_some());
+    site.engines.iter().for_each(|engine| engine.crash_on(None));
+    site.store.delete(&row());
+    for node in 0..NODES {
+        site.eventually("requests with the part are served", || {
+            let (_id, reply) = send_crashing(&site, node, CHAT);
+            reply.is_some_and(|reply| reply.status == 200)
+        });
+    }
+}
