--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -512,6 +512,11 @@
         shared.crash();
         return Err(broken());
     }
+    if shared.lock().is_down {
+        // It has crashed since the request was read.
+        shared.log.crash(&shared.spec.id);
+        return Err(broken());
+    }
     match fault {
         EngineFault::Hangs => return pending().await,
         EngineFault::Fails | EngineFault::FailsAfter(_) => {
