Attribute crashes only when something was recorded or a suspect is due

Cores added up all crashes of the last two minutes at every tick, 20 times a second. They now do so when an attempt, an end or an answer was recorded, and when the time is over in which a suspect's answer would have become known.

--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -89,6 +89,10 @@
     ended: VecDeque<(u32, Instant)>,
     /// Parts that were at several crashes, and since when that is known.
     suspected_since: BTreeMap<u64, Instant>,
+    /// Something was recorded since the last attribution.
+    has_changed: bool,
+    /// When the next suspect may be blamed although nothing more is recorded.
+    next_blame_at: Option<Instant>,
 }
 
 /// What is known of one part.
@@ -112,6 +116,7 @@
         if attempt.parts.is_empty() {
             return;
         }
+        self.has_changed = true;
         let server = attempt.server;
         let is_confirmed = self.ended.iter().any(|(ended, _)| *ended == server);
         let known = self.crashes.iter().position(|crash| crash.server == server);
@@ -138,6 +143,7 @@
         if self.ended.len() == CRASHES_MAX {
             self.ended.pop_front();
         }
+        self.has_changed = true;
         self.ended.push_back((server, now));
         let of_server = self.crashes.iter_mut().filter(|crash| crash.server == server);
         of_server.for_each(|crash| crash.is_confirmed = true);
@@ -150,6 +156,7 @@
 
     /// Records that requests with `parts` were answered: these parts explain no crash.
     pub fn on_served(&mut self, parts: &[u64]) {
+        self.has_changed = true;
         for crash in &mut self.crashes {
             for kept in &mut crash.attempts {
                 kept.open_parts.retain(|part| !parts.contains(part));
@@ -179,6 +186,10 @@
         answer_known_within: Duration,
     ) -> Vec<Attribution> {
         self.forget_old(now);
+        let is_due = self.next_blame_at.is_some_and(|at| at <= now);
+        if !std::mem::take(&mut self.has_changed) && !is_due {
+            return Vec::new();
+        }
         let suspected_by = now.checked_sub(answer_known_within).unwrap_or(now);
         let is_explained = |crash: &Crash| {
             crash.attempts.iter().any(|kept| quarantine.blocks(&kept.attempt.parts))
@@ -206,6 +217,8 @@
             open.retain(|crash| !is_explained(crash));
             found.push(attribution);
         }
+        let blame_at = suspected_since.values().map(|since| *since + answer_known_within);
+        self.next_blame_at = blame_at.filter(|at| *at > now).min();
         self.suspected_since = suspected_since;
         found
     }
