--- a/crates/system/tests/crashing_part.rs
+++ b/crates/system/tests/crashing_part.rs
@@ -105,6 +105,7 @@
         traffic.play_round();
     }
     assert!((0..NODES).all(is_known), "all nodes know of the part");
+    site.pause(CONTACT_TIME);
 }
 
 /// Key of the row of the crashing part.
