Log panics and the stages of a drain

An operator who saw a node end around SIGTERM could not tell from its log whether a thread of ours had panicked, and how far the drain was: a panic was told on standard error only, and nothing was logged between 'leaving' and 'stopped'.

'drain_stage' says which stage of the drain begins, with the requests and connections left.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -225,7 +225,9 @@
 async fn drain(settings: &NodeSettings, relay: &RelayHandle<PlatformDialect>) {
     let timing = &settings.timing;
     let accept_time = (timing.directory_ttl + DIRECTORY_MARGIN).min(timing.grace_period / 2);
+    log_drain_stage("accepting", relay);
     sleep(accept_time).await;
+    log_drain_stage("finishing", relay);
     let drain_time = timing.grace_period.saturating_sub(GRACE_RESERVE).saturating_sub(accept_time);
     let drained = async {
         // Twice in a row, since a caller may be about to send its next request.
@@ -234,6 +236,7 @@
             sleep(IDLE_CHECK_INTERVAL).await;
             idle_checks = if relay.in_flight() == 0 { idle_checks + 1 } else { 0 };
         }
+        log_drain_stage("closing", relay);
         relay.close().await;
     };
     if timeout(drain_time, drained).await.is_err() {
@@ -241,6 +244,13 @@
     }
 }
 
+/// Logs that a stage of the drain begins, so that the log of a node that ends in the drain tells how
+/// far it was and what it still had to do.
+fn log_drain_stage(stage: &str, relay: &RelayHandle<PlatformDialect>) {
+    let (requests, connections) = (relay.in_flight() as u64, relay.open_connections() as u64);
+    log::info!(stage = stage, requests = requests, connections = connections; "drain_stage");
+}
+
 /// Has the relay apply each view that the control thread publishes. The node serves from the first
 /// view with a configuration on.
 async fn watch_view(
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -1,14 +1,19 @@
-//! Logs as JSON lines, and metrics by opentelemetry in Prometheus' text form.
+//! Logs as JSON lines, the last words of what panics among them, and metrics by opentelemetry in
+//! Prometheus' text form.
 
 mod json_lines;
 mod metrics;
+mod panic_log;
 
 pub use crate::metrics::Metrics;
 
-use {crate::json_lines::JsonLines, logforth::filter::rustlog::RustLogFilterBuilder};
+use {
+    crate::{json_lines::JsonLines, panic_log::log_panics},
+    logforth::filter::rustlog::RustLogFilterBuilder,
+};
 
-/// Sends logs to standard output as JSON lines that name `vm`. The level is taken from `RUST_LOG`,
-/// `info` if unset. Has no effect if logging was started already.
+/// Sends logs to standard output as JSON lines that name `vm`, and logs panics. The level is taken
+/// from `RUST_LOG`, `info` if unset. Has no effect if logging was started already.
 pub fn start_logging(vm: &str) {
     let started = logforth::starter_log::builder()
         .dispatch(|dispatch| {
@@ -17,8 +22,9 @@
                 .append(JsonLines::open(vm))
         })
         .try_apply();
-    if let Err(err) = started {
-        log::debug!("logging: {err}");
+    match started {
+        Ok(()) => log_panics(),
+        Err(err) => log::debug!("logging: {err}"),
     }
 }
 
--- a/crates/relay/src/caller_connections.rs
+++ b/crates/relay/src/caller_connections.rs
@@ -28,6 +28,11 @@
         OpenConnection { connections: self }
     }
 
+    /// Number of open connections.
+    pub(crate) fn open(&self) -> usize {
+        self.open.get()
+    }
+
     /// Returns once connections have to close.
     pub(crate) async fn closing(&self) {
         // Can't fail, since the sender lives as long as `self`.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -183,6 +183,11 @@
         self.relay.in_flight.get()
     }
 
+    /// Number of connections of callers that are open.
+    pub fn open_connections(&self) -> usize {
+        self.relay.connections.open()
+    }
+
     /// Accepts no more callers, and closes each connection once its answer has been written out.
     /// Returns when all connections are closed.
     pub async fn close(&self) {
