Never wait for whoever reads the log

What operators saw: a node whose standard output was a pipe that nobody read any more didn't end when told to; it hung in its last step until it was killed at the end of the grace time. A node that couldn't start hung likewise when nobody read standard error, and the panic hook would have stopped the panicking thread.

Cause: `flush_logs` and the panic hook wrote to standard output themselves, and std's hook and `eprintln!` to standard error. A write to a full pipe waits for ever (and `eprintln!` panics on a closed one).

Change: only the log thread writes to standard output. A flush wakes it and waits 200 ms at most. A panic of the log thread ends one round of it, not the thread.

--- a/crates/observe/src/json_lines.rs
+++ b/crates/observe/src/json_lines.rs
@@ -4,6 +4,7 @@
 //! than the rest, so that a flood of ordinary decisions can't hide them.
 
 use {
+    crate::last_words::print_error,
     logforth::{
         Append, Diagnostic, Error,
         kv::{KeyView, ValueView, Visitor},
@@ -11,8 +12,9 @@
     },
     std::{
         io::{self, Write},
-        sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
-        thread,
+        panic::catch_unwind,
+        sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError},
+        thread::{self, ThreadId},
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
 };
@@ -27,6 +29,8 @@
 const FAILURES_PER_S: u32 = 800;
 /// Time for which lines are gathered before they are written together.
 const GATHER: Duration = Duration::from_millis(100);
+/// Longest wait of a flush. Nobody may be reading standard output.
+const FLUSH_WAIT_MAX: Duration = Duration::from_millis(200);
 
 #[derive(Debug, Default)]
 struct Buffer {
@@ -35,6 +39,11 @@
     lines: u32,
     second: u64,
     left_out: u64,
+    /// Number of times that the buffer was drained.
+    drains: u64,
+    /// Of these, the number whose bytes were written.
+    written: u64,
+    is_flush_wanted: bool,
 }
 
 #[derive(Debug)]
@@ -43,6 +52,8 @@
     vm: String,
     buffer: Mutex<Buffer>,
     filled: Condvar,
+    written: Condvar,
+    writer: OnceLock<ThreadId>,
 }
 
 /// Appends records as JSON lines.
@@ -58,12 +69,14 @@
             vm: vm.to_owned(),
             buffer: Mutex::default(),
             filled: Condvar::new(),
+            written: Condvar::new(),
+            writer: OnceLock::new(),
         });
         let writer = Arc::clone(&shared);
         let spawned =
             thread::Builder::new().name("log".to_owned()).spawn(move || writer.write_all());
         if let Err(err) = spawned {
-            eprintln!("can't start the log thread: {err}");
+            print_error(&format!("can't start the log thread: {err}"));
         }
         Self { shared }
     }
@@ -96,7 +109,7 @@
     }
 
     fn flush(&self) -> Result<(), Error> {
-        self.shared.write_out();
+        self.shared.flush();
         Ok(())
     }
 }
@@ -133,8 +146,14 @@
             put_text(line, vm);
             let _ = writeln!(line, ",\"event\":\"lines_left_out\",\"lines\":{left_out}}}");
         }
+        self.drains += 1;
+        self.is_flush_wanted = false;
         std::mem::take(&mut self.bytes)
     }
+
+    fn is_empty(&self) -> bool {
+        self.bytes.is_empty() && self.left_out == 0
+    }
 }
 
 impl Shared {
@@ -144,21 +163,43 @@
 
     /// Writes lines as they come, for as long as the process lives.
     fn write_all(&self) {
+        // Fails only if it was set already.
+        let _ = self.writer.set(thread::current().id());
         loop {
             let mut buffer = self.lock();
-            while buffer.bytes.is_empty() && buffer.left_out == 0 {
+            while buffer.is_empty() && !buffer.is_flush_wanted {
                 buffer = self.filled.wait(buffer).unwrap_or_else(PoisonError::into_inner);
             }
-            drop(buffer);
-            thread::sleep(GATHER);
-            self.write_out();
+            // The panic hook tells of a panic here, in the next round.
+            let gathering = |buffer: &mut Buffer| !buffer.is_flush_wanted;
+            drop(self.filled.wait_timeout_while(buffer, GATHER, gathering));
+            let _ = catch_unwind(|| self.write_out());
         }
     }
 
+    /// Only the writing thread calls this, since it may have to wait for a reader.
     fn write_out(&self) {
-        let bytes = self.lock().drain(&self.vm);
+        let mut buffer = self.lock();
+        let bytes = buffer.drain(&self.vm);
+        let drains = buffer.drains;
+        drop(buffer);
         // Nobody is left to be told when standard output is gone.
         let _ = io::stdout().write_all(&bytes).and_then(|()| io::stdout().flush());
+        self.lock().written = drains;
+        self.written.notify_all();
+    }
+
+    /// Waits until the lines so far are written, or until [`FLUSH_WAIT_MAX`] has passed.
+    fn flush(&self) {
+        if self.writer.get() == Some(&thread::current().id()) {
+            return;
+        }
+        let mut buffer = self.lock();
+        buffer.is_flush_wanted = true;
+        let wanted = buffer.drains + 1;
+        self.filled.notify_all();
+        let is_unwritten = |buffer: &mut Buffer| buffer.written < wanted;
+        drop(self.written.wait_timeout_while(buffer, FLUSH_WAIT_MAX, is_unwritten));
     }
 }
 
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -2,10 +2,11 @@
 //! Prometheus' text form.
 
 mod json_lines;
+mod last_words;
 mod metrics;
 mod panic_log;
 
-pub use crate::metrics::Metrics;
+pub use crate::{last_words::print_error, metrics::Metrics};
 
 use {
     crate::{json_lines::JsonLines, panic_log::log_panics},
@@ -28,7 +29,7 @@
     }
 }
 
-/// Writes what was logged so far.
+/// Waits until what was logged so far is written, for a fraction of a second at most.
 pub fn flush_logs() {
     log::logger().flush();
 }
--- a/crates/observe/src/panic_log.rs
+++ b/crates/observe/src/panic_log.rs
@@ -1,22 +1,29 @@
 //! Logs panics, so that the log of a process tells where it or one of its threads ended.
 
-use std::{panic, thread};
+use {
+    crate::last_words::print_error,
+    std::{
+        backtrace::{Backtrace, BacktraceStatus},
+        panic, thread,
+    },
+};
 
 /// Has every panic logged as `panicked` with the thread, the place in the source and the reason, and
-/// written out at once, because the process may end next. The previous hook still runs.
+/// written out at once, because the process may end next. Standard error has the same, and a backtrace
+/// if `RUST_BACKTRACE` asks for one. Neither is waited for if nobody reads it.
 pub(crate) fn log_panics() {
-    let previous = panic::take_hook();
-    panic::set_hook(Box::new(move |info| {
+    panic::set_hook(Box::new(|info| {
         let thread = thread::current();
+        let thread = thread.name().unwrap_or("unnamed");
         let location = info.location().map_or_else(String::new, ToString::to_string);
-        let reason = info.payload_as_str().unwrap_or("unknown");
-        log::error!(
-            thread = thread.name().unwrap_or("unnamed"),
-            location = location.as_str(),
-            reason = reason;
-            "panicked"
-        );
+        let text = info.payload().downcast_ref::<&str>().copied();
+        let formatted = || info.payload().downcast_ref::<String>().map(String::as_str);
+        let reason = text.or_else(formatted).unwrap_or("unknown");
+        log::error!(thread = thread, location = location.as_str(), reason = reason; "panicked");
         log::logger().flush();
-        previous(info);
+        let backtrace = Backtrace::capture();
+        let has_backtrace = backtrace.status() == BacktraceStatus::Captured;
+        let backtrace = if has_backtrace { format!("\n{backtrace}") } else { String::new() };
+        print_error(&format!("thread '{thread}' panicked at {location}:\n{reason}{backtrace}"));
     }));
 }
