Bound what a reload reads

What operators saw: after SIGHUP with a settings file that was huge, the node took the file's size in memory; with a pipe in its place (a deployment tool that writes settings late), all traffic of the node stood still.

Cause: the traffic thread read the whole file, whatever it was.

--- a/crates/node/src/reloader.rs
+++ b/crates/node/src/reloader.rs
@@ -25,7 +25,7 @@
     /// Reads the file at each signal, for as long as the process runs.
     pub(crate) async fn run(self, mut reload_signal: Signal) {
         while reload_signal.recv().await.is_some() {
-            match NodeSettings::open(&self.file) {
+            match NodeSettings::reopen(&self.file) {
                 Ok(settings) => self.reload(&settings),
                 Err(err) => {
                     log::warn!(reason = err.to_string().as_str(); "reload_failed");
--- a/crates/settings/src/node_settings.rs
+++ b/crates/settings/src/node_settings.rs
@@ -4,7 +4,7 @@
     crate::{
         error::SettingsError,
         raw_node_settings::{RawNodeSettings, RawNodeTiming, RawRetryLimits},
-        read_file::read_file,
+        read_file::{read_file, read_regular_file},
     },
     glade_types::{DataCentre, VmId, is_valid_name},
     std::{net::SocketAddr, path::Path, time::Duration},
@@ -101,6 +101,16 @@
         Self::parse(&read_file(path)?)
     }
 
+    /// Reads, parses and validates the regular file at `path` in a running process, which mustn't wait
+    /// for it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first error found; see [`SettingsError`].
+    pub fn reopen(path: &Path) -> Result<Self, SettingsError> {
+        Self::parse(&read_regular_file(path)?)
+    }
+
     /// Parses and validates settings given as YAML.
     ///
     /// # Errors
