Handle signals before anything else, and outlive stray ones

What operators saw: a node ended at once, its answers cut, by SIGHUP or SIGTERM during its start, by SIGINT or SIGQUIT at any time, and by SIGUSR1, SIGUSR2, SIGALRM and others that tell it nothing.

Cause: only SIGTERM and SIGHUP had handlers, and got them after the settings, the log, the metrics and the control thread were ready.

Change: `main` installs all handlers first. SIGTERM, SIGINT and SIGQUIT begin the drain, SIGHUP reloads; those that come before the node runs take effect once it does. Signals of faults and of job control keep their effects.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,9 +36,13 @@
 mod registry_update;
 mod reload;
 mod reloader;
+mod signals;
 mod start_exchange;
 mod status_page;
 mod store_health;
 mod table_watcher;
 
-pub use crate::node::{Node, NodeError};
+pub use crate::{
+    node::{Node, NodeError},
+    signals::Signals,
+};
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -2,7 +2,8 @@
 
 use {
     bpaf::Bpaf,
-    glade_node::Node,
+    glade_node::{Node, Signals},
+    glade_observe::print_error,
     glade_settings::NodeSettings,
     std::{path::PathBuf, process::ExitCode},
 };
@@ -20,22 +21,26 @@
 }
 
 fn main() -> ExitCode {
+    // Comes first: until then a signal ends the process.
+    let signals = match Signals::open() {
+        Ok(signals) => signals,
+        Err(err) => return failure(&err, ExitCode::FAILURE),
+    };
     let args = args().run();
     let settings = match NodeSettings::open(&args.settings) {
         Ok(settings) => settings,
-        Err(err) => {
-            eprintln!("persimmonglade-node: {err}");
-            return ExitCode::from(INVALID_SETTINGS);
-        }
+        Err(err) => return failure(&err, ExitCode::from(INVALID_SETTINGS)),
     };
     glade_observe::start_logging(settings.vm.as_str());
-    let ended = Node::run(settings, args.settings);
+    let ended = Node::run(signals, settings, args.settings);
     glade_observe::flush_logs();
     match ended {
         Ok(()) => ExitCode::SUCCESS,
-        Err(err) => {
-            eprintln!("persimmonglade-node: {err}");
-            ExitCode::FAILURE
-        }
+        Err(err) => failure(&err, ExitCode::FAILURE),
     }
 }
+
+fn failure(err: &dyn std::error::Error, code: ExitCode) -> ExitCode {
+    print_error(&format!("persimmonglade-node: {err}"));
+    code
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,6 +10,7 @@
         peer_message::PeerInfo,
         published_state::{PeerUpdates, PublishedState},
         reloader::{Reloader, retry_limit},
+        signals::Signals,
         status_page::{Page, bind_page},
     },
     bytes::Bytes,
@@ -18,6 +19,7 @@
     glade_clock::{BootClock, Clock},
     glade_dispatch::{PromptSent, StartReply},
     glade_observe::Metrics,
+    glade_process::EndSignals,
     glade_relay::{Relay, RelayDependencies, RelayHandle},
     glade_settings::NodeSettings,
     glade_types::Incarnation,
@@ -36,7 +38,7 @@
         time::{Duration, SystemTime},
     },
     tokio::{
-        signal::unix::{SignalKind, signal},
+        signal::unix::Signal,
         sync::mpsc::Receiver,
         task::{LocalSet, spawn_local},
         time::{MissedTickBehavior, interval, sleep, timeout},
@@ -71,8 +73,6 @@
     },
     /// The control thread can't be started.
     Control(String),
-    /// A runtime or signal handler can't be created.
-    System(io::Error),
 }
 
 impl fmt::Display for NodeError {
@@ -80,19 +80,12 @@
         match self {
             Self::Bind { addr, reason } => write!(f, "can't listen on {addr}: {reason}"),
             Self::Control(reason) => write!(f, "can't start the control thread: {reason}"),
-            Self::System(err) => write!(f, "can't start: {err}"),
         }
     }
 }
 
 impl std::error::Error for NodeError {}
 
-impl From<io::Error> for NodeError {
-    fn from(err: io::Error) -> Self {
-        Self::System(err)
-    }
-}
-
 /// The node daemon.
 #[derive(Debug)]
 pub struct Node;
@@ -103,7 +96,8 @@
     /// # Errors
     ///
     /// The node can't be started.
-    pub fn run(settings: NodeSettings, file: PathBuf) -> Result<(), NodeError> {
+    pub fn run(signals: Signals, settings: NodeSettings, file: PathBuf) -> Result<(), NodeError> {
+        let Signals { runtime, end, reload } = signals;
         let settings = Arc::new(settings);
         let clock: Arc<dyn Clock> = Arc::new(BootClock::new());
         let (published, peer_updates) = PublishedState::new();
@@ -124,10 +118,9 @@
             control_metrics,
         )
         .map_err(|err| NodeError::Control(err.to_string()))?;
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         LocalSet::new().block_on(
             &runtime,
-            serve(settings, file, clock, metrics, published, peer_updates, control),
+            serve(end, reload, settings, file, clock, metrics, published, peer_updates, control),
         )
     }
 }
@@ -145,7 +138,10 @@
     }
 }
 
+#[expect(clippy::too_many_arguments, reason = "called once, by the function above")]
 async fn serve(
+    mut end: EndSignals,
+    reload: Signal,
     settings: Arc<NodeSettings>,
     file: PathBuf,
     clock: Arc<dyn Clock>,
@@ -154,8 +150,6 @@
     peer_updates: PeerUpdates,
     control: ControlHandle,
 ) -> Result<(), NodeError> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let reload_signal = signal(SignalKind::hangup())?;
     let lifecycle = Rc::new(Lifecycle::new());
     let directory_handler = Rc::new(DirectoryHandler {
         lifecycle: Rc::clone(&lifecycle),
@@ -196,8 +190,8 @@
         relay: relay.clone(),
         control: control.clone(),
     };
-    spawn_local(reloader.run(reload_signal));
-    terminate.recv().await;
+    spawn_local(reloader.run(reload));
+    end.recv().await;
     let settings = Arc::clone(&in_force.borrow());
     log::info!("leaving");
     lifecycle.begin_drain();
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -14,6 +14,7 @@
     rustix::process::{Pid, Signal, kill_process},
     std::{
         fs::{self, File},
+        io::PipeWriter,
         net::{SocketAddr, TcpListener},
         ops::Range,
         os::unix::process::ExitStatusExt,
@@ -178,19 +179,30 @@
 
     /// Starts the process of a node, again if it has ended.
     pub fn start_node(&mut self, position: usize) {
+        self.start_node_by(position, Command::new(program("persimmonglade-node")), None);
+    }
+
+    /// Starts the process of a node by `command`, which runs the program with the arguments that are
+    /// added. Its output goes to its log, or to `output`.
+    pub fn start_node_by(
+        &mut self,
+        position: usize,
+        mut command: Command,
+        output: Option<PipeWriter>,
+    ) {
         let log = self.node_log_path(position);
         let node = &mut self.nodes[position];
-        let out = File::options().create(true).append(true).open(log).expect("a log file");
-        let err = out.try_clone().expect("a log file");
-        let child = Command::new(program("persimmonglade-node"))
-            .arg("--settings")
-            .arg(&node.settings)
-            .stdin(Stdio::null())
-            .stdout(out)
-            .stderr(err)
-            .spawn()
-            .expect("the node can be started");
-        node.child = Some(child);
+        command.arg("--settings").arg(&node.settings).stdin(Stdio::null());
+        match output {
+            Some(pipe) => {
+                command.stdout(pipe.try_clone().expect("an end of a pipe")).stderr(pipe);
+            }
+            None => {
+                let out = File::options().create(true).append(true).open(log).expect("a log file");
+                command.stdout(out.try_clone().expect("a log file")).stderr(out);
+            }
+        }
+        node.child = Some(command.spawn().expect("the node can be started"));
     }
 
     /// Ports of a node.
@@ -246,7 +258,8 @@
         self.signal_node(position, Signal::CONT);
     }
 
-    fn signal_node(&self, position: usize, signal: Signal) {
+    /// Sends a signal to a node.
+    pub fn signal_node(&self, position: usize, signal: Signal) {
         if let Some(child) = &self.nodes[position].child {
             kill_process(Pid::from_child(child), signal).expect("an own child can be signalled");
         }
