Restart what panics, the control in particular

What operators would have seen: a panic on the control thread left a node that served callers by a view that no longer followed the store, the servers or the other nodes, with nothing but one line on standard error. A panic in one of the tasks that run for ever (table watchers, accept loops, reports, the reloader) or in a call whose outcome the control waits for (lease, orders) did the same to a part of the node. A panic in the drain ended the process with its answers. A panic in a request cut its connection without an answer.

Cause: nothing watched threads or tasks.

Change: a panic on the control thread, in the control or in any of its tasks, ends that control with its runtime, tasks and connections, and another begins as a new process would: with a new incarnation, without a lease, from the store and the other nodes. It keeps the configuration, and the view that traffic uses stays published until the new control knows the registry. Long-running tasks of the traffic thread start again. A request that panics gets 502, since it may have run. A node that is asked to shut down remembers it for the next control, also if the event queue was full.

Tests: control_thread, control_task, control/tests/restarts.rs and crates/process/tests. With a trial that publishes at once, both tests of restarts.rs fail (the view is emptied; the directory lacks other nodes).

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -11,6 +11,7 @@
 use {
     crate::{
         control_metrics::ControlMetrics,
+        control_task::spawn_task,
         demand_aggregator::DemandAggregator,
         endpoint_exchange::EndpointExchange,
         event::{Event, WatchedTable},
@@ -19,7 +20,7 @@
         leaf_registry::LeafRegistry,
         load_exchange::LoadExchange,
         node_discovery::{FIRST_START_JITTER_MAX, NodeDiscovery},
-        peer_message::{Heartbeat, PeerBatch, PeerInfo, PeerMessage},
+        peer_message::{Heartbeat, PeerMessage},
         peer_network::PeerNetwork,
         prompt_exchange::PromptExchange,
         published_state::{CallerEndpoints, PublishedState},
@@ -36,30 +37,28 @@
     glade_catalog::Catalog,
     glade_clock::Clock,
     glade_dispatch::ClusterView,
-    glade_platform::{Change, Era},
+    glade_platform::{Change, Era, Revision},
     glade_relay::TrafficUpdate,
     glade_settings::NodeSettings,
-    glade_wire::{Inbox, Outbox},
     std::{
         cell::Cell,
         net::SocketAddr,
         rc::Rc,
-        sync::Arc,
-        thread,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::{
         sync::{
-            mpsc::{Receiver, Sender, channel},
+            mpsc::{Receiver, Sender},
             watch,
         },
-        task::{LocalSet, spawn_local},
         time::sleep,
     },
 };
 
-/// Capacity of the control thread's event queue.
-const EVENT_QUEUE_CAPACITY: usize = 1024;
 /// Period of the control thread's periodic work.
 const TICK_PERIOD: Duration = Duration::from_millis(50);
 /// Period of heartbeats to other nodes in a full mesh.
@@ -75,7 +74,7 @@
 const QUARANTINE_POLL_WAIT: Duration = Duration::from_secs(10);
 
 /// State of the control thread.
-struct Control {
+pub(crate) struct Control {
     settings: Arc<NodeSettings>,
     clock: Arc<dyn Clock>,
     published: PublishedState,
@@ -132,6 +131,9 @@
     started_at: Instant,
     /// The published view must be rebuilt.
     view_is_outdated: bool,
+    /// The published view is an earlier control's, and stays until this one has heard from other nodes
+    /// and knows the registry.
+    keeps_published_view: bool,
     /// Other nodes have reported loads since the last view was published.
     peer_loads_changed: bool,
     rng: fastrand::Rng,
@@ -142,51 +144,36 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ControlHandle {
     events: Sender<Event>,
+    /// The node was asked to shut down. A control that starts again would miss the event.
+    is_shutting_down: Arc<AtomicBool>,
 }
 
 impl ControlHandle {
+    pub(crate) fn new(events: Sender<Event>) -> Self {
+        Self { events, is_shutting_down: Arc::default() }
+    }
+
     /// Queues an event for the control thread. The event is dropped if the queue is full.
     pub(crate) fn send(&self, event: Event) {
         if self.events.try_send(event).is_err() {
             log::warn!("control_behind");
         }
     }
-}
 
-/// Starts the control thread, and the thread that receives messages from other nodes.
-///
-/// # Errors
-///
-/// The address for other nodes can't be bound, or a thread or runtime can't be started.
-pub(crate) fn spawn_control(
-    settings: Arc<NodeSettings>,
-    clock: Arc<dyn Clock>,
-    me: PeerInfo,
-    published: PublishedState,
-    control_metrics: ControlMetrics,
-) -> Result<ControlHandle, Box<dyn std::error::Error>> {
-    let (events, inbox) = channel(EVENT_QUEUE_CAPACITY);
-    let handle = ControlHandle { events: events.clone() };
-    let receiver = handle.clone();
-    let inbox_metrics = control_metrics.clone();
-    let inbox_thread = Inbox::bind_frames(settings.listen.peers, move |bytes| {
-        let batch = PeerBatch::decode(bytes, &inbox_metrics)?;
-        receiver.send(Event::PeerBatch(Box::new(batch)));
-        Ok(())
-    })?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let run = move || {
-        let _inbox_thread = inbox_thread;
-        let network = PeerNetwork::new(me, Box::new(Outbox::new()), control_metrics.clone());
-        let control = Control::new(settings, clock, network, published, control_metrics, events);
-        LocalSet::new().block_on(&runtime, control.run(inbox));
-    };
-    thread::Builder::new().name("control".to_owned()).spawn(run)?;
-    Ok(handle)
+    /// Has the control thread shut down, at its next tick if the queue is full.
+    pub(crate) fn shut_down(&self) {
+        self.is_shutting_down.store(true, Ordering::Relaxed);
+        self.send(Event::Shutdown);
+    }
+
+    /// For events that have to wait for room in the queue.
+    pub(crate) fn events(&self) -> Sender<Event> {
+        self.events.clone()
+    }
 }
 
 impl Control {
-    fn new(
+    pub(crate) fn new(
         settings: Arc<NodeSettings>,
         clock: Arc<dyn Clock>,
         network: PeerNetwork,
@@ -247,13 +234,24 @@
             era: None,
             started_at: now,
             view_is_outdated: true,
+            keeps_published_view: false,
             peer_loads_changed: false,
             rng,
             control_metrics,
         }
     }
 
-    async fn run(mut self, mut inbox: Receiver<Event>) {
+    /// Continues the work of a control of this process that has panicked. Keeps the configuration in
+    /// force, and the published view until its own is complete.
+    pub(crate) fn continue_from_published(&mut self, now: Instant) {
+        if let Some(catalog) = self.published.view.load().catalog.clone() {
+            self.apply_catalog(now, catalog, "before");
+            self.keeps_published_view = true;
+        }
+    }
+
+    /// Runs until a task of this control panics.
+    pub(crate) async fn run(mut self, handle: &ControlHandle, inbox: &mut Receiver<Event>) {
         self.spawn_store_tasks();
         self.contact_seeds(self.clock.now());
         loop {
@@ -261,12 +259,15 @@
             self.network.flush(now);
             let next_wake_at = self.next_wake_at();
             tokio::select! {
-                event = inbox.recv() => {
-                    let Some(event) = event else { return };
-                    self.handle_event(self.clock.now(), event);
-                }
+                event = inbox.recv() => match event {
+                    None | Some(Event::TaskPanicked) => return,
+                    Some(event) => self.handle_event(self.clock.now(), event),
+                },
                 () = sleep(next_wake_at.saturating_duration_since(now)) => {}
             }
+            if handle.is_shutting_down.load(Ordering::Relaxed) && !self.is_shutting_down {
+                self.handle_event(self.clock.now(), Event::Shutdown);
+            }
             self.run_due_work(self.clock.now());
         }
     }
@@ -340,9 +341,10 @@
                 clock: Arc::clone(&self.clock),
                 rng: self.rng.fork(),
             };
-            spawn_local(watcher.run());
+            spawn_task(&self.events, watcher.run());
         }
-        spawn_local(self.node_discovery().run());
+        let discovery = self.node_discovery();
+        spawn_task(&self.events, discovery.run());
     }
 
     pub(crate) fn node_discovery(&mut self) -> NodeDiscovery<PlatformStore> {
@@ -450,6 +452,9 @@
             Event::Seeds(seeds) => {
                 seeds.into_iter().for_each(|seed| self.network.send_initial_heartbeat(now, seed))
             }
+            // Ends the loop of `run`.
+            Event::TaskPanicked => {}
+            Event::Shutdown if self.is_shutting_down => {}
             Event::Shutdown => {
                 self.is_shutting_down = true;
                 self.leadership.shut_down(now);
@@ -531,12 +536,19 @@
             self.network.send_to_cores(now, &message);
             self.apply_residents(now, update.epoch, update.engines);
         }
-        if self.view_is_outdated {
+        if self.view_is_outdated && self.may_publish(now) {
             self.view_is_outdated = false;
             self.publish_view(now);
         }
     }
 
+    /// False while the published view of an earlier control is more complete than this one's.
+    fn may_publish(&mut self, now: Instant) -> bool {
+        self.keeps_published_view &=
+            now < self.startup_ends_at || self.registry.revision() == Revision::ABSENT;
+        !self.keeps_published_view
+    }
+
     /// Sends a heartbeat to each node that this one is connected to.
     fn send_heartbeats(&mut self, now: Instant) {
         let heartbeat = Heartbeat {
--- a/crates/node/src/control/store_handlers.rs
+++ b/crates/node/src/control/store_handlers.rs
@@ -4,6 +4,7 @@
 use {
     super::Control,
     crate::{
+        control_task::spawn_task,
         event::{Event, WatchedTable},
         leaf_digest::NameTable,
         peer_message::PeerMessage,
@@ -19,7 +20,6 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::task::spawn_local,
 };
 
 /// Time after the store's recovery during which missing entries count as lapsed instead of removed.
@@ -71,7 +71,8 @@
         self.store_health.record_restore(now);
         self.next_heartbeat_at = now;
         if now.saturating_duration_since(self.started_at) < BACKUP_AGE_MAX {
-            spawn_local(self.node_discovery().write_row_again());
+            let discovery = self.node_discovery();
+            spawn_task(&self.events, discovery.write_row_again());
         }
     }
 
@@ -88,14 +89,20 @@
     }
 
     /// Puts a configuration in force if it is newer than the present one.
-    pub(super) fn apply_catalog(&mut self, now: Instant, catalog: Catalog, source: &'static str) {
+    pub(super) fn apply_catalog(
+        &mut self,
+        now: Instant,
+        catalog: impl Into<Arc<Catalog>>,
+        source: &'static str,
+    ) {
+        let catalog = catalog.into();
         if self.catalog.as_ref().is_some_and(|known| known.version() >= catalog.version()) {
             return;
         }
         log::info!(version = catalog.version(), source = source; "configuration_in_force");
         self.catalog_behind_since = None;
         self.name_table = NameTable::new(&catalog);
-        self.catalog = Some(Arc::new(catalog));
+        self.catalog = Some(catalog);
         self.on_records_changed(now);
         // The next heartbeat reports the new version to other nodes at once.
         self.next_heartbeat_at = now;
@@ -187,7 +194,7 @@
             return;
         }
         let (store, events) = (Rc::clone(&self.store), self.events.clone());
-        spawn_local(async move {
+        spawn_task(&self.events, async move {
             let event = match store.snapshot(config::TABLE).await {
                 Ok(snapshot) => Event::Snapshot(WatchedTable::Configuration, snapshot),
                 Err(err) => Event::StoreCallFailed(now, err.to_string()),
--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -3,6 +3,7 @@
 
 mod deployment;
 mod quarantine;
+mod restarts;
 
 use {
     self::deployment::Deployment,
--- a/crates/node/src/control/tests/deployment.rs
+++ b/crates/node/src/control/tests/deployment.rs
@@ -97,12 +97,29 @@
 
     /// Starts the process of a node. Its seeds are the nodes before it.
     pub(super) fn start(&mut self, position: usize) {
+        let now = self.clock.now();
+        let mut node = self.new_node(position, PublishedState::new().0);
+        let catalog = Catalog::new(1, CallerLimits::default(), Vec::new(), Vec::new());
+        node.control.apply_catalog(now, catalog, "store");
+        self.nodes[position] = Some(node);
+    }
+
+    /// Starts the control of a running node again, as after a panic.
+    pub(super) fn restart_control(&mut self, position: usize) {
+        let now = self.clock.now();
+        let Some(node) = self.nodes[position].take() else { return };
+        let mut node = self.new_node(position, node.published);
+        node.control.continue_from_published(now);
+        self.nodes[position] = Some(node);
+    }
+
+    fn new_node(&mut self, position: usize, published: PublishedState) -> RunningNode {
         let now = self.clock.now();
         let me = &mut self.infos[position];
         me.incarnation = Incarnation(me.incarnation.0 + 1);
         let me = me.clone();
         let seeds = self.infos[..position].iter().map(|info| info.peer_addr).collect();
-        let (transport, (published, _)) = (RecordingTransport::default(), PublishedState::new());
+        let transport = RecordingTransport::default();
         let network =
             PeerNetwork::new(me.clone(), Box::new(transport.clone()), ControlMetrics::default());
         let (events, inbox) = channel(1);
@@ -117,18 +134,16 @@
             events,
         );
         control.contact_seeds(now);
-        let catalog = Catalog::new(1, CallerLimits::default(), Vec::new(), Vec::new());
-        control.apply_catalog(now, catalog, "store");
         let writes_row_at = now + self.store_call_time();
         let reads_rows_at = writes_row_at + self.store_call_time();
-        self.nodes[position] = Some(RunningNode {
+        RunningNode {
             control,
             transport,
             published,
             _events: inbox,
             writes_row_at: Some(writes_row_at),
             reads_rows_at: Some(reads_rows_at),
-        });
+        }
     }
 
     /// Kills the process of a node.
--- a/crates/node/src/control/tests/quarantine.rs
+++ b/crates/node/src/control/tests/quarantine.rs
@@ -27,7 +27,7 @@
     ServerKey { id: BackendId::new(&format!("engine-{server}")), start_time_ms: 1 }
 }
 
-fn row(server: usize) -> StoredRow {
+pub(super) fn row(server: usize) -> StoredRow {
     let record = ServerRecord {
         key: key(server),
         service: ServiceName::new("pool"),
--- a/crates/node/src/control_metrics.rs
+++ b/crates/node/src/control_metrics.rs
@@ -70,6 +70,7 @@
     batches_received: MessageCounter,
     views: AtomicU64,
     quarantines: AtomicU64,
+    restarts: AtomicU64,
 }
 
 impl ControlMetrics {
@@ -103,6 +104,11 @@
         self.counters.quarantines.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts a start of the control after a panic.
+    pub(crate) fn on_control_restart(&self) {
+        self.counters.restarts.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Registers the counters with `metrics`.
     pub(crate) fn register(&self, metrics: &Metrics) {
         self.register_kinds(
@@ -120,7 +126,7 @@
         self.register_kinds(metrics, "peer_bytes_received", "Bytes of these.", |counters| {
             counters.received.each_ref().map(|counter| &counter.bytes)
         });
-        let totals: [(&'static str, &'static str, CounterSelector); 6] = [
+        let totals: [(&'static str, &'static str, CounterSelector); 7] = [
             ("peer_parcels_sent", "Parcels of messages to other nodes.", |counters| {
                 &counters.batches_sent.messages
             }),
@@ -137,6 +143,9 @@
                 "Combinations of parts of prompts that this node found to crash engines.",
                 |counters| &counters.quarantines,
             ),
+            ("control_restarts", "Starts of the control after a panic.", |counters| {
+                &counters.restarts
+            }),
         ];
         for (name, description, select) in totals {
             let counters = Arc::clone(&self.counters);
--- a/crates/node/src/engine_client.rs
+++ b/crates/node/src/engine_client.rs
@@ -1,7 +1,7 @@
 //! HTTP client by which the control thread sends orders to engines and requests their reports.
 
 use {
-    crate::event::Event,
+    crate::{control_task::spawn_task, event::Event},
     glade_adapter::{engine, platform_dialect},
     glade_catalog::{EngineOrder, EngineReport, OrderAnswer, ServerKey},
     glade_http::{Answer, Pool},
@@ -9,7 +9,7 @@
     glade_types::CallOutcome,
     hyper::StatusCode,
     std::{net::SocketAddr, rc::Rc, time::Duration},
-    tokio::{sync::mpsc::Sender, task::spawn_local},
+    tokio::sync::mpsc::Sender,
 };
 
 /// Time-out of an order. Engines answer within a few milliseconds; an answer that takes longer is
@@ -37,7 +37,7 @@
     /// Sends an order; the answer arrives as an [`Event::OrderAnswered`].
     pub(crate) fn send_order(self: &Rc<Self>, order: EngineOrder) {
         let client = Rc::clone(self);
-        spawn_local(async move {
+        spawn_task(&self.events, async move {
             let req = engine::encode_order(&order);
             let answer = match client.pool.fetch(order.addr, req, ORDER_TIMEOUT).await {
                 Ok(answer) => {
@@ -58,7 +58,7 @@
     /// Requests an engine's report, which arrives as an [`Event::EngineReported`].
     pub(crate) fn request_report(self: &Rc<Self>, server: ServerKey, addr: SocketAddr) {
         let client = Rc::clone(self);
-        spawn_local(async move {
+        spawn_task(&self.events, async move {
             let report = client.report(&server, addr).await;
             client.send_event(Event::EngineReported(server, report)).await;
         });
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -62,6 +62,8 @@
     EngineReported(ServerKey, Option<EngineReport>),
     /// The list of seed nodes in the settings was reloaded.
     Seeds(Vec<SocketAddr>),
+    /// A task of the control thread has panicked.
+    TaskPanicked,
     /// The node was asked to shut down.
     Shutdown,
 }
--- a/crates/node/src/lease.rs
+++ b/crates/node/src/lease.rs
@@ -2,12 +2,12 @@
 //! the only node that sends load and unload orders to engines.
 
 use {
-    crate::event::Event,
+    crate::{control_task::spawn_task, event::Event},
     glade_adapter::platform_store::PlatformStore,
     glade_lease::LeaseAction,
     glade_platform::{Key, TableService, Txn},
     std::{rc::Rc, time::Instant},
-    tokio::{sync::mpsc::Sender, task::spawn_local},
+    tokio::sync::mpsc::Sender,
 };
 
 /// Key of the lease's row.
@@ -21,8 +21,8 @@
     events: &Sender<Event>,
     action: LeaseAction,
 ) {
-    let (store, events) = (Rc::clone(store), events.clone());
-    spawn_local(async move {
+    let (store, sender) = (Rc::clone(store), events.clone());
+    spawn_task(events, async move {
         let key = Key::new(LEASE_KEY);
         let event = match action {
             LeaseAction::Read => Event::LeaseRead(now, store.read(&key).await),
@@ -33,6 +33,6 @@
             }
         };
         // The channel closes only when the process ends, so a failed send needs no handling.
-        let _ = events.send(event).await;
+        let _ = sender.send(event).await;
     });
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod control;
 mod control_metrics;
+mod control_task;
+mod control_thread;
 mod demand_aggregator;
 mod directory_handler;
 mod endpoint_exchange;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,14 +2,15 @@
 
 use {
     crate::{
-        control::{ControlHandle, spawn_control},
+        control::ControlHandle,
         control_metrics::ControlMetrics,
+        control_thread::spawn_control,
         directory_handler::DirectoryHandler,
         event::{Event, TrafficReport},
         lifecycle::Lifecycle,
         peer_message::PeerInfo,
         published_state::{PeerUpdates, PublishedState},
-        reloader::{Reloader, retry_limit},
+        reloader::{ReloadSignal, Reloader, retry_limit},
         signals::Signals,
         status_page::{Page, bind_page},
     },
@@ -19,7 +20,7 @@
     glade_clock::{BootClock, Clock},
     glade_dispatch::{PromptSent, StartReply},
     glade_observe::Metrics,
-    glade_process::EndSignals,
+    glade_process::{EndSignals, keep_running},
     glade_relay::{Relay, RelayDependencies, RelayHandle},
     glade_settings::NodeSettings,
     glade_types::Incarnation,
@@ -32,13 +33,13 @@
         cell::{Cell, RefCell},
         fmt, io,
         net::SocketAddr,
+        panic::{self, AssertUnwindSafe},
         path::PathBuf,
         rc::Rc,
         sync::Arc,
         time::{Duration, SystemTime},
     },
     tokio::{
-        signal::unix::Signal,
         sync::mpsc::Receiver,
         task::{LocalSet, spawn_local},
         time::{MissedTickBehavior, interval, sleep, timeout},
@@ -73,6 +74,8 @@
     },
     /// The control thread can't be started.
     Control(String),
+    /// The traffic thread has panicked outside the tasks that start again.
+    Panicked,
 }
 
 impl fmt::Display for NodeError {
@@ -80,6 +83,7 @@
         match self {
             Self::Bind { addr, reason } => write!(f, "can't listen on {addr}: {reason}"),
             Self::Control(reason) => write!(f, "can't start the control thread: {reason}"),
+            Self::Panicked => f.write_str("the traffic thread panicked; see its log"),
         }
     }
 }
@@ -97,34 +101,39 @@
     ///
     /// The node can't be started.
     pub fn run(signals: Signals, settings: NodeSettings, file: PathBuf) -> Result<(), NodeError> {
-        let Signals { runtime, end, reload } = signals;
-        let settings = Arc::new(settings);
-        let clock: Arc<dyn Clock> = Arc::new(BootClock::new());
-        let (published, peer_updates) = PublishedState::new();
-        let me = own_info(&settings);
-        log::info!(
-            incarnation = me.incarnation.0,
-            version = env!("CARGO_PKG_VERSION");
-            "started"
-        );
-        let metrics = Rc::new(Metrics::open("persimmonglade-node"));
-        let control_metrics = ControlMetrics::default();
-        control_metrics.register(&metrics);
-        let control = spawn_control(
-            Arc::clone(&settings),
-            Arc::clone(&clock),
-            me,
-            published.clone(),
-            control_metrics,
-        )
-        .map_err(|err| NodeError::Control(err.to_string()))?;
-        LocalSet::new().block_on(
-            &runtime,
-            serve(end, reload, settings, file, clock, metrics, published, peer_updates, control),
-        )
+        let run = AssertUnwindSafe(|| run(signals, Arc::new(settings), file));
+        panic::catch_unwind(run).unwrap_or(Err(NodeError::Panicked))
     }
 }
 
+fn run(signals: Signals, settings: Arc<NodeSettings>, file: PathBuf) -> Result<(), NodeError> {
+    let Signals { runtime, end, reload } = signals;
+    let clock: Arc<dyn Clock> = Arc::new(BootClock::new());
+    let (published, peer_updates) = PublishedState::new();
+    let me = own_info(&settings);
+    log::info!(
+        incarnation = me.incarnation.0,
+        version = env!("CARGO_PKG_VERSION");
+        "started"
+    );
+    let metrics = Rc::new(Metrics::open("persimmonglade-node"));
+    let control_metrics = ControlMetrics::default();
+    control_metrics.register(&metrics);
+    let control = spawn_control(
+        Arc::clone(&settings),
+        Arc::clone(&clock),
+        me,
+        published.clone(),
+        control_metrics,
+    )
+    .map_err(|err| NodeError::Control(err.to_string()))?;
+    let reload = ReloadSignal { signal: reload, file };
+    LocalSet::new().block_on(
+        &runtime,
+        serve(end, reload, settings, clock, metrics, published, peer_updates, control),
+    )
+}
+
 fn own_info(settings: &NodeSettings) -> PeerInfo {
     let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     PeerInfo {
@@ -141,9 +150,8 @@
 #[expect(clippy::too_many_arguments, reason = "called once, by the function above")]
 async fn serve(
     mut end: EndSignals,
-    reload: Signal,
+    reload: ReloadSignal,
     settings: Arc<NodeSettings>,
-    file: PathBuf,
     clock: Arc<dyn Clock>,
     metrics: Rc<Metrics>,
     published: PublishedState,
@@ -175,16 +183,11 @@
     let relay = Relay::bind(listen.callers, PlatformDialect, dependencies)
         .await
         .map_err(bind_error(listen.callers))?;
-    spawn_local(report_traffic(relay.clone(), control.clone()));
-    spawn_local(report_prompts(relay.clone(), control.clone()));
-    spawn_local(receive_prompts(peer_updates.prompts, relay.clone()));
-    spawn_local(receive_start_replies(peer_updates.start_replies, relay.clone()));
-    spawn_local(receive_trials(peer_updates.trials, relay.clone()));
-    spawn_local(report_start_events(relay.clone(), control.clone()));
-    spawn_local(watch_view(published, relay.clone(), Rc::clone(&lifecycle)));
+    spawn_reports(&relay, &control);
+    spawn_receivers(&relay, peer_updates);
+    spawn_view_watch(published, &relay, &lifecycle);
     let in_force = Rc::new(RefCell::new(settings));
     let reloader = Reloader {
-        file,
         in_force: Rc::clone(&in_force),
         directory_handler,
         relay: relay.clone(),
@@ -195,14 +198,56 @@
     let settings = Arc::clone(&in_force.borrow());
     log::info!("leaving");
     lifecycle.begin_drain();
-    control.send(Event::Shutdown);
+    control.shut_down();
     let grace = settings.timing.grace_period;
     relay.drain(grace);
-    drain(&settings, &relay).await;
+    // Waits at most for the grace time, however often it starts again.
+    let drained = keep_running("drain", async || drain(&settings, &relay).await);
+    if timeout(grace.saturating_sub(GRACE_RESERVE), drained).await.is_err() {
+        log::info!(under_way = relay.in_flight() as u64; "grace_over");
+    }
     log::info!("stopped");
     Ok(())
 }
 
+fn spawn_reports(relay: &RelayHandle<PlatformDialect>, control: &ControlHandle) {
+    let (from, to) = (relay.clone(), control.clone());
+    spawn_local(keep_running("report_traffic", async move || report_traffic(&from, &to).await));
+    let (from, to) = (relay.clone(), control.clone());
+    spawn_local(keep_running("report_prompts", async move || report_prompts(&from, &to).await));
+    let (from, to) = (relay.clone(), control.clone());
+    spawn_local(keep_running("report_start_events", async move || {
+        report_start_events(&from, &to).await;
+    }));
+}
+
+fn spawn_receivers(relay: &RelayHandle<PlatformDialect>, updates: PeerUpdates) {
+    let PeerUpdates { mut prompts, mut start_replies, mut trials } = updates;
+    let to = relay.clone();
+    spawn_local(keep_running("receive_prompts", async move || {
+        receive_prompts(&mut prompts, &to).await;
+    }));
+    let to = relay.clone();
+    spawn_local(keep_running("receive_start_replies", async move || {
+        receive_start_replies(&mut start_replies, &to).await;
+    }));
+    let to = relay.clone();
+    spawn_local(keep_running("receive_trials", async move || {
+        receive_trials(&mut trials, &to).await;
+    }));
+}
+
+fn spawn_view_watch(
+    published: PublishedState,
+    relay: &RelayHandle<PlatformDialect>,
+    lifecycle: &Rc<Lifecycle>,
+) {
+    let (relay, lifecycle) = (relay.clone(), Rc::clone(lifecycle));
+    spawn_local(keep_running("watch_view", async move || {
+        watch_view(&published, &relay, &lifecycle).await;
+    }));
+}
+
 /// Returns a page that answers every request with all metrics in Prometheus' text format.
 fn metrics_page(metrics: &Rc<Metrics>) -> Page {
     let metrics = Rc::clone(metrics);
@@ -248,9 +293,9 @@
 /// Has the relay apply each view that the control thread publishes. The node serves from the first
 /// view with a configuration on.
 async fn watch_view(
-    published: PublishedState,
-    relay: RelayHandle<PlatformDialect>,
-    lifecycle: Rc<Lifecycle>,
+    published: &PublishedState,
+    relay: &RelayHandle<PlatformDialect>,
+    lifecycle: &Lifecycle,
 ) {
     loop {
         published.view_changed.notified().await;
@@ -262,7 +307,7 @@
 }
 
 /// Reports prompts that traffic has sent to engines to the control thread.
-async fn report_prompts(relay: RelayHandle<PlatformDialect>, control: ControlHandle) {
+async fn report_prompts(relay: &RelayHandle<PlatformDialect>, control: &ControlHandle) {
     loop {
         control.send(Event::PromptsSent(relay.next_prompts().await));
         sleep(REPORT_INTERVAL_MIN).await;
@@ -271,8 +316,8 @@
 
 /// Passes prompts of other nodes to traffic.
 async fn receive_prompts(
-    mut receiver: Receiver<Vec<PromptSent>>,
-    relay: RelayHandle<PlatformDialect>,
+    receiver: &mut Receiver<Vec<PromptSent>>,
+    relay: &RelayHandle<PlatformDialect>,
 ) {
     while let Some(prompts) = receiver.recv().await {
         relay.on_remote_prompts(&prompts);
@@ -280,7 +325,7 @@
 }
 
 /// Reports outcomes of requests whose starts coordinators have decided on to the control thread.
-async fn report_start_events(relay: RelayHandle<PlatformDialect>, control: ControlHandle) {
+async fn report_start_events(relay: &RelayHandle<PlatformDialect>, control: &ControlHandle) {
     loop {
         control.send(Event::StartEvents(relay.next_start_events().await));
         sleep(REPORT_INTERVAL_MIN).await;
@@ -289,8 +334,8 @@
 
 /// Passes replies of coordinators to traffic.
 async fn receive_start_replies(
-    mut receiver: Receiver<(SocketAddr, Vec<StartReply>)>,
-    relay: RelayHandle<PlatformDialect>,
+    receiver: &mut Receiver<(SocketAddr, Vec<StartReply>)>,
+    relay: &RelayHandle<PlatformDialect>,
 ) {
     while let Some((coordinator, replies)) = receiver.recv().await {
         relay.on_start_replies(coordinator, &replies);
@@ -298,14 +343,14 @@
 }
 
 /// Passes permitted trials of quarantined parts to traffic.
-async fn receive_trials(mut receiver: Receiver<u64>, relay: RelayHandle<PlatformDialect>) {
+async fn receive_trials(receiver: &mut Receiver<u64>, relay: &RelayHandle<PlatformDialect>) {
     while let Some(key) = receiver.recv().await {
         relay.grant_trial(key);
     }
 }
 
 /// Reports requests in flight, as they change, and demand to the control thread.
-async fn report_traffic(relay: RelayHandle<PlatformDialect>, control: ControlHandle) {
+async fn report_traffic(relay: &RelayHandle<PlatformDialect>, control: &ControlHandle) {
     let mut ticks = interval(LOADS_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last_reported = Vec::new();
--- a/crates/node/src/quarantine_store.rs
+++ b/crates/node/src/quarantine_store.rs
@@ -2,7 +2,7 @@
 //! others, and grants trials, of which there may be one at a time in the whole deployment.
 
 use {
-    crate::{event::Event, read_role::ReadRole},
+    crate::{control_task::spawn_task, event::Event, read_role::ReadRole},
     glade_adapter::platform_store::PlatformStore,
     glade_platform::{
         Condition, Key, Revision, StoreError, StoredRow, TableService, Txn, TxnAnswer, Write,
@@ -13,7 +13,7 @@
         rc::Rc,
         time::{Duration, Instant},
     },
-    tokio::{sync::mpsc::Sender, task::spawn_local},
+    tokio::sync::mpsc::Sender,
 };
 
 /// Table with a row for each quarantined combination of parts.
@@ -114,11 +114,11 @@
         let Some(key) = entry.key() else { return };
         self.is_writing = true;
         let txn = self.txn(key, entry);
-        let (store, events, entry) = (Rc::clone(store), events.clone(), entry.clone());
-        spawn_local(async move {
+        let (store, sender, entry) = (Rc::clone(store), events.clone(), entry.clone());
+        spawn_task(events, async move {
             let answer = store.transact(&txn).await;
             // The channel closes only when the process ends, so a failed send needs no handling.
-            let _ = events.send(Event::QuarantineWritten(now, entry, answer)).await;
+            let _ = sender.send(Event::QuarantineWritten(now, entry, answer)).await;
         });
     }
 
@@ -182,11 +182,11 @@
             return;
         }
         let known = self.rows.get(&key).map_or(Revision::ABSENT, |(revision, _)| *revision);
-        let (store, events, entry) = (Rc::clone(store), events.clone(), entry.clone());
-        spawn_local(async move {
+        let (store, sender, entry) = (Rc::clone(store), events.clone(), entry.clone());
+        spawn_task(events, async move {
             let claim = claim(&*store, key, &entry, known).await;
             // The channel closes only when the process ends, so a failed send needs no handling.
-            let _ = events.send(Event::TrialClaimed(now, entry, claim)).await;
+            let _ = sender.send(Event::TrialClaimed(now, entry, claim)).await;
         });
     }
 
--- a/crates/node/src/reloader.rs
+++ b/crates/node/src/reloader.rs
@@ -6,15 +6,21 @@
     },
     glade_adapter::platform_dialect::PlatformDialect,
     glade_dispatch::RetryLimit,
+    glade_process::keep_running,
     glade_relay::RelayHandle,
     glade_settings::NodeSettings,
     std::{cell::RefCell, path::PathBuf, rc::Rc, sync::Arc},
     tokio::signal::unix::Signal,
 };
 
+/// The signal to read the settings file again, and the file.
+pub(crate) struct ReloadSignal {
+    pub(crate) signal: Signal,
+    pub(crate) file: PathBuf,
+}
+
 /// Reloads the settings file on SIGHUP and applies the settings that may change in a running node.
 pub(crate) struct Reloader {
-    pub(crate) file: PathBuf,
     pub(crate) in_force: Rc<RefCell<Arc<NodeSettings>>>,
     pub(crate) directory_handler: Rc<DirectoryHandler>,
     pub(crate) relay: RelayHandle<PlatformDialect>,
@@ -23,15 +29,18 @@
 
 impl Reloader {
     /// Reads the file at each signal, for as long as the process runs.
-    pub(crate) async fn run(self, mut reload_signal: Signal) {
-        while reload_signal.recv().await.is_some() {
-            match NodeSettings::reopen(&self.file) {
-                Ok(settings) => self.reload(&settings),
-                Err(err) => {
-                    log::warn!(reason = err.to_string().as_str(); "reload_failed");
+    pub(crate) async fn run(self, mut reload: ReloadSignal) {
+        keep_running("reload", async || {
+            while reload.signal.recv().await.is_some() {
+                match NodeSettings::reopen(&reload.file) {
+                    Ok(settings) => self.reload(&settings),
+                    Err(err) => {
+                        log::warn!(reason = err.to_string().as_str(); "reload_failed");
+                    }
                 }
             }
-        }
+        })
+        .await;
     }
 
     fn reload(&self, file: &NodeSettings) {
--- a/crates/node/src/status_page.rs
+++ b/crates/node/src/status_page.rs
@@ -2,6 +2,7 @@
 
 use {
     bytes::Bytes,
+    glade_process::keep_running,
     http_body_util::Full,
     hyper::{
         Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
@@ -33,7 +34,7 @@
 /// The address can't be bound.
 pub(crate) async fn bind_page(addr: SocketAddr, page: Page) -> io::Result<()> {
     let listener = TcpListener::bind(addr).await?;
-    spawn_local(accept(listener, page));
+    spawn_local(keep_running("accept", async move || accept(&listener, &page).await));
     Ok(())
 }
 
@@ -44,11 +45,11 @@
     response
 }
 
-async fn accept(listener: TcpListener, page: Page) {
+async fn accept(listener: &TcpListener, page: &Page) {
     loop {
         match listener.accept().await {
             Ok((stream, _peer)) => {
-                spawn_local(serve(stream, Rc::clone(&page)));
+                spawn_local(serve(stream, Rc::clone(page)));
             }
             Err(err) => {
                 log::warn!(reason = err.to_string().as_str(); "accept_failed");
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -26,6 +26,7 @@
         ClusterView, Dispatcher, PromptSent, Refusal, RequestSpec, RetryLimit, ServerLoad,
         StartEvent, StartReply,
     },
+    glade_process::{catch_panic, keep_running},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{
         Request, Response, StatusCode,
@@ -50,6 +51,7 @@
     tokio::{
         net::{TcpListener, TcpStream},
         sync::Notify,
+        task::spawn_local,
         time::{sleep, timeout},
     },
 };
@@ -227,12 +229,18 @@
             in_flight: Rc::default(),
             connections: CallerConnections::new(),
         });
-        tokio::task::spawn_local(Rc::clone(&relay).serve_waiting());
-        tokio::task::spawn_local(Rc::clone(&relay).accept(listener));
+        let waiting = Rc::clone(&relay);
+        spawn_local(keep_running("serve_waiting", async move || {
+            Rc::clone(&waiting).serve_waiting().await;
+        }));
+        let accepting = Rc::clone(&relay);
+        spawn_local(keep_running("accept", async move || {
+            Rc::clone(&accepting).accept(&listener).await;
+        }));
         Ok(RelayHandle { relay })
     }
 
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
+    async fn accept(self: Rc<Self>, listener: &TcpListener) {
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
@@ -240,7 +248,7 @@
             };
             match accepted {
                 Ok((stream, _peer)) => {
-                    tokio::task::spawn_local(Rc::clone(&self).serve(stream));
+                    spawn_local(Rc::clone(&self).serve(stream));
                 }
                 Err(err) => {
                     log::warn!(reason = err.to_string().as_str(); "accept_failed");
@@ -261,7 +269,7 @@
         let limits = limits.unwrap_or_default();
         let service = service_fn(|req| {
             let relay = Rc::clone(&self);
-            async move { Ok::<_, Infallible>(relay.respond(req).await) }
+            async move { Ok::<_, Infallible>(relay.respond_always(req).await) }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -283,6 +291,16 @@
         }
     }
 
+    /// Answers a request even if its handling panics, since it may have run by then.
+    async fn respond_always(self: Rc<Self>, req: Request<Incoming>) -> Response<AnswerBody> {
+        let id = self.dialect.read_request_id(req.headers());
+        catch_panic(Rc::clone(&self).respond(req)).await.unwrap_or_else(|_| {
+            let answer = OwnAnswer::unknown("panicked");
+            self.log_rejected(id.as_ref(), &answer);
+            answer.into_response()
+        })
+    }
+
     async fn respond(self: Rc<Self>, req: Request<Incoming>) -> Response<AnswerBody> {
         let (head, body) = req.into_parts();
         let mut response = match self.admit(&head, body).await {
