--- a/crates/standins/src/site/endless.rs
+++ b/crates/standins/src/site/endless.rs
@@ -129,7 +129,7 @@
 }
 
 /// Header lines by which an answer belongs to `request`.
-pub(crate) fn marks(request: &str) -> String {
+pub fn marks(request: &str) -> String {
     let mut sent = HeaderMap::new();
     for line in request.lines().skip(1) {
         let Some((name, value)) = line.split_once(": ") else { continue };
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -16,7 +16,7 @@
 
 pub use self::{
     caller::{Caller, Reply},
-    endless::{EndlessPart, EndlessServer, Pace},
+    endless::{EndlessPart, EndlessServer, Pace, marks},
     engine::{ServerSpec, SiteServer},
     engine_fault::EngineFault,
     run_log::{Run, RunLog},
--- a/crates/system/tests/ends.rs
+++ b/crates/system/tests/ends.rs
@@ -2,9 +2,10 @@
 //! output and callers do.
 
 use {
+    glade_standins::site::marks,
     glade_system::{
         program,
-        site::{BATCH, BROWSE, CHAT, EVENTS, Site},
+        site::{BATCH, BROWSE, CHAT, CLAIM, EVENTS, Site},
     },
     rustix::{
         fs::{CWD, FileType, Mode, mknodat},
@@ -12,10 +13,11 @@
     },
     std::{
         fs::{self, File, OpenOptions},
-        io::{PipeWriter, Write, pipe},
-        net::TcpStream,
+        io::{PipeWriter, Read, Write, pipe},
+        net::{SocketAddr, TcpListener, TcpStream},
         path::Path,
         process::Command,
+        thread,
     },
 };
 
@@ -244,3 +246,40 @@
         site.node_log(0).contains(r#""event":"configuration_in_force","version":2"#)
     });
 }
+
+/// Answers each request on a port with these header lines, for as long as the test program runs.
+fn spawn_server(lines: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    let addr = listener.local_addr().expect("a bound socket has an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut request = [0; 4096];
+                while let Ok(length @ 1..) = stream.read(&mut request) {
+                    let marks = marks(&String::from_utf8_lossy(&request[..length]));
+                    let answer = format!("HTTP/1.1 200 OK\r\n{marks}{lines}\r\nok");
+                    // The node may have closed the connection.
+                    let _ = stream.write_all(answer.as_bytes());
+                }
+            });
+        }
+    });
+    addr
+}
+
+#[test]
+fn a_server_that_keeps_connections_for_ever_breaks_no_answer() {
+    let mut site = Site::start_unconfigured(0, &[&["m0"]]);
+    for server in &site.plain {
+        let lines = "keep-alive: timeout=18446744073709551615\r\ncontent-length: 2\r\n";
+        server.advertise(spawn_server(lines));
+    }
+    site.add_node();
+    site.configure(1);
+    site.all_serve();
+    for _ in 0..4 {
+        let reply = site.send(0, CLAIM, None, &site.request_id()).expect("an answer");
+        assert_eq!((reply.status, reply.whole, reply.body.as_str()), (200, true, "ok"));
+    }
+    assert!(!site.node_log(0).contains("panicked"), "{}", site.node_log(0));
+}
