Send targets with a query and no path

What callers saw: `GET http://host?page=2 HTTP/1.1` on a route with the prefix `/` ended the connection without an answer, since the request panicked; after the supervision of requests, status 502.

Cause: the part after the authority was parsed as a URI of its own, and `?page=2` isn't one.

Evidence: a_target_with_a_query_and_no_path_is_answered FAILED before (502 for 200; in the log "panicked", "part of a URI that was read: InvalidUri(InvalidFormat)"); ok now.

Change: the parsed path and query are passed on as they are, so nothing can fail.

--- a/crates/relay/src/connected_attempt.rs
+++ b/crates/relay/src/connected_attempt.rs
@@ -18,7 +18,7 @@
     glade_http::{Connection, HttpError},
     glade_types::BackendId,
     http_body_util::{BodyExt, Full, Limited},
-    hyper::{Request, StatusCode, header::CONTENT_ENCODING, http::response::Parts},
+    hyper::{Request, StatusCode, Uri, header::CONTENT_ENCODING, http::response::Parts},
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
@@ -163,10 +163,9 @@
     reservation: Option<&Reservation>,
 ) -> Request<Full<Bytes>> {
     let head = &admitted.head;
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut req = Request::new(Full::new(admitted.body.clone()));
     *req.method_mut() = head.method.clone();
-    *req.uri_mut() = path.parse().expect("part of a URI that was read");
+    *req.uri_mut() = head.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
     let headers = req.headers_mut();
     *headers = head.headers.clone();
     hop_by_hop::strip(headers);
--- a/crates/standins/src/site/caller.rs
+++ b/crates/standins/src/site/caller.rs
@@ -5,7 +5,11 @@
     glade_adapter::{directory, platform_dialect::stand_in},
     glade_catalog::RequestMetadata,
     http_body_util::{BodyExt, Full},
-    hyper::{HeaderMap, Request, client::conn::http1, header::HOST},
+    hyper::{
+        HeaderMap, Request,
+        client::conn::http1,
+        header::{HOST, HeaderValue},
+    },
     hyper_util::rt::TokioIo,
     socket2::SockRef,
     std::{io, net::SocketAddr, time::Duration},
@@ -41,6 +45,14 @@
     }
 }
 
+/// The lines of a request's head by which its caller sets `terms`.
+pub fn terms_lines(terms: &RequestMetadata) -> String {
+    let mut headers = HeaderMap::new();
+    stand_in::write_caller_terms(&mut headers, terms);
+    let text = |value: &HeaderValue| value.to_str().unwrap_or_default().to_owned();
+    headers.iter().map(|(name, value)| format!("{name}: {}\r\n", text(value))).collect()
+}
+
 /// A caller that opens a connection for each request.
 #[derive(Clone, Debug, Default)]
 pub struct Caller {
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -15,7 +15,7 @@
 mod work;
 
 pub use self::{
-    caller::{Caller, Reply},
+    caller::{Caller, Reply, terms_lines},
     endless::{EndlessPart, EndlessServer, Pace, marks},
     engine::{ServerSpec, SiteServer},
     engine_fault::EngineFault,
--- a/crates/system/tests/ends.rs
+++ b/crates/system/tests/ends.rs
@@ -2,11 +2,13 @@
 //! output and callers do.
 
 use {
-    glade_standins::site::marks,
+    glade_catalog::{Catalog, RequestMetadata, Route},
+    glade_standins::site::{marks, terms_lines},
     glade_system::{
         program,
-        site::{BATCH, BROWSE, CHAT, CLAIM, EVENTS, Site},
+        site::{BATCH, BROWSE, CHAT, CLAIM, EVENTS, HOST, Site, catalog},
     },
+    glade_types::RequestId,
     rustix::{
         fs::{CWD, FileType, Mode, mknodat},
         process::Signal,
@@ -283,3 +285,26 @@
     }
     assert!(!site.node_log(0).contains("panicked"), "{}", site.node_log(0));
 }
+
+#[test]
+fn a_target_with_a_query_and_no_path_is_answered() {
+    let site = Site::start(1, &[&["m0"]]);
+    let known = catalog(2);
+    let of_path = |route: &Route| Route { path_prefix: "/".to_owned(), ..route.clone() };
+    let browse = known.routes().find(|route| route.path_prefix == BROWSE).expect("the route");
+    let routes = vec![of_path(browse)];
+    let services = known.services().cloned().collect();
+    site.put_catalog(&Catalog::new(2, *known.limits(), routes, services));
+    site.eventually("the route is in force", || {
+        let reply = site.send(0, "/anything", None, &site.request_id());
+        reply.is_some_and(|reply| reply.status == 200)
+    });
+    let mut stream = TcpStream::connect(site.addrs(0).callers).expect("a connection");
+    let id = Some(RequestId::new(&site.request_id()));
+    let terms = terms_lines(&RequestMetadata { request_id: id, ..RequestMetadata::default() });
+    let request = format!("GET http://{HOST}?page=2 HTTP/1.1\r\nhost: {HOST}\r\n{terms}\r\n");
+    stream.write_all(request.as_bytes()).expect("the node reads");
+    let mut answer = [0; 12];
+    let read = stream.read_exact(&mut answer);
+    assert_eq!((read.is_ok(), &answer), (true, b"HTTP/1.1 200"), "{}", site.node_log(0));
+}
