--- a/crates/observe/src/panic_log.rs
+++ b/crates/observe/src/panic_log.rs
@@ -9,11 +9,13 @@
     panic::set_hook(Box::new(move |info| {
         let thread = thread::current();
         let location = info.location().map_or_else(String::new, ToString::to_string);
-        let reason = info.payload_as_str().unwrap_or("unknown");
+        let payload = info.payload();
+        let text = payload.downcast_ref::<&str>().copied();
+        let reason = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
         log::error!(
             thread = thread.name().unwrap_or("unnamed"),
             location = location.as_str(),
-            reason = reason;
+            reason = reason.unwrap_or("unknown");
             "panicked"
         );
         log::logger().flush();
