Entry and planner: handle signals first, and end in order after a panic

What operators would have seen: a signal during the start, or a stray one, ended the process at once; a panic on the control thread left an entry that served by an old state, and a planner that held its leases in name only until they expired, with no other sign than one line on standard error.

Cause: handlers were installed after the start; nobody watched the control thread.

Change: signals as in the node. After a panic on its control thread the entry drains and ends with status 1, and the planner ends with status 1, so that others take its leases over. They can't begin anew as the node does, because calls of before run on a shared runtime and would report to the new state.

Tests: a_panic_of_the_thread_reaches_its_daemon (crates/daemon). Not tested with the real programs.

--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -4,11 +4,15 @@
 //! state needs no lock. When the channel is full, a sender drops its event, because request traffic
 //! must never wait for the control thread.
 
-use std::{
-    io,
-    sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel},
-    thread::{self, JoinHandle},
-    time::{Duration, Instant},
+use {
+    std::{
+        io,
+        panic::{AssertUnwindSafe, catch_unwind, resume_unwind},
+        sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel},
+        thread::{self, JoinHandle},
+        time::{Duration, Instant},
+    },
+    tokio::sync::watch,
 };
 
 /// Capacity of the control thread's event queue; events beyond it are dropped.
@@ -20,9 +24,19 @@
 #[derive(Debug)]
 pub struct ControlThreadHandle {
     thread: JoinHandle<()>,
+    panicked: watch::Receiver<bool>,
 }
 
 impl ControlThreadHandle {
+    /// Waits until the thread has panicked. Its state can't be trusted any more, so the process has to
+    /// end in order.
+    pub async fn panicked(&self) {
+        if self.panicked.clone().wait_for(|panicked| *panicked).await.is_err() {
+            // The thread has ended without a panic.
+            std::future::pending().await
+        }
+    }
+
     /// Waits until the thread has ended, and logs an error if it panicked.
     pub fn join(self) {
         if self.thread.join().is_err() {
@@ -67,14 +81,31 @@
             }
         }
     };
-    let thread = thread::Builder::new().name("control".to_owned()).spawn(run)?;
-    Ok(ControlThreadHandle { thread })
+    let (sender, panicked) = watch::channel(false);
+    let run_watched = move || {
+        if let Err(reason) = catch_unwind(AssertUnwindSafe(run)) {
+            sender.send_replace(true);
+            resume_unwind(reason);
+        }
+    };
+    let thread = thread::Builder::new().name("control".to_owned()).spawn(run_watched)?;
+    Ok(ControlThreadHandle { thread, panicked })
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[tokio::test]
+    async fn a_panic_of_the_thread_reaches_its_daemon() {
+        let (sender, receiver) = channel::<()>();
+        let step = |event: Option<()>| event.is_none_or(|()| panic!("a broken invariant"));
+        let handle = spawn_control_thread(receiver, step).expect("a thread can be started");
+        sender.send(()).expect("the channel is open");
+        handle.panicked().await;
+        handle.join();
+    }
+
     /// Guards against a loop that ticks only when the queue is empty: the thread's step queues a
     /// new event for each one that it processes, so the queue never empties.
     #[test]
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -45,6 +45,8 @@
     },
     /// A thread can't be started.
     Thread(io::Error),
+    /// The control thread has panicked, so the entry has drained by itself.
+    Panicked,
 }
 
 impl fmt::Display for EntryError {
@@ -53,6 +55,7 @@
             Self::Peers(err) => err.fmt(f),
             Self::Listen { addr, source } => write!(f, "can't listen on {addr}: {source}"),
             Self::Thread(err) => write!(f, "can't start a thread: {err}"),
+            Self::Panicked => f.write_str("the control thread panicked; see the log"),
         }
     }
 }
@@ -113,8 +116,16 @@
 
     /// Waits until a drain was started and has ended: the VM has left the directory, its old
     /// answers have expired, and every request's answer has been written out.
-    pub async fn drained(self) {
-        self.shared.drain.started().await;
+    ///
+    /// # Errors
+    ///
+    /// The control thread has panicked, which starts a drain too.
+    pub async fn drained(self) -> Result<(), EntryError> {
+        let has_panicked = tokio::select! {
+            () = self.shared.drain.started() => false,
+            () = self.control.panicked() => true,
+        };
+        self.shared.drain.start();
         // Callers may keep the directory's answer for its time to live, counted from the moment
         // when the last VM learnt of the drain.
         let timing = &self.shared.settings.timing;
@@ -125,6 +136,7 @@
         let _ = self.shared.events.send(EntryEvent::Stop);
         self.control.join();
         log::info!("drained");
+        if has_panicked { Err(EntryError::Panicked) } else { Ok(()) }
     }
 }
 
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -4,9 +4,10 @@
     bpaf::Bpaf,
     glade_clock::SystemClock,
     glade_entry::Entry,
+    glade_observe::print_error,
+    glade_process::{EndSignals, ignore_stray_signals},
     glade_settings::Settings,
     std::{path::PathBuf, process::ExitCode, sync::Arc},
-    tokio::signal::unix::{SignalKind, signal},
 };
 
 /// Serves callers and operators on one VM.
@@ -23,33 +24,34 @@
     match run(&args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
-            eprintln!("persimmonglade-entry: {err}");
+            glade_observe::flush_logs();
+            print_error(&format!("persimmonglade-entry: {err}"));
             ExitCode::FAILURE
         }
     }
 }
 
 fn run(args: &Args) -> Result<(), Box<dyn std::error::Error>> {
-    let settings = Settings::open(&args.settings)?;
-    glade_observe::start_logging(settings.vm.name.as_str());
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .thread_name("traffic")
         .enable_all()
         .build()?;
+    // Comes before all else: until then a signal ends the process.
+    let mut end = runtime.block_on(async {
+        ignore_stray_signals()?;
+        EndSignals::open()
+    })?;
+    let settings = Settings::open(&args.settings)?;
+    glade_observe::start_logging(settings.vm.name.as_str());
     runtime.block_on(async {
         let entry = Entry::spawn(&settings, Arc::new(SystemClock)).await?;
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
         let handle = entry.drain_handle();
         tokio::spawn(async move {
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
-            }
+            end.recv().await;
             handle.drain();
         });
-        entry.drained().await;
+        entry.drained().await?;
         Ok(())
     })
 }
--- a/crates/planner/src/main.rs
+++ b/crates/planner/src/main.rs
@@ -3,10 +3,11 @@
 use {
     bpaf::Bpaf,
     glade_clock::SystemClock,
+    glade_observe::print_error,
     glade_planner::Planner,
+    glade_process::{EndSignals, ignore_stray_signals},
     glade_settings::Settings,
     std::{path::PathBuf, process::ExitCode, sync::Arc},
-    tokio::signal::unix::{SignalKind, signal},
 };
 
 /// Watches engines, holds leases and carries out the placement of models and adapters.
@@ -23,26 +24,32 @@
     match run(&args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
-            eprintln!("persimmonglade-planner: {err}");
+            glade_observe::flush_logs();
+            print_error(&format!("persimmonglade-planner: {err}"));
             ExitCode::FAILURE
         }
     }
 }
 
 fn run(args: &Args) -> Result<(), Box<dyn std::error::Error>> {
-    let settings = Settings::open(&args.settings)?;
-    glade_observe::start_logging(settings.vm.name.as_str());
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .thread_name("planner-io")
         .enable_all()
         .build()?;
+    // Comes before all else: until then a signal ends the process.
+    let mut end = runtime.block_on(async {
+        ignore_stray_signals()?;
+        EndSignals::open()
+    })?;
+    let settings = Settings::open(&args.settings)?;
+    glade_observe::start_logging(settings.vm.name.as_str());
     runtime.block_on(async {
         let planner = Planner::spawn(&settings, Arc::new(SystemClock)).await?;
-        let mut terminate = signal(SignalKind::terminate())?;
         tokio::select! {
-            _ = terminate.recv() => {}
-            result = tokio::signal::ctrl_c() => result?,
+            () = end.recv() => {}
+            // Other planners take its leases over once they have expired.
+            () = planner.panicked() => return Err("the control thread panicked; see the log".into()),
         }
         planner.stop();
         Ok(())
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -140,6 +140,11 @@
         Ok(Self { events, control_thread, _inbox: inbox })
     }
 
+    /// Waits until the control thread has panicked.
+    pub async fn panicked(&self) {
+        self.control_thread.panicked().await;
+    }
+
     /// Stops the control thread. The next lease holder resumes the work in progress.
     pub fn stop(self) {
         let _ = self.events.send(PlannerEvent::Shutdown);
--- a/crates/process/src/signals.rs
+++ b/crates/process/src/signals.rs
@@ -8,7 +8,8 @@
 
 /// Signals that end a process by default and that tell ours nothing. SIGXFSZ and SIGXCPU tell of soft
 /// limits: without them, a write of the log beyond its limit fails, and the log loses a line.
-const STRAY: [Signal; 10] = [
+const STRAY: [Signal; 11] = [
+    Signal::HUP,
     Signal::PIPE,
     Signal::USR1,
     Signal::USR2,
@@ -21,7 +22,8 @@
     Signal::XFSZ,
 ];
 
-/// Ignores signals that tell our processes nothing. Has to run in the context of a runtime.
+/// Ignores signals that tell our processes nothing, except where the process handles them. Has to run in
+/// the context of a runtime.
 ///
 /// Signals of faults (SIGSEGV, SIGABRT and the like) and of job control keep their effects.
 ///
