Exchange messages between processes over tokio instead of nng

Callers lost answers around a SIGTERM: the node that drained aborted while it wrote them, because peers of it ended and came back at that time.

Cause: nng keeps a connection in its list of idle ones after it was closed while a send on it was just done, and uses it after it was freed (SIGSEGV, or SIGABRT with 'panic: pthread_mutex_lock'). Each end of a peer has a small chance to end every node that sends to it. A native fault takes the whole process, whatever our code does.

Change: the inbox and the outbox are tasks of the caller's runtime that speak the same protocol, a pipeline of the Scalability Protocols over TCP. There is no native code and no unsafe code left in the path, so that what a peer does ends at most one task. Queues, frames, connections and times are bounded.

--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,6 @@
 demo: build
 	sh scripts/demo.sh
 
-# nng is built from source with cmake.
+# nng, with which tests play nodes of earlier versions, is built from source with cmake.
 cmake:
 	@sh scripts/need-cmake.sh
--- a/crates/daemon/src/membership_driver.rs
+++ b/crates/daemon/src/membership_driver.rs
@@ -18,7 +18,7 @@
     tokio::runtime::Handle,
 };
 
-/// Membership state together with the sockets to peers. Only the control thread uses it.
+/// Membership state together with the connections to peers. Only the control thread uses it.
 #[derive(Debug)]
 pub struct MembershipDriver<E> {
     me: PeerId,
@@ -52,7 +52,7 @@
         Self {
             me,
             membership: Membership::new(config, now),
-            outbox: Outbox::new(),
+            outbox: Outbox::new(runtime.clone()),
             platform: Arc::clone(platform),
             runtime: runtime.clone(),
             events: events.clone(),
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -80,7 +80,7 @@
         let (events, receiver) = channel();
         let incarnation = new_incarnation();
         let platform = Platform::open(&settings.platform);
-        let inbox = bind_inbox(settings, &events).map_err(EntryError::Peers)?;
+        let inbox = bind_inbox(settings, &runtime, &events).map_err(EntryError::Peers)?;
         let shared =
             Shared::new(settings, incarnation, Arc::clone(&platform), events.clone(), clock);
         let metrics = Arc::new(Metrics::open("persimmonglade-entry"));
@@ -141,9 +141,13 @@
     }
 }
 
-fn bind_inbox(settings: &Settings, events: &SyncSender<EntryEvent>) -> Result<Inbox, WireError> {
+fn bind_inbox(
+    settings: &Settings,
+    runtime: &Handle,
+    events: &SyncSender<EntryEvent>,
+) -> Result<Inbox, WireError> {
     let events = events.clone();
-    Inbox::bind(settings.vm.entry_peer, move |envelope: Envelope| {
+    Inbox::bind(runtime, settings.vm.entry_peer, move |envelope: Envelope| {
         if events.try_send(Event::Message(envelope).into()).is_err() {
             log::warn!("control thread is behind; peer message dropped");
         }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -153,7 +153,7 @@
     }
 }
 
-/// Starts the control thread, and the thread that receives messages from other nodes.
+/// Starts the control thread, which also receives messages from other nodes.
 ///
 /// # Errors
 ///
@@ -169,15 +169,16 @@
     let handle = ControlHandle { events: events.clone() };
     let receiver = handle.clone();
     let inbox_metrics = control_metrics.clone();
-    let inbox_thread = Inbox::bind_frames(settings.listen.peers, move |bytes| {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let peer_inbox = Inbox::bind_frames(runtime.handle(), settings.listen.peers, move |bytes| {
         let batch = PeerBatch::decode(bytes, &inbox_metrics)?;
         receiver.send(Event::PeerBatch(Box::new(batch)));
         Ok(())
     })?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let run = move || {
-        let _inbox_thread = inbox_thread;
-        let network = PeerNetwork::new(me, Box::new(Outbox::new()), control_metrics.clone());
+        let _peer_inbox = peer_inbox;
+        let outbox = Outbox::new(runtime.handle().clone());
+        let network = PeerNetwork::new(me, Box::new(outbox), control_metrics.clone());
         let control = Control::new(settings, clock, network, published, control_metrics, events);
         LocalSet::new().block_on(&runtime, control.run(inbox));
     };
--- a/crates/planner/src/planner.rs
+++ b/crates/planner/src/planner.rs
@@ -95,7 +95,7 @@
         let (events, receiver) = channel();
         let incarnation = new_incarnation();
         let platform = Platform::open(&settings.platform);
-        let inbox = bind_inbox(settings, &events).map_err(PlannerError::Peers)?;
+        let inbox = bind_inbox(settings, &runtime, &events).map_err(PlannerError::Peers)?;
         let clients = Arc::new(EngineClients::new(settings.timing.order_timeout));
         let published = PublishedState::default();
         serve_status(settings, &published).await?;
@@ -147,9 +147,13 @@
     }
 }
 
-fn bind_inbox(settings: &Settings, events: &SyncSender<PlannerEvent>) -> Result<Inbox, WireError> {
+fn bind_inbox(
+    settings: &Settings,
+    runtime: &Handle,
+    events: &SyncSender<PlannerEvent>,
+) -> Result<Inbox, WireError> {
     let events = events.clone();
-    Inbox::bind(settings.vm.planner_peer, move |envelope: Envelope| {
+    Inbox::bind(runtime, settings.vm.planner_peer, move |envelope: Envelope| {
         if events.try_send(Event::Message(envelope).into()).is_err() {
             log::warn!("control thread queue is full or closed; dropping message from peer");
         }
--- a/crates/wire/tests/ending_peers.rs
+++ b/crates/wire/tests/ending_peers.rs
@@ -1,38 +1,64 @@
-//! Sends messages to peers that keep closing their connections.
+//! Sends messages to peers that keep closing their connections, and receives from such peers.
 
 use {
-    glade_wire::Outbox,
+    glade_wire::{Inbox, Outbox},
     std::{
         io::{Read, Write},
         net::{SocketAddr, TcpListener, TcpStream},
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
         thread,
         time::{Duration, Instant},
     },
+    tokio::runtime::Runtime,
 };
 
 /// Handshake that a pull socket of the Scalability Protocols sends first.
 const PULL_HANDSHAKE: [u8; 8] = [0, b'S', b'P', 0, 0, 81, 0, 0];
+/// Handshake that a push socket sends first.
+const PUSH_HANDSHAKE: [u8; 8] = [0, b'S', b'P', 0, 0, 80, 0, 0];
 /// Number of peers. The outbox connects to each of them several times a second.
 const PEERS: usize = 200;
 /// Pause between messages to the same peer.
 const SEND_INTERVAL: Duration = Duration::from_millis(1);
-/// Time for which one outbox sends messages. A new outbox is needed for each round, because nng soon
-/// reconnects to such peers only once a second.
+/// Time for which one outbox sends messages. Each round has an outbox of its own, because an outbox
+/// waits longer and longer before it connects again.
 const ROUND_TIME: Duration = Duration::from_millis(500);
 const ROUNDS: usize = 20;
+/// Connections of peers that end in the middle of something.
+const BROKEN_CONNECTIONS: usize = 4000;
+/// Longest wait for a message of a sound peer.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Starts a peer that closes each connection after a few reads or none.
 fn spawn_closing_peer() -> SocketAddr {
+    spawn_peer(|stream, idx| read_and_close(stream, idx % 5))
+}
+
+/// Starts a peer that handles its connections, which are numbered, one after the other.
+fn spawn_peer(handle: fn(TcpStream, usize) -> std::io::Result<()>) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
     let addr = listener.local_addr().expect("a bound socket has an address");
     thread::spawn(move || {
         for (idx, stream) in listener.incoming().enumerate() {
-            stream.and_then(|stream| read_and_close(stream, idx % 5)).unwrap_or_default();
+            stream.and_then(|stream| handle(stream, idx)).unwrap_or_default();
         }
     });
     addr
 }
 
+/// Sends the beginning of a handshake, up to all of it, or another protocol's bytes, and closes the
+/// connection.
+fn break_handshake(mut stream: TcpStream, idx: usize) -> std::io::Result<()> {
+    match idx % 11 {
+        len @ 0..9 => stream.write_all(&PULL_HANDSHAKE[..len]),
+        9 => stream.write_all(&PUSH_HANDSHAKE),
+        _ => stream.write_all(b"HTTP/1.1 400 Bad Request\r\n\r\n"),
+    }
+}
+
 fn read_and_close(mut stream: TcpStream, reads: usize) -> std::io::Result<()> {
     stream.write_all(&PULL_HANDSHAKE)?;
     let mut bytes = [0; 64];
@@ -46,9 +72,18 @@
 /// crashed the sending process.
 #[test]
 fn a_sender_outlives_peers_that_end() {
-    let peers: Vec<SocketAddr> = (0..PEERS).map(|_| spawn_closing_peer()).collect();
+    send_to((0..PEERS).map(|_| spawn_closing_peer()).collect());
+}
+
+#[test]
+fn a_sender_outlives_peers_that_end_at_any_byte_of_the_handshake() {
+    send_to((0..PEERS).map(|_| spawn_peer(break_handshake)).collect());
+}
+
+fn send_to(peers: Vec<SocketAddr>) {
+    let runtime = Runtime::new().expect("a runtime");
     for _ in 0..ROUNDS {
-        let mut outbox = Outbox::new();
+        let mut outbox = Outbox::new(runtime.handle().clone());
         let started_at = Instant::now();
         while started_at.elapsed() < ROUND_TIME {
             for peer in &peers {
@@ -59,3 +94,97 @@
         }
     }
 }
+
+/// An inbox that counts the frames that begin with `mark`.
+fn counting_inbox(runtime: &Runtime, mark: u8) -> (Inbox, SocketAddr, Arc<AtomicUsize>) {
+    let addr = {
+        let free = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+        free.local_addr().expect("a bound socket has an address")
+    };
+    let count = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&count);
+    let inbox = Inbox::bind_frames(runtime.handle(), addr, move |frame| {
+        counter.fetch_add(usize::from(frame.first() == Some(&mark)), Ordering::Relaxed);
+        Ok(())
+    });
+    (inbox.expect("the address is free"), addr, count)
+}
+
+fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let started_at = Instant::now();
+    while !holds() {
+        assert!(started_at.elapsed() < DELIVERY_TIMEOUT, "never: {what}");
+        thread::sleep(SEND_INTERVAL);
+    }
+}
+
+/// What a peer sends before it ends: every prefix of a handshake and two frames, and bytes that no
+/// peer should send.
+fn broken_openings() -> Vec<Vec<u8>> {
+    let mut whole = PUSH_HANDSHAKE.to_vec();
+    for _ in 0..2 {
+        whole.extend_from_slice(&5_u64.to_be_bytes());
+        whole.extend_from_slice(b"hello");
+    }
+    let mut openings: Vec<Vec<u8>> = (0..=whole.len()).map(|len| whole[..len].to_vec()).collect();
+    let too_long = |len: u64| [&PUSH_HANDSHAKE[..], &len.to_be_bytes(), &[0; 40]].concat();
+    openings.extend([too_long(u64::MAX), too_long(1 << 40), too_long((4 << 20) + 1)]);
+    openings.extend([PULL_HANDSHAKE.to_vec(), b"GET / HTTP/1.1\r\n\r\n".to_vec(), vec![0xff; 300]]);
+    openings
+}
+
+#[test]
+fn an_inbox_outlives_peers_that_end_in_the_middle_of_handshakes_and_frames() {
+    let runtime = Runtime::new().expect("a runtime");
+    let (_inbox, addr, count) = counting_inbox(&runtime, b'!');
+    let openings = broken_openings();
+    for idx in 0..BROKEN_CONNECTIONS {
+        let mut stream = TcpStream::connect(addr).expect("the inbox accepts connections");
+        // The inbox may have closed the connection already.
+        let _ = stream.write_all(&openings[idx % openings.len()]);
+        if idx % 2 == 0 {
+            let _ = stream.read(&mut [0; 8]);
+        }
+    }
+    let mut outbox = Outbox::new(runtime.handle().clone());
+    outbox.send_frame(addr, b"!").expect("an empty queue has room");
+    eventually("the message of a sound peer arrives", || count.load(Ordering::Relaxed) == 1);
+}
+
+#[test]
+fn an_inbox_receives_from_a_sound_peer_while_others_send_half_of_a_long_frame() {
+    let runtime = Runtime::new().expect("a runtime");
+    let (_inbox, addr, count) = counting_inbox(&runtime, b'!');
+    let stalled: Vec<TcpStream> = (0..100)
+        .map(|_| {
+            let mut stream = TcpStream::connect(addr).expect("the inbox accepts connections");
+            let opening = [&PUSH_HANDSHAKE[..], &(1_u64 << 20).to_be_bytes(), &[0; 1000]].concat();
+            stream.write_all(&opening).expect("the inbox reads");
+            stream
+        })
+        .collect();
+    let mut outbox = Outbox::new(runtime.handle().clone());
+    outbox.send_frame(addr, b"!").expect("an empty queue has room");
+    eventually("the message of a sound peer arrives", || count.load(Ordering::Relaxed) == 1);
+    drop(stalled);
+}
+
+#[test]
+fn what_is_queued_for_peers_that_do_not_read_is_bounded() {
+    const FRAME_BYTES: usize = 30_000;
+    let runtime = Runtime::new().expect("a runtime");
+    let deaf: Vec<TcpListener> =
+        (0..300).map(|_| TcpListener::bind(("127.0.0.1", 0)).expect("a free port")).collect();
+    let addrs: Vec<SocketAddr> =
+        deaf.iter().map(|peer| peer.local_addr().expect("a bound address")).collect();
+    let mut outbox = Outbox::new(runtime.handle().clone());
+    let mut queued_bytes = 0;
+    for _ in 0..200 {
+        for addr in &addrs {
+            if outbox.send_frame(*addr, &[7; FRAME_BYTES]).is_ok() {
+                queued_bytes += FRAME_BYTES;
+            }
+        }
+    }
+    assert!((1 << 20..=16 << 20).contains(&queued_bytes), "{queued_bytes} bytes are queued");
+}
--- a/scripts/need-cmake.sh
+++ b/scripts/need-cmake.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Sees to cmake, which builds nng: installs it where apt allows, otherwise says what to do.
+# Sees to cmake, which builds nng for tests: installs it where apt allows, otherwise says what to do.
 set -eu
 
 command -v cmake >/dev/null 2>&1 && exit 0
