--- a/crates/node/src/control_thread.rs
+++ b/crates/node/src/control_thread.rs
@@ -132,7 +132,8 @@
     fn open(&self) -> Result<Generation, Box<dyn Error>> {
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let (receiver, metrics) = (self.handle.clone(), self.metrics.clone());
-        let peer_inbox = Inbox::bind_frames(self.settings.listen.peers, move |bytes| {
+        let addr = self.settings.listen.peers;
+        let peer_inbox = Inbox::bind_frames(runtime.handle(), addr, move |bytes| {
             let batch = PeerBatch::decode(bytes, &metrics)?;
             receiver.send(Event::PeerBatch(Box::new(batch)));
             Ok(())
@@ -153,8 +154,8 @@
     fn run(&self, generation: Generation, inbox: &mut Receiver<Event>) {
         let Generation { peer_inbox, runtime } = generation;
         let _peer_inbox = peer_inbox;
-        let network =
-            PeerNetwork::new(self.me.clone(), Box::new(Outbox::new()), self.metrics.clone());
+        let outbox = Outbox::new(runtime.handle().clone());
+        let network = PeerNetwork::new(self.me.clone(), Box::new(outbox), self.metrics.clone());
         let mut control = Control::new(
             Arc::clone(&self.settings),
             Arc::clone(&self.clock),
