Don't take an answer without events for the end of a stream

Cause: a properly ended answer counted as the end of the stream, whether it held events or not. The first event was checked only once a silent engine had been left for it, so an error in place of events also cost the engine that still worked.

Change: the first event of an answer is checked where it arrives. An answer that ends without one is a failed attempt (`empty`), unless the events before hold as many tokens as the request allows: then none can follow.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -359,7 +359,12 @@
         "other_server" => "the address belongs to another server now",
         "failed" => "it answered that it failed",
         "broken" => "the connection broke, or the answer ended early",
-        "foreign" => "the answer belongs to another request or isn't signed",
+        "foreign" => {
+            "the answer belongs to another request, isn't signed or isn't a stream of its events"
+        }
+        "empty" => {
+            "its stream ended properly without an event, which doesn't prove that none is missing"
+        }
         "silent" => "nothing came in time",
         _ => return name.to_owned(),
     };
--- a/crates/relay/src/admitted_request.rs
+++ b/crates/relay/src/admitted_request.rs
@@ -138,6 +138,14 @@
         self.open_request.spec.first_byte_deadline = self.routed.give_up_at(now);
     }
 
+    /// True if the events up to `last_event_id` hold as many tokens as the request allows, so that none can
+    /// follow.
+    pub(crate) fn has_all_tokens(&self, last_event_id: Option<u64>) -> bool {
+        let spec = &self.open_request.spec;
+        let tokens = last_event_id.unwrap_or(0).saturating_mul(u64::from(spec.tokens_per_event));
+        spec.output_tokens_max > 0 && tokens >= u64::from(spec.output_tokens_max)
+    }
+
     /// Makes the request a trial of quarantined parts.
     pub(crate) fn begin_trial(&self) {
         self.is_trial.set(true);
--- a/crates/relay/src/answering_attempt.rs
+++ b/crates/relay/src/answering_attempt.rs
@@ -51,18 +51,24 @@
         Self { attempt, head, connection, body, idle_timeout, splitter: EventSplitter::default() }
     }
 
-    /// Waits for the first event.
+    /// Waits for the first event after `last_event_id`; `None` if none can follow and the stream has ended.
     ///
     /// # Errors
     ///
-    /// No event has arrived in time, or the stream is broken.
+    /// No event has arrived in time, the stream is broken, or it ended where an event could follow.
     pub(crate) async fn first_event(
         &mut self,
         admitted: &AdmittedRequest,
+        last_event_id: Option<u64>,
     ) -> Result<Option<Event>, AttemptFailure> {
         let within = admitted.time_left(self.now());
         let first = timeout(within, self.next_event()).await;
         let first = first.unwrap_or(Err(AttemptFailure::Silent))?;
+        match &first {
+            Some(event) if !event.follows(last_event_id) => return Err(AttemptFailure::Foreign),
+            None if !admitted.has_all_tokens(last_event_id) => return Err(AttemptFailure::Empty),
+            _ => {}
+        }
         self.record_first_byte();
         admitted.begin_answer(self.now(), self.server());
         Ok(first)
--- a/crates/relay/src/attempt_failure.rs
+++ b/crates/relay/src/attempt_failure.rs
@@ -27,6 +27,8 @@
     /// The answer isn't a valid answer to this request: it names another request, isn't signed,
     /// isn't a stream of consecutive events, or is too long.
     Foreign,
+    /// The stream ended properly without an event, which doesn't prove that none is missing.
+    Empty,
     /// No answer, or no further part of one, arrived in time.
     Silent,
     /// The attempt was given up before its answer began, because parts of its prompt were quarantined.
@@ -44,7 +46,12 @@
             | Self::Refused(_)
             | Self::NotHeld
             | Self::OtherServer => false,
-            Self::Failed | Self::Broken | Self::Foreign | Self::Silent | Self::Quarantined => true,
+            Self::Failed
+            | Self::Broken
+            | Self::Foreign
+            | Self::Empty
+            | Self::Silent
+            | Self::Quarantined => true,
         }
     }
 
@@ -64,7 +71,7 @@
     pub(crate) fn weight(self) -> u32 {
         match self {
             Self::NotSent | Self::NotHeld | Self::Quarantined => 0,
-            Self::NotReserved | Self::Refused(_) | Self::Failed => 1,
+            Self::NotReserved | Self::Refused(_) | Self::Failed | Self::Empty => 1,
             Self::Broken | Self::Foreign => 2,
             Self::NotConnected | Self::Down | Self::OtherServer | Self::Silent => 3,
         }
@@ -80,6 +87,7 @@
             | Self::NotHeld
             | Self::Failed
             | Self::Foreign
+            | Self::Empty
             | Self::Quarantined => false,
         }
     }
@@ -97,6 +105,7 @@
             Self::Failed => "failed",
             Self::Broken => "broken",
             Self::Foreign => "foreign",
+            Self::Empty => "empty",
             Self::Silent => "silent",
             Self::Quarantined => "quarantined",
         }
--- a/crates/relay/src/event_splitter.rs
+++ b/crates/relay/src/event_splitter.rs
@@ -12,6 +12,17 @@
     pub(crate) id: Option<u64>,
 }
 
+impl Event {
+    /// True if the event may come after the one numbered `last`.
+    pub(crate) fn follows(&self, last: Option<u64>) -> bool {
+        match (last, self.id) {
+            (Some(last), Some(id)) => last.checked_add(1) == Some(id),
+            (None, Some(_)) => true,
+            (_, None) => false,
+        }
+    }
+}
+
 /// An event is longer than [`MAX_EVENT_BYTES`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct EventTooLong;
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -76,7 +76,7 @@
 }
 
 impl<D: Dialect> EventStream<D> {
-    /// Returns a stream that continues after `last_event_id` with `first`.
+    /// Returns a stream that continues after `last_event_id` with `first`, or is complete without it.
     pub(crate) fn new(
         answering: AnsweringAttempt<D>,
         first: Option<Event>,
@@ -202,7 +202,7 @@
                 Ok(None) => return ForwardEnd::Complete,
                 Err(failure) => return ForwardEnd::Failed(failure),
             };
-            if !follows(self.last_event_id, event.id) {
+            if !event.follows(self.last_event_id) {
                 return ForwardEnd::Failed(AttemptFailure::Foreign);
             }
             if self.exceeds_token_limit(admitted) {
@@ -282,12 +282,3 @@
         stream = continuation => stream,
     }
 }
-
-/// True if an event numbered `id` may come after the one numbered `last`.
-fn follows(last: Option<u64>, id: Option<u64>) -> bool {
-    match (last, id) {
-        (Some(last), Some(id)) => id == last + 1,
-        (None, Some(_)) => true,
-        (_, None) => false,
-    }
-}
--- a/crates/relay/src/resume.rs
+++ b/crates/relay/src/resume.rs
@@ -150,6 +150,6 @@
     if !answering.head.status.is_success() {
         return Err(AttemptFailure::Failed);
     }
-    let first = answering.first_event(admitted).await?;
+    let first = answering.first_event(admitted, last_event_id).await?;
     Ok(EventStream::new(answering, first, last_event_id))
 }
--- a/crates/relay/src/server_answer.rs
+++ b/crates/relay/src/server_answer.rs
@@ -142,7 +142,7 @@
             }
             return Ok(ServerAnswer::Complete(answer));
         }
-        let first = answering.first_event(admitted).await?;
+        let first = answering.first_event(admitted, resume_after).await?;
         Ok(ServerAnswer::Stream(Box::new(EventStream::new(answering, first, resume_after))))
     }
 
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -532,6 +532,8 @@
         }
         EngineFault::None
         | EngineFault::BreaksAfter(_)
+        | EngineFault::SpoilsResumed { .. }
+        | EngineFault::SendsInstead(_)
         | EngineFault::PausesAfter(_)
         | EngineFault::TricklesAfter(_)
         | EngineFault::Rejects
@@ -600,10 +602,14 @@
     sender: &Sender<io::Result<Bytes>>,
 ) -> bool {
     let first = terms.last_event_id.map_or(1, |last| last + 1);
+    if let Some(text) = text_in_place_of_events(fault, terms) {
+        // The caller may have left.
+        let _ = sender.send(Ok(Bytes::from_static(text.as_bytes()))).await;
+        return false;
+    }
     for (sent, id) in (first..=shared.spec.events).enumerate() {
-        if fault == EngineFault::BreaksAfter(sent as u64) {
-            // The caller may have left.
-            let _ = sender.send(Err(broken())).await;
+        if breaks_after(fault) == Some(sent as u64) {
+            break_off(shared, sender).await;
             return false;
         }
         if fault == EngineFault::PausesAfter(sent as u64) {
@@ -619,5 +625,35 @@
             return false;
         }
     }
+    if breaks_after(fault) == Some(shared.spec.events) {
+        break_off(shared, sender).await;
+        return false;
+    }
     true
 }
+
+/// Breaks the connection once the events before have left.
+async fn break_off(shared: &Shared, sender: &Sender<io::Result<Bytes>>) {
+    sleep(shared.spec.pause).await;
+    // The caller may have left.
+    let _ = sender.send(Err(broken())).await;
+}
+
+/// Events of a stream after which a server with `fault` breaks off.
+fn breaks_after(fault: EngineFault) -> Option<u64> {
+    match fault {
+        EngineFault::BreaksAfter(events) | EngineFault::SpoilsResumed { events, .. } => {
+            Some(events)
+        }
+        _ => None,
+    }
+}
+
+/// What a server with `fault` sends in place of the events that `terms` ask for.
+fn text_in_place_of_events(fault: EngineFault, terms: &RequestMetadata) -> Option<&'static str> {
+    match fault {
+        EngineFault::SendsInstead(text) => Some(text),
+        EngineFault::SpoilsResumed { text, .. } => terms.last_event_id.map(|_| text),
+        _ => None,
+    }
+}
--- a/crates/standins/src/site/engine_fault.rs
+++ b/crates/standins/src/site/engine_fault.rs
@@ -10,6 +10,16 @@
     None,
     /// It closes the connection after this many events, or in place of a whole answer.
     BreaksAfter(u64),
+    /// It breaks off new streams after so many events. A request to resume one gets `text` in place of events, with a
+    /// proper end.
+    SpoilsResumed {
+        /// Events of a new stream.
+        events: u64,
+        /// Text in place of the events of a resumed stream.
+        text: &'static str,
+    },
+    /// It sends this text in place of the events of a stream, with a proper end.
+    SendsInstead(&'static str),
     /// It sends nothing for a while after this many events of a stream, or before a whole answer, and then
     /// goes on.
     PausesAfter(u64),
@@ -46,6 +56,8 @@
     pub fn spoils_runs(self) -> bool {
         match self {
             Self::BreaksAfter(_)
+            | Self::SpoilsResumed { .. }
+            | Self::SendsInstead(_)
             | Self::TricklesAfter(_)
             | Self::Hangs
             | Self::Fails
@@ -73,6 +85,8 @@
             Self::RejectsReservedAfter(time) => reserved.then_some(time),
             Self::None
             | Self::BreaksAfter(_)
+            | Self::SpoilsResumed { .. }
+            | Self::SendsInstead(_)
             | Self::PausesAfter(_)
             | Self::TricklesAfter(_)
             | Self::Hangs
--- a/crates/standins/src/site/unframed.rs
+++ b/crates/standins/src/site/unframed.rs
@@ -24,6 +24,10 @@
 /// Largest request that is read.
 const REQUEST_BYTES_MAX: usize = 16 << 10;
 
+/// An error in the middle of an answer.
+const ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-type: text/plain\r\n\
+                     content-length: 5\r\n\r\nerror";
+
 /// How an answer ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UnframedEnd {
@@ -31,6 +35,8 @@
     Whole,
     /// The connection is closed inside the event after this many.
     InsideEvent(u64),
+    /// An error, with its head, comes inside the event after this many, and then the connection is closed.
+    ErrorInsideEvent(u64),
     /// The connection is reset after this many pieces.
     Reset(u64),
 }
@@ -101,9 +107,17 @@
             let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
             return;
         }
-        let is_cut = end == UnframedEnd::InsideEvent(number);
+        let has_error = end == UnframedEnd::ErrorInsideEvent(number);
+        let is_cut = has_error || end == UnframedEnd::InsideEvent(number);
         let bytes = if is_cut { &piece.as_bytes()[..piece.len() / 2] } else { piece.as_bytes() };
-        if stream.write_all(bytes).await.is_err() || is_cut {
+        if stream.write_all(bytes).await.is_err() {
+            return;
+        }
+        if has_error {
+            // The other side may close at any time.
+            let _ = stream.write_all(ERROR.as_bytes()).await;
+        }
+        if is_cut {
             return;
         }
         sleep(PIECE_PAUSE).await;
