Don't pass on an event that contains the head of an HTTP response

Cause: the first empty line after the half event is that of the error's head, so both together were one event, with the half event's id.

The attempt fails, and the stream goes on at the next server after the last whole event, where its route allows that.

--- a/crates/system/tests/short_streams.rs
+++ b/crates/system/tests/short_streams.rs
@@ -209,3 +209,9 @@
 fn a_stream_that_ends_with_its_connection_before_an_event_is_answered_by_another_engine() {
     assert_whole_beside_an_unframed_server(Vec::new(), UnframedEnd::Whole);
 }
+
+#[test]
+fn an_error_inside_an_event_isnt_passed_on() {
+    let pieces = (1..=EVENTS).map(event).collect();
+    assert_whole_beside_an_unframed_server(pieces, UnframedEnd::ErrorInsideEvent(4));
+}
