Stand-ins: an engine that writes an earlier answer once more

A server may write an earlier answer again on a connection that its caller keeps: before the answer to the next request, or while the connection is idle. Two faults of the site's servers do that, one for requests and one for orders.

--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::site::{
+        earlier_answer::{EarlierAnswer, RawWriter, RepeatedAt},
         engine_fault::EngineFault,
         http::{Body, Handled, broken, listen, pieces, serve, whole},
         run_log::{Run, RunLog},
@@ -42,6 +43,10 @@
     },
 };
 
+/// Path of orders.
+const ORDER_PATH: &str = "/order";
+/// Time after a request was read when its answer has been written, as a rule.
+const IDLE_AFTER: Duration = Duration::from_millis(400);
 /// Time to load a model.
 const LOAD_TIME: Duration = Duration::from_millis(60);
 /// Pause between the bytes of a stream that trickles.
@@ -439,6 +444,24 @@
         whole(StatusCode::OK, reservation::encode_answer(&name))
     }
 
+    /// Writes an earlier answer once more if the server's fault is that.
+    fn repeat_answer(&self, writer: &RawWriter, path: &str) -> io::Result<()> {
+        let is_order = path == ORDER_PATH;
+        let answer = match self.lock().fault {
+            EngineFault::RepeatsAnswer(answer) if !is_order => answer,
+            EngineFault::RepeatsOrderAnswer(answer) if is_order => answer,
+            _ => return Ok(()),
+        };
+        match answer.at {
+            RepeatedAt::NextRequest if writer.is_kept() => writer.write(answer)?,
+            RepeatedAt::NextRequest => {}
+            RepeatedAt::Idle => {
+                tokio::spawn(repeat_when_idle(writer.clone(), answer));
+            }
+        }
+        Ok(())
+    }
+
     fn report(&self) -> EngineReport {
         let state = self.lock();
         EngineReport {
@@ -457,14 +480,27 @@
     if shared.lock().is_down {
         return Err(broken());
     }
+    if let Some(writer) = head.extensions.get::<RawWriter>() {
+        shared.repeat_answer(writer, head.uri.path())?;
+    }
     match head.uri.path() {
         "/report" => Ok(shared.own(whole(StatusCode::OK, encode_report(&shared.report())))),
-        "/order" => Ok(shared.own(whole(encode_order_answer(shared.order(&body)), Vec::new()))),
+        ORDER_PATH => Ok(shared.own(whole(encode_order_answer(shared.order(&body)), Vec::new()))),
         reservation::PATH => Ok(shared.own(shared.reserve().await)),
         _ => run(shared, &head.headers).await,
     }
 }
 
+/// Writes `answer` unless the connection carries another request by then.
+async fn repeat_when_idle(writer: RawWriter, answer: EarlierAnswer) {
+    let requests = writer.requests();
+    sleep(IDLE_AFTER).await;
+    if writer.requests() == requests {
+        // The other side may have closed the connection.
+        let _ = writer.write(answer);
+    }
+}
+
 /// Runs a caller's request.
 async fn run(shared: Arc<Shared>, headers: &HeaderMap) -> Handled {
     let terms = PlatformDialect.read_caller_terms(headers).unwrap_or_default();
@@ -541,7 +577,9 @@
         | EngineFault::ReservesAfter(_)
         | EngineFault::LeavesWhenAsked
         | EngineFault::Closed(_)
-        | EngineFault::Crashes => {}
+        | EngineFault::Crashes
+        | EngineFault::RepeatsAnswer(_)
+        | EngineFault::RepeatsOrderAnswer(_) => {}
     }
     let marks = shared.marks(&id, true);
     if shared.spec.is_engine {
--- a/crates/standins/src/site/engine_fault.rs
+++ b/crates/standins/src/site/engine_fault.rs
@@ -1,6 +1,6 @@
 //! What is wrong with a backend server.
 
-use std::time::Duration;
+use {crate::site::earlier_answer::EarlierAnswer, std::time::Duration};
 
 /// What is wrong with a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,6 +39,11 @@
     Crosses,
     /// It ends while it runs the request.
     Crashes,
+    /// It writes an earlier answer once more on each connection that it has used before, and runs
+    /// requests.
+    RepeatsAnswer(EarlierAnswer),
+    /// The same on connections on which it gets orders, and not on those of requests.
+    RepeatsOrderAnswer(EarlierAnswer),
 }
 
 impl EngineFault {
@@ -51,7 +56,8 @@
             | Self::Fails
             | Self::FailsAfter(_)
             | Self::Crosses
-            | Self::Crashes => true,
+            | Self::Crashes
+            | Self::RepeatsAnswer(_) => true,
             Self::None
             | Self::PausesAfter(_)
             | Self::Rejects
@@ -60,7 +66,8 @@
             | Self::RejectsReservedAfter(_)
             | Self::ReservesAfter(_)
             | Self::LeavesWhenAsked
-            | Self::Closed(_) => false,
+            | Self::Closed(_)
+            | Self::RepeatsOrderAnswer(_) => false,
         }
     }
 
@@ -81,7 +88,9 @@
             | Self::Fails
             | Self::FailsAfter(_)
             | Self::Crosses
-            | Self::Crashes => None,
+            | Self::Crashes
+            | Self::RepeatsAnswer(_)
+            | Self::RepeatsOrderAnswer(_) => None,
         }
     }
 }
--- a/crates/standins/src/site/http.rs
+++ b/crates/standins/src/site/http.rs
@@ -1,6 +1,7 @@
 //! HTTP connections of stand-ins.
 
 use {
+    crate::site::earlier_answer::RawWriter,
     bytes::Bytes,
     http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody},
     hyper::{
@@ -12,7 +13,7 @@
     hyper_util::rt::TokioIo,
     std::{convert::Infallible, future::Future, io, net::SocketAddr, sync::Arc},
     tokio::{
-        net::TcpListener,
+        net::{TcpListener, TcpStream},
         sync::mpsc::Receiver,
         task::{JoinHandle, JoinSet},
     },
@@ -37,7 +38,12 @@
         while let Ok((stream, _peer)) = listener.accept().await {
             let handle = Arc::clone(&handle);
             connections.spawn(async move {
-                let service = service_fn(move |req| handle(req));
+                let Ok((stream, writer)) = with_writer(stream) else { return };
+                let service = service_fn(move |mut req: Request<Incoming>| {
+                    writer.count_request();
+                    req.extensions_mut().insert(writer.clone());
+                    handle(req)
+                });
                 // A broken connection is the other side's to notice.
                 let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
             });
@@ -45,6 +51,12 @@
     })
 }
 
+fn with_writer(stream: TcpStream) -> io::Result<(TcpStream, RawWriter)> {
+    let stream = stream.into_std()?;
+    let writer = RawWriter::new(stream.try_clone()?);
+    Ok((TcpStream::from_std(stream)?, writer))
+}
+
 /// Binds `addr`.
 ///
 /// # Panics
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -5,6 +5,7 @@
 //! callers and servers see rather than what the system says of itself.
 
 mod caller;
+mod earlier_answer;
 mod endless;
 mod engine;
 mod engine_fault;
@@ -16,6 +17,7 @@
 
 pub use self::{
     caller::{Caller, Reply},
+    earlier_answer::{EarlierAnswer, RepeatedAt},
     endless::{EndlessPart, EndlessServer, Pace},
     engine::{ServerSpec, SiteServer},
     engine_fault::EngineFault,
