Believe a refusal only if it can't be an earlier one

Callers: a request that may run once ran at a second backend server, or was told 503 ("not run") although a server ran it. A server that writes an earlier 421 once more was taken for gone, by all nodes.

Cause: an answer without a request id was taken for the answer to the request in flight. On a kept connection it may be an earlier refusal that the server writes again. hyper closes a connection on which bytes come while it is idle, but takes bytes that come after the request was sent for its answer.

Change: a refusal proves that the request hasn't run if it names the request, or if it names none and is the first answer on its connection. Any other is the new failure unproven_refusal: the outcome is unknown, the server's idle connections are closed, and neither 421 nor Retry-After is believed of it.

Already so, shown by tests: bytes on an idle connection close it, a refusal with the right id on a kept connection and one without an id on a new connection still let another server take the request.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -360,6 +360,9 @@
         "failed" => "it answered that it failed",
         "broken" => "the connection broke, or the answer ended early",
         "foreign" => "the answer belongs to another request or isn't signed",
+        "unproven_refusal" => {
+            "it refused a request without naming it, on a connection that had carried others"
+        }
         "silent" => "nothing came in time",
         _ => return name.to_owned(),
     };
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -31,6 +31,8 @@
     addr: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    /// Whether a request was sent on it.
+    is_used: bool,
 }
 
 impl Drop for Connection {
@@ -82,7 +84,7 @@
             // The request in flight returns the failure, so the driver task's own result isn't needed.
             let _ = driver.await;
         });
-        Ok(Self { addr, sender, driver: driver.abort_handle() })
+        Ok(Self { addr, sender, driver: driver.abort_handle(), is_used: false })
     }
 
     /// Address of the server.
@@ -90,6 +92,12 @@
         self.addr
     }
 
+    /// Returns true if a request was sent on the connection. A response on an unused connection can't
+    /// belong to an earlier request.
+    pub fn is_used(&self) -> bool {
+        self.is_used
+    }
+
     /// Returns true if another request can be sent at once.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
@@ -118,6 +126,7 @@
         time_limit: Duration,
     ) -> Result<Response<Incoming>, HttpError> {
         let addr = self.addr;
+        self.is_used = true;
         let exchange = async {
             self.ready().await?;
             let not_sent = |reason: String| HttpError::NotSent { addr, reason };
--- a/crates/relay/src/answer_metadata.rs
+++ b/crates/relay/src/answer_metadata.rs
@@ -1,8 +1,8 @@
 //! Applies what the headers of a server's answer state about the server itself.
 //!
-//! A server that is leaving or overloaded says so in its answers, whichever request they answer and
-//! whether they are passed on or not. This VM acts on such a header as soon as the head has been
-//! read.
+//! A server that is leaving says so in its answers, whichever request they answer, and one that is
+//! overloaded says so in its refusals, whether they are passed on or not. This VM acts on such a header
+//! as soon as the head has been read.
 
 use {
     crate::{
@@ -17,11 +17,13 @@
 
 impl<D: Dialect> Relay<D> {
     /// Applies the `metadata` of an answer with `status` that came from the address of `server`.
+    /// Unless it `is_own`, it may be an earlier answer, and a time that it states may be over.
     pub(crate) fn apply_answer_metadata(
         &self,
         server: ServerIdx,
         status: StatusCode,
         metadata: &AnswerMetadata,
+        is_own: bool,
     ) {
         let expected = self.dispatcher.borrow().record(server).key.id.clone();
         // The address may belong to another server by now.
@@ -31,7 +33,8 @@
         if metadata.leaving {
             self.on_server_leaving(server);
         }
-        if let Some(time) = metadata.backoff.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+        let wants_none = is_own && status == StatusCode::SERVICE_UNAVAILABLE;
+        if let Some(time) = metadata.backoff.filter(|_| wants_none) {
             self.on_server_backoff(server, time);
         }
     }
--- a/crates/relay/src/attempt_failure.rs
+++ b/crates/relay/src/attempt_failure.rs
@@ -27,6 +27,9 @@
     /// The answer isn't a valid answer to this request: it names another request, isn't signed,
     /// isn't a stream of consecutive events, or is too long.
     Foreign,
+    /// A refusal that names no request came on a connection that has carried other requests. It may
+    /// be an earlier refusal, written once more, so it proves nothing about this request.
+    UnprovenRefusal,
     /// No answer, or no further part of one, arrived in time.
     Silent,
     /// The attempt was given up before its answer began, because parts of its prompt were quarantined.
@@ -44,10 +47,20 @@
             | Self::Refused(_)
             | Self::NotHeld
             | Self::OtherServer => false,
-            Self::Failed | Self::Broken | Self::Foreign | Self::Silent | Self::Quarantined => true,
+            Self::Failed
+            | Self::Broken
+            | Self::Foreign
+            | Self::UnprovenRefusal
+            | Self::Silent
+            | Self::Quarantined => true,
         }
     }
 
+    /// False if the answer may have been meant for another request.
+    pub(crate) fn is_own_answer(self) -> bool {
+        !matches!(self, Self::Foreign | Self::UnprovenRefusal)
+    }
+
     /// True if no part of the request reached a server.
     pub(crate) fn is_unsent(self) -> bool {
         matches!(self, Self::NotConnected | Self::Down | Self::NotSent | Self::NotReserved)
@@ -65,15 +78,20 @@
         match self {
             Self::NotSent | Self::NotHeld | Self::Quarantined => 0,
             Self::NotReserved | Self::Refused(_) | Self::Failed => 1,
-            Self::Broken | Self::Foreign => 2,
+            Self::Broken | Self::Foreign | Self::UnprovenRefusal => 2,
             Self::NotConnected | Self::Down | Self::OtherServer | Self::Silent => 3,
         }
     }
 
-    /// True if the server's idle connections are probably dead too.
+    /// True if the server's idle connections are probably dead too, or may carry earlier answers.
     pub(crate) fn invalidates_connections(self) -> bool {
         match self {
-            Self::NotSent | Self::Down | Self::OtherServer | Self::Broken | Self::Silent => true,
+            Self::NotSent
+            | Self::Down
+            | Self::OtherServer
+            | Self::Broken
+            | Self::UnprovenRefusal
+            | Self::Silent => true,
             Self::NotConnected
             | Self::NotReserved
             | Self::Refused(_)
@@ -97,6 +115,7 @@
             Self::Failed => "failed",
             Self::Broken => "broken",
             Self::Foreign => "foreign",
+            Self::UnprovenRefusal => "unproven_refusal",
             Self::Silent => "silent",
             Self::Quarantined => "quarantined",
         }
--- a/crates/relay/src/connected_attempt.rs
+++ b/crates/relay/src/connected_attempt.rs
@@ -76,12 +76,15 @@
         let (relay, server) = (Rc::clone(attempt.relay()), attempt.server);
         let req = build_request(&relay, admitted, server, last_event_id, reservation.as_ref());
         let within = admitted.time_left(relay.clock.now());
+        let was_used = connection.is_used();
         let response = connection.send(req, within).await.map_err(AttemptFailure::from)?;
         let (head, body) = response.into_parts();
         let metadata = relay.dialect.read_answer_metadata(&head.headers);
         let expected_server = relay.dispatcher.borrow().record(server).key.id.clone();
-        relay.apply_answer_metadata(server, head.status, &metadata);
-        check_head(admitted, &expected_server, &head, &metadata)?;
+        let checked = check_head(admitted, &expected_server, was_used, &head, &metadata);
+        let is_own = checked.err().is_none_or(AttemptFailure::is_own_answer);
+        relay.apply_answer_metadata(server, head.status, &metadata, is_own);
+        checked?;
         Ok(AnsweringAttempt::new(attempt, head, connection, body))
     }
 
@@ -125,7 +128,7 @@
         let answer = self.connection.send(req, RESERVE_TIMEOUT).await;
         let (head, body) = answer.map_err(|err| failure_before_sending(&err))?.into_parts();
         let metadata = relay.dialect.read_answer_metadata(&head.headers);
-        relay.apply_answer_metadata(server, head.status, &metadata);
+        relay.apply_answer_metadata(server, head.status, &metadata, true);
         let is_expected_server = metadata.server.as_ref() == Some(&record.key.id);
         match head.status {
             // A server that is leaving may exit before it has served the request.
@@ -187,10 +190,12 @@
     req
 }
 
-/// Checks that an answer's head belongs to this request and can be passed on.
+/// Checks that an answer's head belongs to this request and can be passed on. `was_used` tells
+/// whether its connection had carried other requests.
 fn check_head(
     admitted: &AdmittedRequest,
     expected_server: &BackendId,
+    was_used: bool,
     head: &Parts,
     metadata: &AnswerMetadata,
 ) -> Result<(), AttemptFailure> {
@@ -198,6 +203,10 @@
     if metadata.request_id.as_ref().is_some_and(|id| *id != admitted.routed.id) {
         return Err(AttemptFailure::Foreign);
     }
+    let is_refusal = metadata.not_run || head.status == StatusCode::MISDIRECTED_REQUEST;
+    if is_refusal && metadata.request_id.is_none() && was_used {
+        return Err(AttemptFailure::UnprovenRefusal);
+    }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         let is_expected_server = metadata.server.as_ref() == Some(expected_server);
         return Err(if is_expected_server {
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -426,7 +426,10 @@
         let fault = self.lock().fault;
         match fault {
             EngineFault::Hangs => return pending().await,
-            EngineFault::Rejects | EngineFault::RejectsAfter(_) | EngineFault::Closed(_) => {
+            EngineFault::Rejects
+            | EngineFault::RejectsUnnamed
+            | EngineFault::RejectsAfter(_)
+            | EngineFault::Closed(_) => {
                 return whole(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
             }
             EngineFault::ReservesAfter(time) => sleep(time).await,
@@ -530,7 +533,8 @@
             EngineFault::Closed(time) => Some(time),
             _ => None,
         };
-        let marks = AnswerMetadata { backoff, ..shared.marks(&id, false) };
+        let mut marks = AnswerMetadata { backoff, ..shared.marks(&id, false) };
+        marks.request_id.take_if(|_| fault == EngineFault::RejectsUnnamed);
         return Ok(shared.answer(StatusCode::SERVICE_UNAVAILABLE, &marks, empty()));
     }
     let work = shared.log.begin(Run {
@@ -571,6 +575,7 @@
         | EngineFault::PausesAfter(_)
         | EngineFault::TricklesAfter(_)
         | EngineFault::Rejects
+        | EngineFault::RejectsUnnamed
         | EngineFault::RejectsAfter(_)
         | EngineFault::RejectsReserved
         | EngineFault::RejectsReservedAfter(_)
--- a/crates/standins/src/site/engine_fault.rs
+++ b/crates/standins/src/site/engine_fault.rs
@@ -19,6 +19,8 @@
     Hangs,
     /// It rejects requests without running them.
     Rejects,
+    /// It rejects requests without running them or naming them.
+    RejectsUnnamed,
     /// It keeps requests in its queue for this long, and then rejects them.
     RejectsAfter(Duration),
     /// It keeps places, and rejects the requests that come for them.
@@ -61,6 +63,7 @@
             Self::None
             | Self::PausesAfter(_)
             | Self::Rejects
+            | Self::RejectsUnnamed
             | Self::RejectsAfter(_)
             | Self::RejectsReserved
             | Self::RejectsReservedAfter(_)
@@ -74,7 +77,7 @@
     /// Time in the queue of a request that is rejected; `None` if it is run.
     pub(crate) fn rejects_after(self, reserved: bool) -> Option<Duration> {
         match self {
-            Self::Rejects | Self::Closed(_) => Some(Duration::ZERO),
+            Self::Rejects | Self::RejectsUnnamed | Self::Closed(_) => Some(Duration::ZERO),
             Self::RejectsAfter(time) => Some(time),
             Self::RejectsReserved => reserved.then_some(Duration::ZERO),
             Self::RejectsReservedAfter(time) => reserved.then_some(time),
