Pass on no 408, 429 or 503 without the statement that the request wasn't run

Callers: a claim that a server ran and answered 503 (signed, without the statement that it wasn't run) was passed on as it is. To a caller that status promises that the request hasn't run, so it sends it again.

Change: such an answer is a failed attempt whose outcome is unknown, and isn't kept for the caller, who gets 502. Status 421 needs no statement, as before.

--- a/crates/relay/src/attempt_failure.rs
+++ b/crates/relay/src/attempt_failure.rs
@@ -20,7 +20,8 @@
     NotHeld,
     /// The address belongs to another server now.
     OtherServer,
-    /// The server answered with a server error.
+    /// The server answered with a server error, or with the status of a refusal that doesn't state that
+    /// the request wasn't run.
     Failed,
     /// The connection broke, or the answer ended early.
     Broken,
--- a/crates/relay/src/connected_attempt.rs
+++ b/crates/relay/src/connected_attempt.rs
@@ -33,6 +33,11 @@
 /// Largest accepted answer to a reservation request.
 const RESERVATION_BYTES_MAX: usize = 4 << 10;
 
+/// Statuses that promise a caller that its request hasn't run and never will. Another is 421, which
+/// no server's answer passes on.
+const PROMISE_STATUSES: [StatusCode; 3] =
+    [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
+
 /// An attempt that has a connection. Nothing of the request has been sent yet.
 #[derive(Debug)]
 pub(crate) struct ConnectedAttempt<D: Dialect> {
@@ -218,6 +223,10 @@
     if metadata.not_run {
         return Err(AttemptFailure::Refused(head.status));
     }
+    if PROMISE_STATUSES.contains(&head.status) {
+        // Passed on, it would promise what the server hasn't stated.
+        return Err(AttemptFailure::Failed);
+    }
     let usable = metadata.signed
         && metadata.request_id.is_some()
         && !head.headers.contains_key(CONTENT_ENCODING);
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -559,6 +559,10 @@
     }
     match fault {
         EngineFault::Hangs => return pending().await,
+        EngineFault::FailsAs(status) => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+            return Ok(shared.answer(status, &shared.marks(&id, true), empty()));
+        }
         EngineFault::Fails | EngineFault::FailsAfter(_) => {
             if let EngineFault::FailsAfter(time) = fault {
                 sleep(time).await;
--- a/crates/standins/src/site/engine_fault.rs
+++ b/crates/standins/src/site/engine_fault.rs
@@ -35,6 +35,8 @@
     Closed(Duration),
     /// It fails every request.
     Fails,
+    /// It runs every request and answers with this status.
+    FailsAs(u16),
     /// It fails every request, after this long.
     FailsAfter(Duration),
     /// It signs answers with another request's name.
@@ -56,6 +58,7 @@
             | Self::TricklesAfter(_)
             | Self::Hangs
             | Self::Fails
+            | Self::FailsAs(_)
             | Self::FailsAfter(_)
             | Self::Crosses
             | Self::Crashes
@@ -89,6 +92,7 @@
             | Self::ReservesAfter(_)
             | Self::LeavesWhenAsked
             | Self::Fails
+            | Self::FailsAs(_)
             | Self::FailsAfter(_)
             | Self::Crosses
             | Self::Crashes
--- a/crates/system/tests/repeated_answers.rs
+++ b/crates/system/tests/repeated_answers.rs
@@ -140,3 +140,17 @@
     }
     assert!(site.engines[0].rejections() > 0 && site.plain[0].rejections() > 0);
 }
+
+#[test]
+fn a_server_that_ran_a_request_and_answered_503_isnt_passed_off_as_having_refused_it() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    for path in [CLAIM, BATCH] {
+        // Status 421 by itself states that the request wasn't run.
+        for status in [408, 429, 503] {
+            set_faults(&site, EngineFault::FailsAs(status));
+            let replies = send_requests(&site, path);
+            let broken = broken_promises(&site, &replies);
+            assert_eq!(broken, (0, 0), "{path} {status} {:?}", statuses(&replies));
+        }
+    }
+}
