Send orders to engines on new connections

Operators: an engine that writes an earlier answer once more on a kept connection had the holder of the lease resign (412), or rebuild what it knew of the engine (200, 421).

Cause: an answer to an order doesn't name it, and orders shared the kept connections of reports.

Evidence, on the code before: an_earlier_answer_to_an_order_isnt_taken_for_that_to_the_next 200: 6 of the orders' lines say already_holds, which no engine answered

Change: an order goes out on a connection opened for it, so that no earlier answer can come in its place; reports may use it afterwards. Connecting is limited by the order's time-out too. Measured: no line with an answer that no engine gave, for 200, 412 and 421.

--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -127,7 +127,33 @@
         req: Request<Full<Bytes>>,
         time_limit: Duration,
     ) -> Result<Answer, HttpError> {
-        let mut connection = self.connect(addr).await?;
+        let connection = self.connect(addr).await?;
+        self.fetch_on(connection, req, time_limit).await
+    }
+
+    /// Like [`fetch`](Self::fetch), on a new connection: the response can't be one to an earlier request,
+    /// written once more. For requests whose responses don't name them.
+    ///
+    /// # Errors
+    ///
+    /// As those of [`fetch`](Self::fetch).
+    pub async fn fetch_on_new(
+        &self,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        time_limit: Duration,
+    ) -> Result<Answer, HttpError> {
+        let connection = Connection::open(addr, CONNECT_TIMEOUT.min(time_limit)).await?;
+        self.fetch_on(connection, req, time_limit).await
+    }
+
+    async fn fetch_on(
+        &self,
+        mut connection: Connection,
+        req: Request<Full<Bytes>>,
+        time_limit: Duration,
+    ) -> Result<Answer, HttpError> {
+        let addr = connection.addr();
         let exchange = async {
             let head = connection.send(req, time_limit).await?;
             read_body(addr, head, self.answer_bytes_max).await
--- a/crates/node/src/engine_client.rs
+++ b/crates/node/src/engine_client.rs
@@ -34,12 +34,12 @@
         Rc::new(Self { pool: Pool::with_max_answer_bytes(ANSWER_BYTES_MAX), events })
     }
 
-    /// Sends an order; the answer arrives as an [`Event::OrderAnswered`].
+    /// Sends an order, on a new connection: an answer to an order doesn't name it. The answer arrives as an [`Event::OrderAnswered`].
     pub(crate) fn send_order(self: &Rc<Self>, order: EngineOrder) {
         let client = Rc::clone(self);
         spawn_local(async move {
             let req = engine::encode_order(&order);
-            let answer = match client.pool.fetch(order.addr, req, ORDER_TIMEOUT).await {
+            let answer = match client.pool.fetch_on_new(order.addr, req, ORDER_TIMEOUT).await {
                 Ok(answer) => {
                     client.report_leaving(&order.server, &answer).await;
                     engine::decode_order_answer(answer.status)
--- a/crates/system/tests/repeated_answers.rs
+++ b/crates/system/tests/repeated_answers.rs
@@ -154,3 +154,24 @@
         }
     }
 }
+
+#[test]
+fn an_earlier_answer_to_an_order_isnt_taken_for_that_to_the_next() {
+    // Answers that these engines don't give to any order here.
+    for (status, name) in [(200, "already_holds"), (412, "fenced"), (421, "other_server")] {
+        let site = Site::start(1, &[&["m0"], &["m1"]]);
+        let answer = EarlierAnswer { not_run: false, ..EarlierAnswer::refusal(status) };
+        set_faults(&site, EngineFault::RepeatsOrderAnswer(answer));
+        for model in ["m0/a1", "m0/a2", "m2"] {
+            site.eventually("it is served", || {
+                let reply = site.send(0, CHAT, Some(model), &site.request_id());
+                reply.is_some_and(|reply| reply.status == 200)
+            });
+        }
+        let log = site.node_log(0);
+        let answers = log.lines().filter(|line| line.contains("\"order_answered\""));
+        let believed = format!("\"answer\":\"{name}\"");
+        let wrong: Vec<&str> = answers.filter(|line| line.contains(&believed)).collect();
+        assert!(wrong.is_empty(), "{status} {} lines: {wrong:#?}", wrong.len());
+    }
+}
