--- a/crates/relay/src/connected_attempt.rs
+++ b/crates/relay/src/connected_attempt.rs
@@ -33,6 +33,11 @@
 /// Largest accepted answer to a reservation request.
 const RESERVATION_BYTES_MAX: usize = 4 << 10;
 
+/// Statuses that promise a caller that its request hasn't run and never will. Another is 421, which
+/// no server's answer passes on.
+const PROMISE_STATUSES: [StatusCode; 3] =
+    [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
+
 /// An attempt that has a connection. Nothing of the request has been sent yet.
 #[derive(Debug)]
 pub(crate) struct ConnectedAttempt<D: Dialect> {
@@ -76,12 +81,15 @@
         let (relay, server) = (Rc::clone(attempt.relay()), attempt.server);
         let req = build_request(&relay, admitted, server, last_event_id, reservation.as_ref());
         let within = admitted.time_left(relay.clock.now());
+        let was_used = connection.is_used();
         let response = connection.send(req, within).await.map_err(AttemptFailure::from)?;
         let (head, body) = response.into_parts();
         let metadata = relay.dialect.read_answer_metadata(&head.headers);
         let expected_server = relay.dispatcher.borrow().record(server).key.id.clone();
-        relay.apply_answer_metadata(server, head.status, &metadata);
-        check_head(admitted, &expected_server, &head, &metadata)?;
+        let checked = check_head(admitted, &expected_server, was_used, &head, &metadata);
+        let is_own = checked.err().is_none_or(AttemptFailure::is_own_answer);
+        relay.apply_answer_metadata(server, head.status, &metadata, is_own);
+        checked?;
         Ok(AnsweringAttempt::new(attempt, head, connection, body))
     }
 
@@ -125,7 +133,7 @@
         let answer = self.connection.send(req, RESERVE_TIMEOUT).await;
         let (head, body) = answer.map_err(|err| failure_before_sending(&err))?.into_parts();
         let metadata = relay.dialect.read_answer_metadata(&head.headers);
-        relay.apply_answer_metadata(server, head.status, &metadata);
+        relay.apply_answer_metadata(server, head.status, &metadata, true);
         let is_expected_server = metadata.server.as_ref() == Some(&record.key.id);
         match head.status {
             // A server that is leaving may exit before it has served the request.
@@ -187,10 +195,12 @@
     req
 }
 
-/// Checks that an answer's head belongs to this request and can be passed on.
+/// Checks that an answer's head belongs to this request and can be passed on. `was_used` tells
+/// whether its connection had carried other requests.
 fn check_head(
     admitted: &AdmittedRequest,
     expected_server: &BackendId,
+    was_used: bool,
     head: &Parts,
     metadata: &AnswerMetadata,
 ) -> Result<(), AttemptFailure> {
@@ -198,6 +208,10 @@
     if metadata.request_id.as_ref().is_some_and(|id| *id != admitted.routed.id) {
         return Err(AttemptFailure::Foreign);
     }
+    let is_refusal = metadata.not_run || head.status == StatusCode::MISDIRECTED_REQUEST;
+    if is_refusal && metadata.request_id.is_none() && was_used {
+        return Err(AttemptFailure::UnprovenRefusal);
+    }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         let is_expected_server = metadata.server.as_ref() == Some(expected_server);
         return Err(if is_expected_server {
@@ -209,6 +223,10 @@
     if metadata.not_run {
         return Err(AttemptFailure::Refused(head.status));
     }
+    if PROMISE_STATUSES.contains(&head.status) {
+        // Passed on, it would promise what the server hasn't stated.
+        return Err(AttemptFailure::Failed);
+    }
     let usable = metadata.signed
         && metadata.request_id.is_some()
         && !head.headers.contains_key(CONTENT_ENCODING);
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::site::{
+        earlier_answer::{EarlierAnswer, RawWriter, RepeatedAt},
         engine_fault::EngineFault,
         http::{Body, Handled, broken, listen, pieces, serve, whole},
         run_log::{Run, RunLog},
@@ -42,6 +43,10 @@
     },
 };
 
+/// Path of orders.
+const ORDER_PATH: &str = "/order";
+/// Time after a request was read when its answer has been written, as a rule.
+const IDLE_AFTER: Duration = Duration::from_millis(400);
 /// Time to load a model.
 const LOAD_TIME: Duration = Duration::from_millis(60);
 /// Pause between the bytes of a stream that trickles.
@@ -421,7 +426,10 @@
         let fault = self.lock().fault;
         match fault {
             EngineFault::Hangs => return pending().await,
-            EngineFault::Rejects | EngineFault::RejectsAfter(_) | EngineFault::Closed(_) => {
+            EngineFault::Rejects
+            | EngineFault::RejectsUnnamed
+            | EngineFault::RejectsAfter(_)
+            | EngineFault::Closed(_) => {
                 return whole(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
             }
             EngineFault::ReservesAfter(time) => sleep(time).await,
@@ -439,6 +447,24 @@
         whole(StatusCode::OK, reservation::encode_answer(&name))
     }
 
+    /// Writes an earlier answer once more if the server's fault is that.
+    fn repeat_answer(&self, writer: &RawWriter, path: &str) -> io::Result<()> {
+        let is_order = path == ORDER_PATH;
+        let answer = match self.lock().fault {
+            EngineFault::RepeatsAnswer(answer) if !is_order => answer,
+            EngineFault::RepeatsOrderAnswer(answer) if is_order => answer,
+            _ => return Ok(()),
+        };
+        match answer.at {
+            RepeatedAt::NextRequest if writer.is_kept() => writer.write(answer)?,
+            RepeatedAt::NextRequest => {}
+            RepeatedAt::Idle => {
+                tokio::spawn(repeat_when_idle(writer.clone(), answer));
+            }
+        }
+        Ok(())
+    }
+
     fn report(&self) -> EngineReport {
         let state = self.lock();
         EngineReport {
@@ -457,14 +483,27 @@
     if shared.lock().is_down {
         return Err(broken());
     }
+    if let Some(writer) = head.extensions.get::<RawWriter>() {
+        shared.repeat_answer(writer, head.uri.path())?;
+    }
     match head.uri.path() {
         "/report" => Ok(shared.own(whole(StatusCode::OK, encode_report(&shared.report())))),
-        "/order" => Ok(shared.own(whole(encode_order_answer(shared.order(&body)), Vec::new()))),
+        ORDER_PATH => Ok(shared.own(whole(encode_order_answer(shared.order(&body)), Vec::new()))),
         reservation::PATH => Ok(shared.own(shared.reserve().await)),
         _ => run(shared, &head.headers).await,
     }
 }
 
+/// Writes `answer` unless the connection carries another request by then.
+async fn repeat_when_idle(writer: RawWriter, answer: EarlierAnswer) {
+    let requests = writer.requests();
+    sleep(IDLE_AFTER).await;
+    if writer.requests() == requests {
+        // The other side may have closed the connection.
+        let _ = writer.write(answer);
+    }
+}
+
 /// Runs a caller's request.
 async fn run(shared: Arc<Shared>, headers: &HeaderMap) -> Handled {
     let terms = PlatformDialect.read_caller_terms(headers).unwrap_or_default();
@@ -494,7 +533,8 @@
             EngineFault::Closed(time) => Some(time),
             _ => None,
         };
-        let marks = AnswerMetadata { backoff, ..shared.marks(&id, false) };
+        let mut marks = AnswerMetadata { backoff, ..shared.marks(&id, false) };
+        marks.request_id.take_if(|_| fault == EngineFault::RejectsUnnamed);
         return Ok(shared.answer(StatusCode::SERVICE_UNAVAILABLE, &marks, empty()));
     }
     let work = shared.log.begin(Run {
@@ -519,6 +559,10 @@
     }
     match fault {
         EngineFault::Hangs => return pending().await,
+        EngineFault::FailsAs(status) => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+            return Ok(shared.answer(status, &shared.marks(&id, true), empty()));
+        }
         EngineFault::Fails | EngineFault::FailsAfter(_) => {
             if let EngineFault::FailsAfter(time) = fault {
                 sleep(time).await;
@@ -537,13 +581,16 @@
         | EngineFault::PausesAfter(_)
         | EngineFault::TricklesAfter(_)
         | EngineFault::Rejects
+        | EngineFault::RejectsUnnamed
         | EngineFault::RejectsAfter(_)
         | EngineFault::RejectsReserved
         | EngineFault::RejectsReservedAfter(_)
         | EngineFault::ReservesAfter(_)
         | EngineFault::LeavesWhenAsked
         | EngineFault::Closed(_)
-        | EngineFault::Crashes => {}
+        | EngineFault::Crashes
+        | EngineFault::RepeatsAnswer(_)
+        | EngineFault::RepeatsOrderAnswer(_) => {}
     }
     let marks = shared.marks(&id, true);
     if shared.spec.is_engine {
