Stand-in store: odd registry entries and rows that can't be decoded

For tests and soaks: odd_entries and ODD_KEYS are values and keys that another writer may leave in the registry's table; set_row_fault garbles a row in all answers of the store.

No change of the product.

--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod engine_fault;
 mod http;
+mod odd_rows;
 mod run_log;
 mod store;
 mod unframed;
@@ -19,7 +20,9 @@
     endless::{EndlessPart, EndlessServer, Pace},
     engine::{ServerSpec, SiteServer},
     engine_fault::EngineFault,
+    odd_rows::{ODD_KEYS, odd_entries},
     run_log::{Run, RunLog},
     store::{SiteStore, StoreFault},
     unframed::{UnframedEnd, UnframedServer},
 };
+pub use glade_adapter::row_fault::RowFault;
--- /dev/null
+++ b/crates/standins/src/site/odd_rows.rs
@@ -0,0 +1,35 @@
+//! Rows that another writer leaves among those of the registry.
+
+use {
+    glade_adapter::odd_entries,
+    glade_catalog::{Residence, ServerKey, ServerRecord, ServerState},
+    glade_types::{BackendId, DataCentre, ModelName, ServiceName},
+    std::time::Duration,
+};
+
+/// Keys of the registry's table that name no server.
+pub const ODD_KEYS: [&str; 6] = [
+    "servers/",
+    "servers/line\nbreak",
+    "servers/nul\0",
+    "servers/delete\u{7f}",
+    "servers/carriage\rreturn",
+    "servers/\u{1b}[2J",
+];
+
+/// Odd values of registry entries, in a fixed order. Each differs from a sound entry of a server of
+/// `service` that holds `model` and that nobody reaches.
+pub fn odd_entries(service: &str, model: &str) -> Vec<Vec<u8>> {
+    odd_entries::odd_entries(&ServerRecord {
+        key: ServerKey { id: BackendId::new("odd"), start_time_ms: 1 },
+        service: ServiceName::new(service),
+        addr: ([127, 0, 0, 1], 1).into(),
+        data_centre: DataCentre::new("dc-1"),
+        slots: 4,
+        state: ServerState::Ready,
+        warm_up_remaining: Duration::ZERO,
+        residents: vec![Residence { model: ModelName::new(model), adapters: Vec::new() }],
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    })
+}
--- a/crates/standins/src/site/store.rs
+++ b/crates/standins/src/site/store.rs
@@ -2,11 +2,17 @@
 
 use {
     crate::site::http::{Handled, broken, listen, serve, whole},
-    glade_adapter::platform_store::{ReceivedCall, decode_call, encode_rows, write_era},
+    glade_adapter::{
+        platform_store::{
+            ReceivedCall, decode_call, encode_rows, encode_rows_with_faults, write_era,
+        },
+        row_fault::RowFault,
+    },
     glade_platform::{Change, Era, Key, MemoryTable, Revision, StoredRow, Txn, TxnAnswer, Write},
     http_body_util::BodyExt,
     hyper::{Request, StatusCode, body::Incoming},
     std::{
+        collections::BTreeMap,
         future::pending,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -45,6 +51,8 @@
     copy: Content,
     era: Era,
     fault: StoreFault,
+    /// Rows that answers garble.
+    row_faults: BTreeMap<String, RowFault>,
     calls: u64,
 }
 
@@ -109,6 +117,15 @@
         self.shared.transact(&Txn { conditions: Vec::new(), writes });
     }
 
+    /// Garbles the row of `key` in all answers from now on, or no longer.
+    pub fn set_row_fault(&self, key: &str, fault: Option<RowFault>) {
+        let faults = &mut self.shared.lock().row_faults;
+        match fault {
+            Some(fault) => faults.insert(key.to_owned(), fault),
+            None => faults.remove(key),
+        };
+    }
+
     /// Makes the copy that [`SiteStore::restore`] goes back to.
     pub fn copy(&self) {
         let mut state = self.shared.lock();
@@ -135,6 +152,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn encode(&self, rows: &[Change], revision: Revision) -> Vec<u8> {
+        let faults = self.lock().row_faults.clone();
+        encode_rows_with_faults(rows, revision, |key| faults.get(key.as_str()).copied())
+    }
+
     fn transact(&self, txn: &Txn) -> TxnAnswer {
         let mut state = self.lock();
         let content = &mut state.content;
@@ -226,7 +248,7 @@
                 TxnAnswer::Conflict(rows) => {
                     let rows: Vec<Change> = rows.into_iter().map(Change::Written).collect();
                     let revision = Revision::new(shared.lock().content.revision);
-                    whole(StatusCode::PRECONDITION_FAILED, encode_rows(&rows, revision))
+                    whole(StatusCode::PRECONDITION_FAILED, shared.encode(&rows, revision))
                 }
             })
         }
@@ -243,14 +265,16 @@
                 })
                 .map(Change::Written)
                 .collect();
-            Ok(whole(StatusCode::OK, encode_rows(&rows, Revision::new(state.content.revision))))
+            let revision = Revision::new(state.content.revision);
+            drop(state);
+            Ok(whole(StatusCode::OK, shared.encode(&rows, revision)))
         }
         ReceivedCall::Changes { table, after, wait } => {
             let Some(changes) = shared.changes(&table, after, wait).await else {
                 return Ok(whole(StatusCode::GONE, Vec::new()));
             };
             let revision = Revision::new(shared.lock().content.revision.max(after.number));
-            Ok(whole(StatusCode::OK, encode_rows(&changes, revision)))
+            Ok(whole(StatusCode::OK, shared.encode(&changes, revision)))
         }
     }
 }
