--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -20,7 +20,7 @@
     endless::{EndlessPart, EndlessServer, Pace},
     engine::{ServerSpec, SiteServer},
     engine_fault::EngineFault,
-    odd_rows::{ODD_KEYS, odd_entries},
+    odd_rows::{ODD_KEYS, leaving_entry, odd_entries, sound_entry},
     run_log::{Run, RunLog},
     store::{SiteStore, StoreFault},
     unframed::{UnframedEnd, UnframedServer},
--- a/crates/standins/src/site/odd_rows.rs
+++ b/crates/standins/src/site/odd_rows.rs
@@ -1,7 +1,7 @@
 //! Rows that another writer leaves among those of the registry.
 
 use {
-    glade_adapter::odd_entries,
+    glade_adapter::{odd_entries, registry},
     glade_catalog::{Residence, ServerKey, ServerRecord, ServerState},
     glade_types::{BackendId, DataCentre, ModelName, ServiceName},
     std::time::Duration,
@@ -17,10 +17,24 @@
     "servers/\u{1b}[2J",
 ];
 
-/// Odd values of registry entries, in a fixed order. Each differs from a sound entry of a server of
-/// `service` that holds `model` and that nobody reaches.
+/// Odd values of registry entries, in a fixed order. Each differs from [`sound_entry`].
 pub fn odd_entries(service: &str, model: &str) -> Vec<Vec<u8>> {
-    odd_entries::odd_entries(&ServerRecord {
+    odd_entries::odd_entries(&record(service, model))
+}
+
+/// The entry of a server of `service` that holds `model` and that nobody reaches.
+pub fn sound_entry(service: &str, model: &str) -> Vec<u8> {
+    registry::encode(&record(service, model))
+}
+
+/// The entry of a server of `service` that is about to end.
+pub fn leaving_entry(service: &str) -> Vec<u8> {
+    let state = ServerState::Leaving { remaining: None };
+    registry::encode(&ServerRecord { state, ..record(service, "none") })
+}
+
+fn record(service: &str, model: &str) -> ServerRecord {
+    ServerRecord {
         key: ServerKey { id: BackendId::new("odd"), start_time_ms: 1 },
         service: ServiceName::new(service),
         addr: ([127, 0, 0, 1], 1).into(),
@@ -31,5 +45,5 @@
         residents: vec![Residence { model: ModelName::new(model), adapters: Vec::new() }],
         in_memory: Vec::new(),
         on_disk: Vec::new(),
-    })
+    }
 }
