--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -5,10 +5,12 @@
 //! callers and servers see rather than what the system says of itself.
 
 mod caller;
+mod earlier_answer;
 mod endless;
 mod engine;
 mod engine_fault;
 mod http;
+mod odd_rows;
 mod run_log;
 mod store;
 mod unframed;
@@ -16,10 +18,13 @@
 
 pub use self::{
     caller::{Caller, Reply, terms_lines},
+    earlier_answer::{EarlierAnswer, RepeatedAt},
     endless::{EndlessPart, EndlessServer, Pace, marks},
     engine::{ServerSpec, SiteServer},
     engine_fault::EngineFault,
+    odd_rows::{ODD_KEYS, leaving_entry, odd_entries, sound_entry},
     run_log::{Run, RunLog},
     store::{SiteStore, StoreFault},
     unframed::{UnframedEnd, UnframedServer},
 };
+pub use glade_adapter::row_fault::RowFault;
