Don't take a stream whose task panicked for a complete one

What callers would have seen: a stream that ended as if it were complete, after a panic in the task that forwards it.

Cause: a body is complete when its channel closes without an error, and a panic closes it like that.

Evidence: a_body_whose_task_panics_isnt_passed_off_as_whole FAILED with the task as it was ("token", true); ok now. No panic of this task is known; the one by an announced idle time came after the last event.

Change: the task that sends a body is started together with the body, and a panic of it ends the body with an error, which closes the caller's connection before the end of the answer.

--- a/crates/relay/src/answer_body.rs
+++ b/crates/relay/src/answer_body.rs
@@ -2,6 +2,7 @@
 
 use {
     bytes::Bytes,
+    glade_process::catch_panic,
     hyper::body::{Body, Frame, SizeHint},
     std::{
         convert::Infallible,
@@ -9,7 +10,10 @@
         pin::Pin,
         task::{Context, Poll},
     },
-    tokio::sync::mpsc::Receiver,
+    tokio::{
+        sync::mpsc::{Receiver, Sender, channel},
+        task::spawn_local,
+    },
 };
 
 /// Ends a body early because no server can supply the rest. The caller's connection is closed
@@ -44,6 +48,26 @@
     pub(crate) fn complete(bytes: Bytes) -> Self {
         Self::Complete((!bytes.is_empty()).then_some(bytes))
     }
+
+    /// Runs `send` in a task that sends the body's chunks, of which `capacity` may wait. If it panics,
+    /// the body ends early.
+    pub(crate) fn spawn<F>(
+        capacity: usize,
+        send: impl FnOnce(Sender<Result<Bytes, AnswerAborted>>) -> F,
+    ) -> Self
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let (sender, receiver) = channel(capacity);
+        let sending = send(sender.clone());
+        spawn_local(async move {
+            if catch_panic(sending).await.is_err() {
+                // Fails only if the caller has left.
+                let _ = sender.send(Err(AnswerAborted)).await;
+            }
+        });
+        Self::Chunks(receiver)
+    }
 }
 
 impl Body for AnswerBody {
@@ -75,3 +99,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -20,7 +20,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        sync::mpsc::{Sender, channel},
+        sync::mpsc::Sender,
         time::{sleep, timeout},
     },
 };
@@ -120,9 +120,8 @@
 
     /// Forwards the stream in a task of its own.
     pub(crate) fn spawn(self, relay: &Rc<Relay<D>>, admitted: AdmittedRequest) -> AnswerBody {
-        let (sender, receiver) = channel(CHANNEL_EVENTS_MAX);
-        tokio::task::spawn_local(self.run(Rc::clone(relay), admitted, sender));
-        AnswerBody::Chunks(receiver)
+        let relay = Rc::clone(relay);
+        AnswerBody::spawn(CHANNEL_EVENTS_MAX, |caller| self.run(relay, admitted, caller))
     }
 
     /// Takes the `next` event of a server that was silent and has sent something after all.
