--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -17,9 +17,9 @@
 mod work;
 
 pub use self::{
-    caller::{Caller, Reply},
+    caller::{Caller, Reply, terms_lines},
     earlier_answer::{EarlierAnswer, RepeatedAt},
-    endless::{EndlessPart, EndlessServer, Pace},
+    endless::{EndlessPart, EndlessServer, Pace, marks},
     engine::{ServerSpec, SiteServer},
     engine_fault::EngineFault,
     odd_rows::{ODD_KEYS, leaving_entry, odd_entries, sound_entry},
