Reject registry entries whose name, port or slots can't be used

What callers saw: requests without an answer. What operators saw: tasks of the lease holder that panic, on one node after the other, as the lease moves.

Cause: a registry entry whose fields decode was taken for a server, whatever its key and numbers. A name with a control character can't be sent in a header, so that building the request for its report panicked; with two to the thirty-second minus one slots, sums of slots overflowed where a request chose its server (a panic with overflow checks; without them the server's capacity wraps to a small number).

Evidence, one odd entry among sound ones, 3 real nodes of the base: no_part_of_a_node_ends_by_a_server_name_that_no_header_can_hold failed: "thread 'control' panicked at platform/src/engine.rs:110:10" nodes_follow_the_registry_past_odd_entries, once it had odd entries of a plain service, failed: no answer, "thread 'main' panicked at crates/dispatch/src/choice.rs:287:45" The panics ended tasks, not the processes.

A rejected entry counts as one that can't be decoded: it names no server.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -17,6 +17,7 @@
 mod demand_report;
 mod engine_class;
 mod engine_order;
+mod record_error;
 mod request_metadata;
 mod route;
 mod server_record;
@@ -29,6 +30,7 @@
     demand_report::{DemandReport, ModelDemand},
     engine_class::{EngineClass, ModelSpec},
     engine_order::{EngineOrder, EngineReport, OrderAnswer, OrderKind},
+    record_error::RecordError,
     request_metadata::{PromptPart, RequestMetadata},
     route::{RetryPolicy, Route, WeightedService},
     server_record::{Residence, ServerKey, ServerRecord, ServerState},
--- a/crates/catalog/src/server_record.rs
+++ b/crates/catalog/src/server_record.rs
@@ -1,6 +1,7 @@
 //! The record that a backend server publishes in the platform's registry for service discovery.
 
 use {
+    crate::record_error::RecordError,
     glade_types::{BackendId, DataCentre, ModelName, ServiceName, stable_hash},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
@@ -80,6 +81,29 @@
 }
 
 impl ServerRecord {
+    /// Most slots of a server; sums of the slots of a few thousand servers fit into 32 bits.
+    pub const SLOTS_MAX: u32 = 1 << 16;
+
+    /// Checks what later uses of a record rely on. Records from outside, whether from the registry or
+    /// from another node, are checked once, when they arrive.
+    ///
+    /// # Errors
+    ///
+    /// Why the record names no usable server.
+    pub fn check(&self) -> Result<(), RecordError> {
+        let id = self.key.id.as_str();
+        if id.is_empty() || id.chars().any(char::is_control) {
+            return Err(RecordError::Name);
+        }
+        if self.addr.port() == 0 {
+            return Err(RecordError::Port);
+        }
+        if self.slots > Self::SLOTS_MAX {
+            return Err(RecordError::Slots);
+        }
+        Ok(())
+    }
+
     /// Returns true if the base model or adapter `name` is loaded on this server.
     pub fn has_resident(&self, name: &ModelName) -> bool {
         self.residents
--- a/crates/node/src/control/peer_handlers.rs
+++ b/crates/node/src/control/peer_handlers.rs
@@ -210,6 +210,7 @@
     /// Applies an update of the registry from another node, and forwards it. Requests the complete
     /// registry if earlier changes are missing.
     fn on_peer_registry(&mut self, now: Instant, from: &PeerInfo, update: RegistryUpdate) {
+        let update = update.reject_invalid();
         let is_known = update.revision <= self.registry.revision();
         if !self.apply_registry(now, update.clone()) {
             self.network.send(now, from.peer_addr, &PeerMessage::RegistryWanted);
--- a/crates/node/src/registry_update.rs
+++ b/crates/node/src/registry_update.rs
@@ -92,6 +92,22 @@
         update
     }
 
+    /// Replaces entries that name no usable server by removals. Another node may have accepted them
+    /// under earlier rules.
+    pub(crate) fn reject_invalid(mut self) -> Self {
+        let removed = &mut self.removed;
+        let mut is_valid = |entry: &ServerEntry| {
+            let Err(err) = entry.record.check() else { return true };
+            let (id, reason) = (&entry.record.key.id, err.to_string());
+            log::warn!(server = id.as_str(), reason = reason.as_str(); "entry_rejected");
+            removed.push(id.clone());
+            false
+        };
+        self.written.retain(&mut is_valid);
+        self.lapsed.retain(|lapsed| is_valid(&lapsed.entry));
+        self
+    }
+
     /// True if the update consists of changes and has none.
     pub(crate) fn is_empty(&self) -> bool {
         self.after.is_some()
--- a/crates/node/src/registry_update/tests.rs
+++ b/crates/node/src/registry_update/tests.rs
@@ -1,6 +1,6 @@
 //! Several changes of the same row in one read.
 
-use {super::*, glade_platform::Key};
+use {super::*, glade_catalog::RecordError, glade_platform::Key};
 
 fn written(name: &str, revision: u64) -> Change {
     let key = Key::new(&format!("servers/{name}"));
@@ -40,3 +40,29 @@
     let expected = ["servers/e2 written", "servers/e1 removed", "servers/e3 written"];
     assert_eq!(last_changes(&changes), expected);
 }
+
+/// Guards against a node that ends because a node of an earlier version has accepted an entry and
+/// sends it on.
+#[test]
+fn entries_of_other_nodes_that_name_no_usable_server_are_removals() {
+    let sound = r#"{"Service":"p","Address":"10.1.0.9:1","Zone":"z","Slots":1,"State":"ready","ColdLeftMs":0}"#;
+    let record = registry::decode("e1", sound.as_bytes()).expect("an entry");
+    let entry = |record: ServerRecord| ServerEntry { revision: Revision::new(1), record };
+    let mut odd = record.clone();
+    odd.key.id = BackendId::new("line\nbreak");
+    assert_eq!(odd.check(), Err(RecordError::Name));
+    let no_port = ServerRecord { addr: ([10, 1, 0, 9], 0).into(), ..record.clone() };
+    let lapsed = LapsedEntry { entry: entry(no_port), age: Duration::MAX };
+    let update = RegistryUpdate {
+        after: None,
+        revision: Revision::new(2),
+        store_was_unreachable: false,
+        written: vec![entry(record.clone()), entry(odd)],
+        removed: Vec::new(),
+        lapsed: vec![lapsed],
+    };
+    let checked = update.reject_invalid();
+    assert_eq!(checked.written, [entry(record)]);
+    assert_eq!(checked.removed, [BackendId::new("line\nbreak"), BackendId::new("e1")]);
+    assert_eq!(checked.lapsed, []);
+}
--- a/crates/system/tests/odd_rows.rs
+++ b/crates/system/tests/odd_rows.rs
@@ -2,8 +2,8 @@
 //! live, and follow later changes.
 
 use {
-    glade_standins::site::{RowFault, leaving_entry, odd_entries, sound_entry},
-    glade_system::site::{CHAT, Site},
+    glade_standins::site::{ODD_KEYS, RowFault, leaving_entry, odd_entries, sound_entry},
+    glade_system::site::{CHAT, CLAIM, Site},
     std::time::Duration,
 };
 
@@ -24,11 +24,7 @@
     };
     let logs: Vec<String> = ended.iter().map(|(node, _)| last_lines(*node)).collect();
     assert!(ended.is_empty(), "nodes that ended by themselves: {ended:?} {logs:?}");
-    for node in 0..nodes {
-        let log = site.node_log(node);
-        let panic = log.lines().find(|line| line.contains("panicked"));
-        assert_eq!(panic, None, "node-{node}");
-    }
+    (0..nodes).for_each(|node| assert_eq!(panic_of(site, node), None, "node-{node}"));
     let id = format!("later-{version}");
     site.store.put(&format!("servers/{id}"), leaving_entry("pool"));
     let line = format!("\"server\":\"{id}\"");
@@ -41,17 +37,37 @@
         (0..nodes).all(|node| site.node_log(node).contains(&line))
     });
     for node in 0..nodes {
-        let reply = site.send(node, CHAT, Some("m0"), &site.request_id()).expect("an answer");
-        assert_eq!(reply.status, 200, "{reply:?}");
+        for (path, model) in [(CHAT, Some("m0")), (CLAIM, None)] {
+            let reply = site.send(node, path, model, &site.request_id());
+            let panic = panic_of(site, node);
+            assert!(reply.as_ref().is_some_and(|reply| reply.status == 200), "{reply:?} {panic:?}");
+        }
     }
 }
 
+/// The first panic in the log of a node.
+fn panic_of(site: &Site, node: usize) -> Option<String> {
+    site.node_log(node).lines().find(|line| line.contains("panicked")).map(str::to_owned)
+}
+
 fn put_odd_entries(site: &Site) {
-    for (position, value) in odd_entries("pool", "m1").into_iter().enumerate() {
-        site.store.put(&format!("servers/odd-{position}"), value);
+    for service in ["pool", "market"] {
+        for (position, value) in odd_entries(service, "m1").into_iter().enumerate() {
+            site.store.put(&format!("servers/odd-{service}-{position}"), value);
+        }
     }
 }
 
+#[test]
+fn no_part_of_a_node_ends_by_a_server_name_that_no_header_can_hold() {
+    let mut site = Site::start(3, &[&["m0"], &["m0"]]);
+    ODD_KEYS.iter().for_each(|key| site.store.put(key, sound_entry("pool", "m1")));
+    assert_nodes_follow(&mut site, 3, 2);
+    site.add_node();
+    site.all_serve();
+    assert_nodes_follow(&mut site, 4, 3);
+}
+
 #[test]
 fn nodes_follow_the_registry_past_odd_entries() {
     let mut site = Site::start(3, &[&["m0"], &["m0"]]);
