Bound the idle time that a server announces in Keep-Alive

Cause: the time is added to the present one as a connection is returned to the pool. A timeout of more than about 9e18 s doesn't fit, and the addition panics in builds of every kind, in the task that answers the caller.

Change: keep_alive_timeout_s is at most an hour.

--- a/crates/relay/src/hop_by_hop.rs
+++ b/crates/relay/src/hop_by_hop.rs
@@ -8,6 +8,8 @@
     },
 };
 
+/// Longest idle time that counts, in seconds.
+const KEEP_ALIVE_MAX_S: u64 = 3600;
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
@@ -40,11 +42,12 @@
     }
 }
 
-/// Idle time that the peer announced for a connection, in whole seconds.
+/// Idle time that the peer announced for a connection, in whole seconds, at most
+/// [`KEEP_ALIVE_MAX_S`].
 pub(crate) fn keep_alive_timeout_s(headers: &HeaderMap) -> Option<u64> {
     let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
     let parameter = |part: &str| part.trim().strip_prefix("timeout=")?.trim().parse().ok();
-    value.split(',').find_map(parameter)
+    value.split(',').find_map(parameter).map(|timeout_s: u64| timeout_s.min(KEEP_ALIVE_MAX_S))
 }
 
 /// True if the peer closes the connection after this message.
--- a/crates/relay/src/hop_by_hop/tests.rs
+++ b/crates/relay/src/hop_by_hop/tests.rs
@@ -39,3 +39,13 @@
     assert_eq!(keep_alive_timeout_s(&headers(&[("keep-alive", "max=9, timeout=10")])), Some(10));
     assert_eq!(keep_alive_timeout_s(&headers(&[("keep-alive", "timeout=soon")])), None);
 }
+
+/// Guards against a panic after a whole answer: the time is added to the present one.
+#[test]
+fn an_endless_keep_alive_timeout_is_bounded() {
+    for timeout in ["timeout=18446744073709551615", "timeout=9223372036854775807", "timeout=3601"] {
+        assert_eq!(keep_alive_timeout_s(&headers(&[("keep-alive", timeout)])), Some(3600));
+    }
+    let too_large = headers(&[("keep-alive", "timeout=18446744073709551616")]);
+    assert_eq!(keep_alive_timeout_s(&too_large), None);
+}
