Ask engines for reservations on new connections

Callers: a stream that left a silent engine met an earlier answer to a reservation, written once more on a kept connection. A 421 had the engine taken for gone, by all nodes; a 200 stood for a reservation that wasn't there.

Cause: an answer to a reservation request names neither it nor the request.

Change: where the next server is asked for a reservation, it is asked on a new connection. The request then goes out on the same connection, as before. A reservation that isn't made closed its connection before too, so the price is at most one connection for each that is.

--- a/crates/relay/src/connected_attempt.rs
+++ b/crates/relay/src/connected_attempt.rs
@@ -63,6 +63,26 @@
         Ok(Self { attempt, connection, reservation: None })
     }
 
+    /// Connects to the server of `attempt`, which is asked for a reservation if it makes any: on a new
+    /// connection, because the answer names neither the request nor the reservation that was asked
+    /// for, and must not be an earlier one.
+    ///
+    /// # Errors
+    ///
+    /// The connection can't be opened.
+    pub(crate) async fn open_to_reserve(
+        attempt: Attempt<D>,
+        admitted: &AdmittedRequest,
+    ) -> Result<Self, AttemptFailure> {
+        if reservation_max(admitted).is_zero() {
+            return Self::open(attempt, admitted).await;
+        }
+        let (relay, server) = (Rc::clone(attempt.relay()), attempt.server);
+        relay.log_sent(admitted, server);
+        let connection = relay.connect_new(server).await?;
+        Ok(Self { attempt, connection, reservation: None })
+    }
+
     pub(crate) fn server(&self) -> ServerIdx {
         self.attempt.server
     }
@@ -245,6 +265,10 @@
         if let Some(connection) = idle {
             return Ok(connection);
         }
+        self.connect_new(server).await
+    }
+
+    async fn connect_new(&self, server: ServerIdx) -> Result<Connection, AttemptFailure> {
         let addr = self.dispatcher.borrow().record(server).addr;
         Connection::open(addr, CONNECT_TIMEOUT).await.map_err(AttemptFailure::from)
     }
--- a/crates/relay/src/hedge.rs
+++ b/crates/relay/src/hedge.rs
@@ -173,7 +173,7 @@
     ) -> Result<(ServerIdx, Result<ConnectedAttempt<D>, AttemptFailure>), Option<Refused>> {
         let attempt = self.next_attempt(admitted).await?;
         let server = attempt.server;
-        Ok((server, ConnectedAttempt::open(attempt, admitted).await))
+        Ok((server, ConnectedAttempt::open_to_reserve(attempt, admitted).await))
     }
 }
 
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -449,10 +449,10 @@
 
     /// Writes an earlier answer once more if the server's fault is that.
     fn repeat_answer(&self, writer: &RawWriter, path: &str) -> io::Result<()> {
-        let is_order = path == ORDER_PATH;
         let answer = match self.lock().fault {
-            EngineFault::RepeatsAnswer(answer) if !is_order => answer,
-            EngineFault::RepeatsOrderAnswer(answer) if is_order => answer,
+            EngineFault::RepeatsAnswer(answer) if path != ORDER_PATH => answer,
+            EngineFault::RepeatsOrderAnswer(answer) if path == ORDER_PATH => answer,
+            EngineFault::RepeatsPlaceAnswer(answer) if path == reservation::PATH => answer,
             _ => return Ok(()),
         };
         match answer.at {
@@ -588,7 +588,8 @@
         | EngineFault::Closed(_)
         | EngineFault::Crashes
         | EngineFault::RepeatsAnswer(_)
-        | EngineFault::RepeatsOrderAnswer(_) => {}
+        | EngineFault::RepeatsOrderAnswer(_)
+        | EngineFault::RepeatsPlaceAnswer(_) => {}
     }
     let marks = shared.marks(&id, true);
     if shared.spec.is_engine {
--- a/crates/standins/src/site/engine_fault.rs
+++ b/crates/standins/src/site/engine_fault.rs
@@ -48,6 +48,8 @@
     RepeatsAnswer(EarlierAnswer),
     /// The same on connections on which it gets orders, and not on those of requests.
     RepeatsOrderAnswer(EarlierAnswer),
+    /// The same on connections on which it is asked for places.
+    RepeatsPlaceAnswer(EarlierAnswer),
 }
 
 impl EngineFault {
@@ -73,7 +75,8 @@
             | Self::ReservesAfter(_)
             | Self::LeavesWhenAsked
             | Self::Closed(_)
-            | Self::RepeatsOrderAnswer(_) => false,
+            | Self::RepeatsOrderAnswer(_)
+            | Self::RepeatsPlaceAnswer(_) => false,
         }
     }
 
@@ -97,7 +100,8 @@
             | Self::Crosses
             | Self::Crashes
             | Self::RepeatsAnswer(_)
-            | Self::RepeatsOrderAnswer(_) => None,
+            | Self::RepeatsOrderAnswer(_)
+            | Self::RepeatsPlaceAnswer(_) => None,
         }
     }
 }
--- a/crates/system/tests/repeated_answers.rs
+++ b/crates/system/tests/repeated_answers.rs
@@ -175,3 +175,23 @@
         assert!(wrong.is_empty(), "{status} {} lines: {wrong:#?}", wrong.len());
     }
 }
+
+#[test]
+fn an_earlier_answer_to_a_reservation_isnt_taken_for_that_to_the_next() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let answer = EarlierAnswer { not_run: false, ..EarlierAnswer::refusal(421) };
+    site.eventually("engine-1 is asked for a place", || {
+        // Leaves idle connections to both engines.
+        site.engines.iter().for_each(|engine| engine.set_fault(EngineFault::None));
+        let sent: Vec<_> =
+            (0..8).map(|_| site.begin(0, CHAT, Some("m0"), &site.request_id())).collect();
+        sent.into_iter().for_each(|sent| assert!(site.finish(sent).is_some()));
+        site.engine_fault(0, EngineFault::PausesAfter(0));
+        site.engine_fault(1, EngineFault::RepeatsPlaceAnswer(answer));
+        let reply = site.send(0, CHAT, Some("m0"), &site.request_id()).expect("an answer");
+        assert_eq!(reply.event_ids().len() as u64, EVENTS, "{reply:?}");
+        site.log.places() > 0
+    });
+    let log = site.node_log(0);
+    assert!(!log.contains("\"event\":\"server_found_gone\""), "{log}");
+}
