Ask a silent engine again though its caller was expected to leave by now

Cause: the time for which the caller of a stream is expected to wait for a first byte was counted from its arrival. The rejection came after it, so no server was asked again, although the caller was still connected and its deadline far off. A stream that has begun restarts that wait; a request without an event didn't.

Change: the wait restarts when a server proves not to run a request that may run at a silent one. A caller that leaves closes its connection, which ends the request as before; its deadline holds as before.

--- a/crates/relay/src/admitted_request.rs
+++ b/crates/relay/src/admitted_request.rs
@@ -132,7 +132,7 @@
         self.error_answer.borrow_mut().take_if(|answer| is_fit(answer))
     }
 
-    /// Restarts the wait for a first byte, because a stream has to continue at another server.
+    /// Restarts the wait for a first byte, because the time until now was lost at servers that won't answer.
     pub(crate) fn restart_wait(&mut self, now: Instant) {
         self.open_request.spec.arrived_at = now;
         self.open_request.spec.first_byte_deadline = self.routed.give_up_at(now);
--- a/crates/relay/src/server_answer.rs
+++ b/crates/relay/src/server_answer.rs
@@ -43,7 +43,10 @@
 
 impl<D: Dialect> Relay<D> {
     /// Makes attempts at `admitted` until one yields an answer or no further attempt is allowed.
-    pub(crate) async fn answer(self: &Rc<Self>, admitted: AdmittedRequest) -> Response<AnswerBody> {
+    pub(crate) async fn answer(
+        self: &Rc<Self>,
+        mut admitted: AdmittedRequest,
+    ) -> Response<AnswerBody> {
         loop {
             let attempt = tokio::select! {
                 biased;
@@ -72,6 +75,11 @@
                 Err(failure) => failure,
             };
             self.handle_failed_attempt(&admitted, server, failure, is_counted);
+            if !failure.may_have_run() && admitted.failed_attempts().may_have_run() {
+                // A caller that is still connected hasn't left, and the silent servers may answer
+                // if they are asked again.
+                admitted.restart_wait(self.clock.now());
+            }
             let is_fit =
                 |answer: &CompleteAnswer| !self.dispatcher.borrow().is_outlier(answer.server);
             if let Some(answer) = admitted.take_error_answer_if(is_fit) {
--- a/crates/system/tests/hand_overs.rs
+++ b/crates/system/tests/hand_overs.rs
@@ -13,6 +13,9 @@
 /// Longest time for which two engines may work on one request, and a margin.
 const OVERLAP: Duration = Duration::from_millis(600);
 
+/// Time until a rejection that comes after the caller of a request at its second engine is expected to leave.
+const BEYOND_PATIENCE: Duration = Duration::from_millis(1_350);
+
 fn whole_stream() -> Vec<u64> {
     (1..=EVENTS).collect()
 }
@@ -219,6 +222,14 @@
     assert_answered(&site, CHAT, &sent);
 }
 
+#[test]
+fn a_request_isnt_lost_when_an_engine_rejects_it_after_its_caller_was_expected_to_leave() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let rejects = EngineFault::RejectsReservedAfter(BEYOND_PATIENCE);
+    let sent = send(&site, CHAT, EngineFault::PausesAfter(0), rejects);
+    assert_answered(&site, CHAT, &sent);
+}
+
 #[test]
 fn an_engine_that_says_that_it_leaves_when_it_keeps_a_place_gets_no_request() {
     let site = Site::start(1, &[&["m0"], &["m0"]]);
