Count a silent attempt as rejected once its engine proves not to have run it

An attempt that was counted as silent and then rejected stayed counted as a run. And the engine that had just rejected the request was asked again with those that were only silent: none was left as tried, so the next attempt counted as the request's first, beyond its attempts and outside the bound on repeats.

Change: the rejection replaces the silence in the record of the request's attempts.

--- a/crates/relay/src/admitted_request.rs
+++ b/crates/relay/src/admitted_request.rs
@@ -109,6 +109,11 @@
         self.failed_attempts.borrow_mut().add(server, failure);
     }
 
+    /// Replaces the failure of an attempt at `server`, which was counted as silent, by `failure`.
+    pub(crate) fn replace_silent(&self, server: ServerIdx, failure: AttemptFailure) {
+        self.failed_attempts.borrow_mut().replace_silent(server, failure);
+    }
+
     /// Allows another attempt at the servers that made no reservation.
     pub(crate) fn readmit_unreserved(&self) {
         self.failed_attempts.borrow_mut().readmit_unreserved();
--- a/crates/relay/src/failed_attempts.rs
+++ b/crates/relay/src/failed_attempts.rs
@@ -42,6 +42,16 @@
         }
     }
 
+    /// Replaces the failure of an attempt at `server`, which was counted as silent, by `failure`.
+    pub(crate) fn replace_silent(&mut self, server: ServerIdx, failure: AttemptFailure) {
+        let Some(position) = self.silent.iter().rposition(|silent| *silent == server) else {
+            return;
+        };
+        self.silent.remove(position);
+        self.runs -= 1;
+        self.add(server, failure);
+    }
+
     /// Allows another attempt at the servers that made no reservation.
     pub(crate) fn readmit_unreserved(&mut self) {
         let unreserved = std::mem::take(&mut self.unreserved);
--- a/crates/relay/src/hedge.rs
+++ b/crates/relay/src/hedge.rs
@@ -97,7 +97,7 @@
                     };
                 }
                 HedgeOutcome::SilentFailed(failure, other, other_answer) => {
-                    self.record_failure(admitted, server, failure);
+                    self.record_silent_failure(admitted, server, failure);
                     (server, answer, is_counted) = (other, other_answer, false);
                 }
                 HedgeOutcome::NoOtherServer(cause) => self.log_server_kept(admitted, server, cause),
--- a/crates/relay/src/server_answer.rs
+++ b/crates/relay/src/server_answer.rs
@@ -230,7 +230,7 @@
     ) {
         admitted.readmit_unreserved();
         if is_counted {
-            self.record_failure(admitted, server, failure);
+            self.record_silent_failure(admitted, server, failure);
         } else {
             self.add_failed_attempt(admitted, server, failure);
         }
@@ -241,6 +241,19 @@
         }
     }
 
+    /// Records the `failure` of an attempt at `server` that was counted as silent.
+    pub(crate) fn record_silent_failure(
+        self: &Rc<Self>,
+        admitted: &AdmittedRequest,
+        server: ServerIdx,
+        failure: AttemptFailure,
+    ) {
+        self.record_failure(admitted, server, failure);
+        if !failure.may_have_run() {
+            admitted.replace_silent(server, failure);
+        }
+    }
+
     /// Records a failure of `server` with the dispatcher, the coordinator, the log and the
     /// connection pool.
     pub(crate) fn record_failure(
--- a/crates/system/tests/hand_overs.rs
+++ b/crates/system/tests/hand_overs.rs
@@ -15,6 +15,8 @@
 
 /// Time until a rejection that comes after the caller of a request at its second engine is expected to leave.
 const BEYOND_PATIENCE: Duration = Duration::from_millis(1_350);
+/// Time until a rejection of an engine that was silent for so long that others were asked.
+const BEYOND_SILENCE: Duration = Duration::from_millis(1_700);
 
 fn whole_stream() -> Vec<u64> {
     (1..=EVENTS).collect()
@@ -230,6 +232,34 @@
     assert_answered(&site, CHAT, &sent);
 }
 
+#[test]
+fn a_request_isnt_lost_when_a_silent_engine_proves_not_to_have_run_it() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let rejects = EngineFault::RejectsReservedAfter(BEYOND_SILENCE);
+    let sent = send(&site, CHAT, EngineFault::PausesAfter(0), rejects);
+    assert_answered(&site, CHAT, &sent);
+}
+
+#[test]
+fn a_stream_isnt_cut_when_a_silent_engine_proves_not_to_have_run_it() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let rejects = EngineFault::RejectsReservedAfter(BEYOND_SILENCE);
+    let sent = send(&site, CHAT, EngineFault::PausesAfter(4), rejects);
+    assert_answered(&site, CHAT, &sent);
+}
+
+#[test]
+fn a_silent_engine_that_is_asked_again_is_a_repeat() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    allow_repeats(&site, 2);
+    let rejects = EngineFault::RejectsReservedAfter(BEYOND_SILENCE);
+    let (id, reply) = send(&site, CHAT, EngineFault::PausesAfter(4), rejects);
+    assert_eq!(site.log.runs_of(&id).len(), 1, "{reply:?} {:?}", site.log.runs_of(&id));
+    for event in ["server_left", "repeat_budget_used_up"] {
+        site.eventually(event, || site.node_log(0).contains(event));
+    }
+}
+
 #[test]
 fn an_engine_that_says_that_it_leaves_when_it_keeps_a_place_gets_no_request() {
     let site = Site::start(1, &[&["m0"], &["m0"]]);
@@ -238,6 +268,17 @@
     assert_eq!(site.log.runs_of(&sent.0).len(), 1, "{:?}", site.log.runs_of(&sent.0));
 }
 
+/// Allows so many repeats in a while, however many requests there are.
+fn allow_repeats(site: &Site, repeats: u32) {
+    site.reload_node(0, |text| {
+        text.replace(
+            "share: 0.2, window_s: 10, reserve: 50",
+            &format!("share: 0.0, window_s: 10, reserve: {repeats}"),
+        )
+    });
+    site.eventually("it is in force", || site.node_log(0).contains("\"changed\":\"repeats\""));
+}
+
 /// A stream whose engine pauses and then crashes, after all others were asked for a place and kept none.
 fn assert_resumed_after_refused_places(mut site: Site) {
     site.engines.iter().for_each(|server| server.set_fault(EngineFault::PausesAfter(4)));
@@ -267,12 +308,6 @@
 #[test]
 fn places_that_werent_kept_use_up_none_of_the_bound_on_repeats() {
     let site = Site::start(1, &[&["m0"] as &[&str]; 4]);
-    site.reload_node(0, |text| {
-        text.replace(
-            "share: 0.2, window_s: 10, reserve: 50",
-            "share: 0.0, window_s: 10, reserve: 3",
-        )
-    });
-    site.eventually("it is in force", || site.node_log(0).contains("\"changed\":\"repeats\""));
+    allow_repeats(&site, 3);
     assert_resumed_after_refused_places(site);
 }
