Soak: series of planned work, and callers that keep their connections

The soak had missed what operators saw around SIGTERM: it killed a node 0.2 to 3 s after it had told it to end, so that few drains came to their end; it threw the exit status of the last tick away; and its callers opened a connection a request.

`--series-gap-ms` adds series, drawn by a generator of their own: restarts of one node after the other, reloads that change a setting, and configurations that differ. A node that is told to end has its whole grace period. `--kept-callers` send one request after the other on a connection, with pauses; a third of their streams take 1.5 to 4.5 s. `--other-node` has nodes change between two versions of the program as they are started again.

Streams are compared with what engines send, so that an error's text in the middle of one is seen.

The node logs "grace_over" with requests under way that it had taken 5.7 to 6.5 s after SIGTERM and whose servers paused for 1.8 s.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -2,10 +2,13 @@
 
 use {
     glade_standins::site::{Reply, RunLog},
-    glade_system::site::{BATCH, BROWSE, CHAT, CLAIM, EVENTS, TIME_LIMIT},
+    glade_system::site::{BATCH, BROWSE, CHAT, CLAIM, TIME_LIMIT},
     std::{fmt, time::Duration},
 };
 
+/// Longest time from the writing of a request to the close that it crosses.
+const LOST_SLACK: Duration = Duration::from_millis(200);
+
 /// A request with what became of it.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -19,6 +22,8 @@
     pub is_calm: bool,
     /// Longest time that it can have taken.
     pub took: Duration,
+    /// Events of its whole stream.
+    pub events: u64,
     /// What its caller got; `None` if the connection broke before an answer began.
     pub reply: Option<Reply>,
 }
@@ -72,11 +77,25 @@
         let ids = reply.event_ids();
         let expected: Vec<u64> = (1..=ids.len() as u64).collect();
         expect("events come once and in order", ids == expected);
-        expect("a whole stream has all events", !reply.whole || ids.len() as u64 == EVENTS);
+        expect("a whole stream has all events", !reply.whole || ids.len() as u64 == seen.events);
+        let own = "a stream holds nothing but its events";
+        expect(own, stream_text(seen.events).starts_with(&reply.body));
     }
     found
 }
 
+/// Checks a request whose connection was closed without an answer, `after` the request was written.
+pub fn check_unanswered(seen: &Seen, after: Duration, log: &RunLog) -> Option<Violation> {
+    let arrivals = log.arrivals_of(&seen.id);
+    let runs = log.runs_of(&seen.id);
+    let is_spoiled = runs.iter().any(|run| run.fault.spoils_runs());
+    let counts = seen.is_calm && seen.took < TIME_LIMIT && !is_spoiled;
+    let is_lost = counts && (arrivals > 0 || after > LOST_SLACK);
+    let promise = "what a node has read is answered";
+    let seen = || format!("{seen:?} closed after {after:?}, arrivals {arrivals}, runs {runs:?}");
+    is_lost.then(|| Violation { promise, seen: seen() })
+}
+
 /// Checks a request that has ended for long against what servers ran.
 pub fn check_overlap(seen: &Seen, log: &RunLog) -> Option<Violation> {
     let runs = log.runs_of(&seen.id);
@@ -85,6 +104,11 @@
     overlaps.then(|| Violation { promise, seen: format!("{seen:?}, runs {runs:?}") })
 }
 
+/// A stream of engines with `events` events.
+fn stream_text(events: u64) -> String {
+    (1..=events).map(|id| format!("id: {id}\ndata: token-{id}\n\n")).collect()
+}
+
 /// False if the answer was cut, or says that what became of the request is unknown.
 fn is_answer(reply: &Reply) -> bool {
     reply.status != 502 && (reply.status != 200 || reply.whole)
--- a/crates/soak/src/harm.rs
+++ b/crates/soak/src/harm.rs
@@ -37,6 +37,9 @@
             | Fault::EngineStall { .. }
             | Fault::PlainStall { .. }
             | Fault::Configuration
+            | Fault::Restart { .. }
+            | Fault::ReloadChanged { .. }
+            | Fault::ConfigurationChanged
             | Fault::Restore => {}
         }
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,14 +10,18 @@
 mod checks;
 mod crashing_part;
 mod harm;
+mod kept_callers;
 mod plan;
 mod proxy;
+mod restarts;
+mod series;
 mod server_faults;
 mod soak;
 
 pub use crate::{
-    checks::{Seen, Violation, check, check_overlap},
+    checks::{Seen, Violation, check, check_overlap, check_unanswered},
     plan::{Fault, Planned, Stalls, Targets, plan, plan_stalls},
     proxy::{Link, Proxy},
+    series::{Series, plan_series},
     soak::{Report, Size, Soak},
 };
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,8 +3,8 @@
 use {
     bpaf::Bpaf,
     glade_clock::SystemClock,
-    glade_soak::{Size, Soak, Stalls},
-    std::{process::ExitCode, sync::Arc, time::Duration},
+    glade_soak::{Series, Size, Soak, Stalls},
+    std::{path::PathBuf, process::ExitCode, sync::Arc, time::Duration},
 };
 
 /// Plays faults from outside on real nodes and checks what callers and backend servers see.
@@ -41,6 +41,15 @@
     /// Mean milliseconds between two requests
     #[bpaf(argument("MS"), fallback(5))]
     request_gap_ms: u64,
+    /// Mean milliseconds between two series of restarts, reloads or configurations; 0 for none
+    #[bpaf(argument("MS"), fallback(0))]
+    series_gap_ms: u64,
+    /// Callers that keep their connections, if there are series
+    #[bpaf(argument("N"), fallback(24))]
+    kept_callers: usize,
+    /// Program of another version of the node, to which nodes change and back as they are started again
+    #[bpaf(argument("PATH"), optional)]
+    other_node: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -57,10 +66,15 @@
         request_gap: Duration::from_millis(args.request_gap_ms.max(1)),
         crashing_from: (args.crashing_from_s > 0)
             .then(|| Duration::from_secs(args.crashing_from_s)),
+        series: (args.series_gap_ms > 0).then(|| Series {
+            gap: Duration::from_millis(args.series_gap_ms),
+            callers: args.kept_callers,
+        }),
     };
     let mut broken = 0;
     for seed in args.seed..args.seed.saturating_add(args.seeds) {
-        let report = Soak::start(seed, size, Arc::new(SystemClock)).run();
+        let report =
+            Soak::start_with(seed, size, Arc::new(SystemClock), args.other_node.clone()).run();
         println!(
             "seed {seed}: {} requests, {} served, {} faults, violations: {}",
             report.requests,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -88,6 +88,18 @@
     },
     /// The operator writes the configuration anew.
     Configuration,
+    /// A node is told to end, and is started again as soon as it has ended.
+    Restart {
+        /// The node.
+        node: usize,
+    },
+    /// A node's settings file is changed, and the node is told to read it.
+    ReloadChanged {
+        /// The node.
+        node: usize,
+    },
+    /// The operator writes a configuration that differs from the one before.
+    ConfigurationChanged,
     /// A copy of the store is made, and the store goes back to it at the end.
     Restore,
 }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -2,16 +2,22 @@
 
 use {
     crate::{
-        checks::{Seen, Violation, check, check_overlap},
+        checks::{Seen, Violation, check, check_overlap, check_unanswered},
         crashing_part::CrashingPart,
         harm::{Harm, Harmed},
+        kept_callers::{KeptCallers, KeptRequest},
         plan::{Fault, Planned, Stalls, Targets, plan, plan_restores, plan_stalls},
         proxy::{Link, Proxy},
+        restarts::Restarts,
+        series::{Series, plan_series},
         server_faults::ServerFaults,
     },
     glade_clock::Clock,
-    glade_standins::site::{Caller, EngineFault, Reply, SiteServer, StoreFault},
-    glade_system::site::{BATCH, BROWSE, CHAT, CLAIM, Site},
+    glade_standins::site::{Caller, EngineFault, KeptOutcome, Reply, SiteServer, StoreFault},
+    glade_system::{
+        changed_catalog,
+        site::{BATCH, BROWSE, CHAT, CLAIM, EVENTS, Site},
+    },
     std::{
         collections::VecDeque,
         path::PathBuf,
@@ -52,6 +58,8 @@
     pub request_gap: Duration,
     /// When requests with a part that crashes engines begin to come; `None` without any.
     pub crashing_from: Option<Duration>,
+    /// Planned work, with callers that keep their connections; `None` without any.
+    pub series: Option<Series>,
 }
 
 /// What a soak has seen.
@@ -104,16 +112,30 @@
     /// Crashes of each engine, and the fence that it had since the last.
     fences: Vec<(u64, u64)>,
     crashing_part: Option<CrashingPart>,
+    kept_callers: Option<KeptCallers>,
+    restarts: Restarts,
     report: Report,
 }
 
 impl Soak {
     /// Starts nodes and stand-ins, and waits until all nodes serve.
     pub fn start(seed: u64, size: Size, clock: Arc<dyn Clock>) -> Self {
+        Self::start_with(seed, size, clock, None)
+    }
+
+    /// The same with nodes that change to the program `other_node`, another version, with every
+    /// second start.
+    pub fn start_with(
+        seed: u64,
+        size: Size,
+        clock: Arc<dyn Clock>,
+        other_node: Option<PathBuf>,
+    ) -> Self {
         let models: [&[&str]; 3] = [&["m0", "m1"], &["m1", "m2"], &["m0", "m2"]];
         let holds: Vec<&[&str]> =
             (0..size.engines).map(|engine| models[engine % models.len()]).collect();
         let mut site = Site::start_unconfigured(0, &holds);
+        other_node.into_iter().for_each(|program| site.set_other_node(program));
         let bind = |site: &Site, addr| site.runtime().block_on(Proxy::bind(addr));
         let engine_links: Vec<Proxy> =
             site.engines.iter().map(|engine| bind(&site, engine.addr())).collect();
@@ -129,7 +151,13 @@
         site.configure(1);
         site.all_serve();
         let of_parts = fastrand::Rng::with_seed(!seed);
+        let mut of_callers = fastrand::Rng::with_seed(seed.rotate_left(32));
+        let kept_callers = size
+            .series
+            .map(|series| KeptCallers::new(series.callers, &mut of_callers, Arc::clone(&clock)));
         Self {
+            kept_callers,
+            restarts: Restarts::new(size.nodes),
             crashing_part: size.crashing_from.map(|from| CrashingPart::new(of_parts, from)),
             fences: vec![(0, 0); site.engines.len()],
             engine_faults: vec![ServerFaults::default(); site.engines.len()],
@@ -166,6 +194,7 @@
                 self.send();
             }
             self.look();
+            self.use_kept_connections();
             self.site.pause(TICK);
             self.now += TICK;
         }
@@ -176,17 +205,22 @@
         self.report
     }
 
-    /// Draws all faults, in the order of their beginning. Restores and stalls are drawn by generators of
-    /// their own, so that a seed's other faults and its requests are the same with and without them.
+    /// Draws all faults, in the order of their beginning. Restores, stalls and series are drawn by
+    /// generators of their own, so that a seed's other faults and its requests are the same with and
+    /// without them.
     fn plan(&mut self) -> Vec<Planned> {
-        let Size { nodes, engines, time, gap, stalls, .. } = self.size;
+        let Size { nodes, engines, time, gap, stalls, series, .. } = self.size;
         let targets = Targets { nodes, engines, plain: PLAIN };
         let (mut of_restores, mut of_stalls) = (self.rng.clone(), self.rng.clone().fork());
+        let mut of_series = of_stalls.clone().fork();
         let mut planned = plan(&mut self.rng, targets, time, gap);
         planned.extend(plan_restores(&mut of_restores, time));
         if let Some(stalls) = stalls {
             planned.extend(plan_stalls(&mut of_stalls, targets, time, stalls));
         }
+        if let Some(series) = series {
+            planned.extend(plan_series(&mut of_series, targets, time, series));
+        }
         planned.sort_by_key(|planned| planned.at);
         planned
     }
@@ -197,7 +231,10 @@
         self.report.faults += 1;
         self.harm.begin(fault, until);
         match fault {
-            Fault::Kill { node } => self.site.kill_node(node),
+            Fault::Kill { node } => {
+                self.restarts.end(node);
+                self.site.kill_node(node);
+            }
             Fault::Terminate { node } => self.site.terminate_node(node),
             Fault::Pause { node } => self.site.pause_node(node),
             Fault::Reload { node } => self.site.reload_node(node, str::to_owned),
@@ -213,12 +250,20 @@
                 self.site.configure(self.version);
             }
             Fault::Restore => self.site.store.copy(),
+            Fault::Restart { node } => self.restart(node),
+            Fault::ReloadChanged { node } => self.site.reload_node(node, changed_settings),
+            Fault::ConfigurationChanged => {
+                self.version += 1;
+                self.site.put_catalog(&changed_catalog(self.version));
+            }
         }
         self.put_server_faults();
         self.on.push((until, fault));
     }
 
     fn end_faults(&mut self, now: Duration) {
+        // Nodes that have ended by themselves are seen before they are killed.
+        self.look_at_nodes();
         let over: Vec<(Duration, Fault)> =
             self.on.extract_if(.., |(until, _)| *until <= now).collect();
         for (_, fault) in over {
@@ -233,7 +278,11 @@
                 Fault::EngineStall { engine, fault } => self.engine_faults[engine].end_stall(fault),
                 Fault::PlainStall { server, fault } => self.plain_faults[server].end_stall(fault),
                 Fault::Restore => self.restore(),
-                Fault::Reload { .. } | Fault::Configuration => {}
+                Fault::Reload { .. }
+                | Fault::Configuration
+                | Fault::Restart { .. }
+                | Fault::ReloadChanged { .. }
+                | Fault::ConfigurationChanged => {}
             }
             self.put_server_faults();
         }
@@ -259,10 +308,25 @@
     /// Starts a node that was killed or told to end; the platform kills one that takes too long.
     fn start_again(&mut self, node: usize) {
         self.harm.note(Harmed::Node(node), self.now);
+        self.restarts.end(node);
         self.site.kill_node(node);
+        self.start_next(node);
+    }
+
+    /// Starts a node, with the other version of its program if there is one.
+    fn start_next(&mut self, node: usize) {
+        self.site.change_version(node);
         self.site.start_node(node);
     }
 
+    /// Tells a node to end, unless it is down or has been told.
+    fn restart(&mut self, node: usize) {
+        if self.site.has_process(node) && !self.restarts.is_told(node) {
+            self.site.terminate_node(node);
+            self.restarts.tell(node, self.now);
+        }
+    }
+
     /// Sends a request, unless too many are under way. Draws it either way, so that what follows is
     /// the same.
     fn send(&mut self) {
@@ -284,6 +348,13 @@
         self.sent.push(Sent { id, path, node, sent_at, began_at, places_before, reply });
     }
 
+    /// Sends requests on kept connections, and checks those that have ended.
+    fn use_kept_connections(&mut self) {
+        let Some(callers) = &mut self.kept_callers else { return };
+        let ended = callers.tick(&self.site, self.now);
+        ended.into_iter().for_each(|(request, outcome)| self.check_kept(request, outcome));
+    }
+
     /// Checks the nodes, requests that have ended, and the engines.
     fn look(&mut self) {
         self.look_at_nodes();
@@ -316,53 +387,105 @@
         }
     }
 
-    /// Starts nodes again that have ended by themselves. One that was told to end stays away, and may have
-    /// been told before it could listen to that.
+    /// Starts nodes again that have ended. One that was told to end may have been told before it could
+    /// listen to that.
     fn look_at_nodes(&mut self) {
         for node in 0..self.size.nodes {
+            self.look_at_overdue(node);
             let Some(code) = self.site.ended_node(node) else { continue };
-            let told = self.on.iter().any(|(_, fault)| *fault == Fault::Terminate { node });
-            if told && [0, -SIGTERM].contains(&code) {
-                continue;
+            let told_at = self.restarts.end(node);
+            let is_terminated =
+                self.on.iter().any(|(_, fault)| *fault == Fault::Terminate { node });
+            let is_told = is_terminated || told_at.is_some();
+            let ends_well = is_told && [0, -SIGTERM].contains(&code);
+            if !ends_well {
+                let told = told_at.map(|at| format!(", told to end {:?} ago", self.now - at));
+                let seen = format!("node-{node}: {code}{}", told.unwrap_or_default());
+                let promise = "no node ends by itself";
+                self.report.violations.push(Violation { promise, seen });
+            }
+            if told_at.is_some() {
+                self.start_next(node);
+            } else if !ends_well {
+                self.start_again(node);
             }
-            let (promise, seen) = ("no node ends by itself", format!("node-{node}: {code}"));
+        }
+    }
+
+    /// Kills a node that outlasts its grace period, as the platform does.
+    fn look_at_overdue(&mut self, node: usize) {
+        let Some(told_at) = self.restarts.overdue(node, self.now) else { return };
+        if !self.harm.is_harmed_since(Harmed::Node(node), told_at) {
+            let (promise, seen) = ("a node ends within its grace period", format!("node-{node}"));
             self.report.violations.push(Violation { promise, seen });
-            self.start_again(node);
         }
+        self.start_again(node);
     }
 
     fn check(&mut self, sent: Sent) {
-        let is_calm = self.is_calm(&sent);
+        let is_calm = self.is_calm(&sent.id, sent.node, sent.sent_at, sent.places_before);
         let Sent { id, path, node, began_at, reply, .. } = sent;
         let reply = self.site.finish(reply);
         let took = self.clock.now().saturating_duration_since(began_at);
-        let is_served = reply.as_ref().is_some_and(|reply| reply.status == 200 && reply.whole);
+        self.check_seen(Seen { id, path, node, is_calm, took, events: EVENTS, reply });
+    }
+
+    fn check_seen(&mut self, seen: Seen) {
+        let is_served = seen.reply.as_ref().is_some_and(|reply| reply.status == 200 && reply.whole);
         self.report.served += usize::from(is_served);
-        let seen = Seen { id, path, node, is_calm, took, reply };
         self.report.violations.extend(check(&seen, &self.site.log));
         if self.site.log.runs_of(&seen.id).len() > 1 {
             self.moved.push(seen);
         }
     }
 
+    /// Checks a request on a kept connection.
+    fn check_kept(&mut self, request: KeptRequest, outcome: KeptOutcome) {
+        if matches!(outcome, KeptOutcome::NotSent) {
+            return;
+        }
+        let is_calm =
+            self.is_calm(&request.id, request.node, request.sent_at, request.places_before);
+        let KeptRequest { id, path, node, events, began_at, .. } = request;
+        let took = self.clock.now().saturating_duration_since(began_at);
+        let mut seen = Seen { id, path, node, is_calm, took, events, reply: None };
+        self.report.requests += 1;
+        match outcome {
+            KeptOutcome::NotSent => {}
+            KeptOutcome::Closed(after) => {
+                self.report.violations.extend(check_unanswered(&seen, after, &self.site.log));
+            }
+            KeptOutcome::Answered(reply) => {
+                seen.reply = Some(reply);
+                self.check_seen(seen);
+            }
+        }
+    }
+
     /// True if nothing has harmed the request's node or its connections to servers since it was sent.
-    fn is_calm(&self, sent: &Sent) -> bool {
-        let servers = self.site.log.servers_of(&sent.id, sent.places_before);
+    fn is_calm(&self, id: &str, node: usize, sent_at: Duration, places_before: usize) -> bool {
+        let servers = self.site.log.servers_of(id, places_before);
         let is_on_way = |position: &usize| servers.contains(self.site.engines[*position].id());
         let links = (0..self.size.engines).filter(is_on_way).map(Harmed::EngineLink);
-        let mut way = links.chain([Harmed::Node(sent.node)]);
-        !way.any(|harmed| self.harm.is_harmed_since(harmed, sent.sent_at))
+        let mut way = links.chain([Harmed::Node(node)]);
+        let is_at_work = self.site.log.runs_of(id).iter().any(|run| !run.ended);
+        let is_cut = is_at_work && self.restarts.may_cut(node, sent_at, self.now);
+        !is_cut && !way.any(|harmed| self.harm.is_harmed_since(harmed, sent_at))
     }
 
     /// Ends all faults, and waits until everything is served again.
     fn recover(&mut self) {
         self.end_faults(Duration::MAX);
         let settled_at = self.now + SETTLE_TIME;
-        while self.now < settled_at {
+        while self.now < settled_at || self.restarts.are_under_way() {
             self.look_at_nodes();
             self.site.pause(TICK);
             self.now += TICK;
         }
+        let kept = self.kept_callers.take().map(|callers| callers.finish(&self.site));
+        for (request, outcome) in kept.into_iter().flatten() {
+            self.check_kept(request, outcome);
+        }
         std::mem::take(&mut self.sent).into_iter().for_each(|sent| self.check(sent));
         self.site.all_serve();
         let site = &self.site;
@@ -381,3 +504,9 @@
         self.report.violations.extend(found);
     }
 }
+
+/// A settings file with another of two values of a setting that a reload takes over.
+fn changed_settings(text: &str) -> String {
+    let (one, other) = ("directory_ttl_s: 1", "directory_ttl_s: 2");
+    if text.contains(one) { text.replace(one, other) } else { text.replace(other, one) }
+}
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -2,9 +2,9 @@
 
 use {
     glade_catalog::RequestMetadata,
-    glade_soak::{Seen, check, check_overlap},
+    glade_soak::{Seen, check, check_overlap, check_unanswered},
     glade_standins::site::{Caller, EngineFault, Reply},
-    glade_system::site::{CHAT, HOST, Site, TIME_LIMIT},
+    glade_system::site::{CHAT, EVENTS, HOST, Site, TIME_LIMIT},
     glade_types::{ModelName, RequestId},
     std::time::Duration,
     tokio::task::JoinHandle,
@@ -32,7 +32,7 @@
 
 fn seen(reply: Option<Reply>) -> Seen {
     let (id, took) = (ID.to_owned(), Duration::from_secs(2));
-    Seen { id, path: CHAT, node: 0, is_calm: true, took, reply }
+    Seen { id, path: CHAT, node: 0, is_calm: true, took, events: EVENTS, reply }
 }
 
 fn reply(status: u16, whole: bool) -> Option<Reply> {
@@ -92,3 +92,35 @@
     assert!(second.as_ref().is_some_and(|reply| reply.whole));
     assert_eq!(check_overlap(&seen(second), &site.log), None);
 }
+
+#[test]
+fn a_request_that_was_read_and_got_no_answer_is_seen() {
+    let site = engines([EngineFault::None, EngineFault::Rejects]);
+    let is_lost = |seen: &Seen, after_ms| {
+        check_unanswered(seen, Duration::from_millis(after_ms), &site.log).is_some()
+    };
+    let unanswered = seen(None);
+    assert!(!is_lost(&unanswered, 200), "it may have crossed the close");
+    assert!(is_lost(&unanswered, 201));
+    site.finish(begin(&site, 1));
+    assert!(is_lost(&unanswered, 0), "it was passed on, and rejected");
+    site.finish(begin(&site, 0));
+    assert!(is_lost(&unanswered, 0));
+    assert!(!is_lost(&Seen { is_calm: false, ..unanswered.clone() }, 0));
+    assert!(!is_lost(&Seen { took: TIME_LIMIT, ..unanswered.clone() }, 0));
+}
+
+#[test]
+fn an_error_in_the_middle_of_a_stream_is_seen() {
+    let site = engines([EngineFault::None, EngineFault::None]);
+    let stream = |body: &str| {
+        let reply = reply(200, false).map(|reply| Reply { body: body.to_owned(), ..reply });
+        check(&seen(reply), &site.log)
+    };
+    assert_eq!(stream("id: 1\ndata: token-1\n\nid: 2\nda"), Vec::new());
+    for error in ["data: error\n\n", "HTTP/1.1 500 Internal Server Error\r\n"] {
+        let found = stream(&format!("id: 1\ndata: token-1\n\n{error}"));
+        let promise = "a stream holds nothing but its events";
+        assert!(found.iter().any(|violation| violation.promise == promise), "{error}");
+    }
+}
--- a/crates/soak/tests/plans.rs
+++ b/crates/soak/tests/plans.rs
@@ -1,7 +1,7 @@
 //! Seeds that once failed go on playing the faults that they played then.
 
 use {
-    glade_soak::{Targets, plan},
+    glade_soak::{Fault, Series, Targets, plan, plan_series},
     std::time::Duration,
 };
 
@@ -23,3 +23,17 @@
                 fault: Engine { engine: 0, fault: Hangs } }";
     assert_eq!(end_of_plan(104, 5, 4, 250), (29, last.to_owned()));
 }
+
+#[test]
+fn series_hold_signals_of_all_kinds_and_come_within_their_time() {
+    let targets = Targets { nodes: 5, engines: 4, plain: 2 };
+    let series = Series { gap: Duration::from_millis(500), callers: 0 };
+    let mut rng = fastrand::Rng::with_seed(1);
+    let time = Duration::from_secs(20);
+    let planned = plan_series(&mut rng, targets, time, series);
+    assert!(planned.iter().all(|planned| planned.at < time));
+    let count = |kind: fn(&Fault) -> bool| planned.iter().filter(|one| kind(&one.fault)).count();
+    assert!(count(|fault| matches!(fault, Fault::Restart { .. })) > 5);
+    assert!(count(|fault| matches!(fault, Fault::ReloadChanged { .. })) > 5);
+    assert!(count(|fault| *fault == Fault::ConfigurationChanged) > 5);
+}
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -3,7 +3,7 @@
 
 use {
     glade_clock::SystemClock,
-    glade_soak::{Size, Soak, Stalls},
+    glade_soak::{Series, Size, Soak, Stalls},
     std::{sync::Arc, time::Duration},
 };
 
@@ -15,6 +15,7 @@
     stalls: None,
     request_gap: Duration::from_millis(10),
     crashing_from: None,
+    series: None,
 };
 const DENSE: Size = Size { nodes: 7, engines: 5, gap: Duration::from_millis(120), ..SMALL };
 const STALLING: Size = stalling(false);
@@ -27,6 +28,15 @@
     ..SMALL
 };
 
+const SERIES: Size = Size {
+    nodes: 4,
+    engines: 4,
+    time: Duration::from_secs(6),
+    gap: Duration::from_secs(3),
+    series: Some(Series { gap: Duration::from_millis(600), callers: 16 }),
+    ..SMALL
+};
+
 const fn stalling(reject_reserved: bool) -> Size {
     Size { stalls: Some(Stalls { gap: Duration::from_millis(150), reject_reserved }), ..SMALL }
 }
@@ -81,3 +91,13 @@
 fn promises_hold_while_a_part_crashes_engines_under_seed_2() {
     assert_eq!(violations(2, CRASHING), Vec::<String>::new());
 }
+
+#[test]
+fn answers_stay_whole_around_series_of_signals_under_seed_1() {
+    assert_eq!(violations(1, SERIES), Vec::<String>::new());
+}
+
+#[test]
+fn answers_stay_whole_around_series_of_signals_under_seed_2() {
+    assert_eq!(violations(2, SERIES), Vec::<String>::new());
+}
--- a/crates/standins/src/site/caller.rs
+++ b/crates/standins/src/site/caller.rs
@@ -5,7 +5,7 @@
     glade_adapter::{directory, platform_dialect::stand_in},
     glade_catalog::RequestMetadata,
     http_body_util::{BodyExt, Full},
-    hyper::{HeaderMap, Request, client::conn::http1, header::HOST},
+    hyper::{HeaderMap, Request, Response, body::Incoming, client::conn::http1, header::HOST},
     hyper_util::rt::TokioIo,
     socket2::SockRef,
     std::{io, net::SocketAddr, time::Duration},
@@ -64,12 +64,7 @@
         terms: &RequestMetadata,
         body: &str,
     ) -> Option<Reply> {
-        let mut req = Request::new(Full::new(Bytes::copy_from_slice(body.as_bytes())));
-        *req.method_mut() = method.parse().ok()?;
-        *req.uri_mut() = path.parse().ok()?;
-        req.headers_mut().insert(HOST, host.parse().ok()?);
-        stand_in::write_caller_terms(req.headers_mut(), terms);
-        self.exchange(addr, req).await
+        self.exchange(addr, request(method, host, path, terms, body)?).await
     }
 
     /// Asks the directory at `addr` where to connect.
@@ -94,24 +89,8 @@
         let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         let driver = tokio::spawn(driver);
         let response = sender.send_request(req).await.ok()?;
-        let (head, mut body) = response.into_parts();
         sleep(self.reads_after.unwrap_or_default()).await;
-        let mut reply = Reply {
-            status: head.status.as_u16(),
-            headers: head.headers,
-            body: String::new(),
-            whole: true,
-        };
-        while let Some(frame) = body.frame().await {
-            match frame.map(hyper::body::Frame::into_data) {
-                Ok(Ok(data)) => reply.body.push_str(&String::from_utf8_lossy(&data)),
-                Ok(Err(_trailers)) => {}
-                Err(_) => {
-                    reply.whole = false;
-                    break;
-                }
-            }
-        }
+        let reply = read_reply(response).await;
         driver.abort();
         Some(reply)
     }
@@ -126,3 +105,41 @@
         socket.connect(addr).await
     }
 }
+
+/// A caller's request; `None` if a part of it is malformed.
+pub(crate) fn request(
+    method: &str,
+    host: &str,
+    path: &str,
+    terms: &RequestMetadata,
+    body: &str,
+) -> Option<Request<Full<Bytes>>> {
+    let mut req = Request::new(Full::new(Bytes::copy_from_slice(body.as_bytes())));
+    *req.method_mut() = method.parse().ok()?;
+    *req.uri_mut() = path.parse().ok()?;
+    req.headers_mut().insert(HOST, host.parse().ok()?);
+    stand_in::write_caller_terms(req.headers_mut(), terms);
+    Some(req)
+}
+
+/// Reads an answer to its end, or as far as it comes.
+pub(crate) async fn read_reply(response: Response<Incoming>) -> Reply {
+    let (head, mut body) = response.into_parts();
+    let mut reply = Reply {
+        status: head.status.as_u16(),
+        headers: head.headers,
+        body: String::new(),
+        whole: true,
+    };
+    while let Some(frame) = body.frame().await {
+        match frame.map(hyper::body::Frame::into_data) {
+            Ok(Ok(data)) => reply.body.push_str(&String::from_utf8_lossy(&data)),
+            Ok(Err(_trailers)) => {}
+            Err(_) => {
+                reply.whole = false;
+                break;
+            }
+        }
+    }
+    reply
+}
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -54,6 +54,8 @@
 const LISTEN_RETRY: Duration = Duration::from_millis(20);
 /// Events under way to a caller.
 const EVENTS_IN_HAND: usize = 4;
+/// Tokens of an event.
+const TOKENS_PER_EVENT: u64 = 5;
 
 /// What a server is.
 #[derive(Clone, Debug)]
@@ -66,7 +68,7 @@
     pub models: Vec<String>,
     /// Whether it runs models.
     pub is_engine: bool,
-    /// Events of a stream.
+    /// Least number of events of a stream; more if its caller asks for more tokens.
     pub events: u64,
     /// Pause between events, and before a whole answer.
     pub pause: Duration,
@@ -600,7 +602,8 @@
     sender: &Sender<io::Result<Bytes>>,
 ) -> bool {
     let first = terms.last_event_id.map_or(1, |last| last + 1);
-    for (sent, id) in (first..=shared.spec.events).enumerate() {
+    let last = shared.spec.events.max(u64::from(terms.output_tokens_max) / TOKENS_PER_EVENT);
+    for (sent, id) in (first..=last).enumerate() {
         if fault == EngineFault::BreaksAfter(sent as u64) {
             // The caller may have left.
             let _ = sender.send(Err(broken())).await;
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -41,6 +41,8 @@
 const LAST_LINES: usize = 40;
 /// Events of a stream.
 pub const EVENTS: u64 = 12;
+/// Tokens of an event.
+const TOKENS_PER_EVENT: u32 = 5;
 /// Longest time for an answer, on all routes.
 pub const TIME_LIMIT: Duration = Duration::from_secs(15);
 
@@ -73,6 +75,8 @@
     addrs: NodeAddrs,
     settings: PathBuf,
     child: Option<Child>,
+    /// Whether it runs the site's other version of the program.
+    runs_other: bool,
 }
 
 /// A store, backend servers and nodes. Dropping it ends them.
@@ -91,6 +95,8 @@
     nodes: Vec<Node>,
     next_request: AtomicU32,
     keeps_logs: bool,
+    /// Program of another version of the node.
+    other_node: Option<PathBuf>,
 }
 
 impl Site {
@@ -135,6 +141,7 @@
             nodes: Vec::new(),
             next_request: AtomicU32::new(0),
             keeps_logs: false,
+            other_node: None,
         };
         for _ in 0..nodes {
             site.add_node();
@@ -166,7 +173,7 @@
         let seeds: Vec<SocketAddr> = self.nodes.iter().map(|node| node.addrs.peers).collect();
         let text = settings_yaml(position, &addrs, store, &seeds);
         fs::write(&settings, text).expect("settings can be written");
-        self.nodes.push(Node { addrs, settings, child: None });
+        self.nodes.push(Node { addrs, settings, child: None, runs_other: false });
         self.start_node(position);
         position
     }
@@ -182,7 +189,8 @@
         let node = &mut self.nodes[position];
         let out = File::options().create(true).append(true).open(log).expect("a log file");
         let err = out.try_clone().expect("a log file");
-        let child = Command::new(program("persimmonglade-node"))
+        let other = self.other_node.as_ref().filter(|_| node.runs_other);
+        let child = Command::new(other.cloned().unwrap_or_else(|| program("persimmonglade-node")))
             .arg("--settings")
             .arg(&node.settings)
             .stdin(Stdio::null())
@@ -193,6 +201,22 @@
         node.child = Some(child);
     }
 
+    /// Names the program of another version of the node, for [`Site::change_version`].
+    pub fn set_other_node(&mut self, program: PathBuf) {
+        self.other_node = Some(program);
+    }
+
+    /// Has a node run the other version from its next start on, if there is one.
+    pub fn change_version(&mut self, position: usize) {
+        let node = &mut self.nodes[position];
+        node.runs_other = !node.runs_other;
+    }
+
+    /// True if the process of a node was started and not yet waited for.
+    pub fn has_process(&self, position: usize) -> bool {
+        self.nodes[position].child.is_some()
+    }
+
     /// Ports of a node.
     pub fn addrs(&self, position: usize) -> NodeAddrs {
         self.nodes[position].addrs
@@ -388,15 +412,7 @@
         parts: &[u64],
     ) -> JoinHandle<Option<Reply>> {
         let addr = self.nodes[node].addrs.callers;
-        let terms = RequestMetadata {
-            request_id: Some(RequestId::new(id)),
-            deadline: Some(Duration::from_secs(20)),
-            model: model.map(ModelName::new),
-            prompt_tokens: if model.is_some() { 100 } else { 0 },
-            output_tokens_max: if model.is_some() { 60 } else { 0 },
-            prompt_parts: parts.iter().map(|hash| PromptPart { hash: *hash, tokens: 20 }).collect(),
-            ..RequestMetadata::default()
-        };
+        let terms = caller_terms(id, model, EVENTS, parts);
         let path = path.to_owned();
         self.runtime
             .spawn(async move { caller.send(addr, "POST", HOST, &path, &terms, "body").await })
@@ -404,7 +420,17 @@
 
     /// Waits for a request that was begun.
     pub fn finish(&self, sent: JoinHandle<Option<Reply>>) -> Option<Reply> {
-        self.runtime.block_on(sent).ok().flatten()
+        self.wait(sent).flatten()
+    }
+
+    /// Waits for a task of a caller; `None` if it panicked or was aborted.
+    pub fn wait<T>(&self, task: JoinHandle<T>) -> Option<T> {
+        self.runtime.block_on(task).ok()
+    }
+
+    /// Number of nodes.
+    pub fn node_count(&self) -> usize {
+        self.nodes.len()
     }
 
     /// Starts another model engine.
@@ -483,6 +509,20 @@
     }
 }
 
+/// Terms of a request, which asks for `events` events if it has a model.
+pub fn caller_terms(id: &str, model: Option<&str>, events: u64, parts: &[u64]) -> RequestMetadata {
+    let output_tokens = u32::try_from(events).map_or(u32::MAX, |events| events * TOKENS_PER_EVENT);
+    RequestMetadata {
+        request_id: Some(RequestId::new(id)),
+        deadline: Some(Duration::from_secs(20)),
+        model: model.map(ModelName::new),
+        prompt_tokens: if model.is_some() { 100 } else { 0 },
+        output_tokens_max: if model.is_some() { output_tokens } else { 0 },
+        prompt_parts: parts.iter().map(|hash| PromptPart { hash: *hash, tokens: 20 }).collect(),
+        ..RequestMetadata::default()
+    }
+}
+
 fn server_spec(id: &str, service: &str, models: Option<&[&str]>) -> ServerSpec {
     ServerSpec {
         id: id.to_owned(),
@@ -522,7 +562,7 @@
         batch_slots: 16,
         kv_capacity_tokens: 100_000,
         kv_token_bytes: 1,
-        tokens_per_event: 5,
+        tokens_per_event: TOKENS_PER_EVENT,
         weights_capacity_mb: 230.0,
         adapter_slots: 4,
         memory_copies_mb: 0.0,
