--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -10,6 +10,7 @@
 mod engine_fault;
 mod http;
 mod kept_connection;
+mod odd_rows;
 mod run_log;
 mod store;
 mod unframed;
@@ -21,7 +22,9 @@
     engine::{ServerSpec, SiteServer},
     engine_fault::EngineFault,
     kept_connection::{KeptConnection, KeptOutcome},
+    odd_rows::{ODD_KEYS, odd_entries},
     run_log::{Run, RunLog},
     store::{SiteStore, StoreFault},
     unframed::{UnframedEnd, UnframedServer},
 };
+pub use glade_adapter::row_fault::RowFault;
