Soak: odd rows in the store, and engines that repeat earlier refusals

`--odd-gap-ms` adds entries that another writer leaves in the registry (under a key of their own, one that names no server, or a sound engine's; with odd values or another engine's entry), rows of engines and of the configuration that the store garbles in its answers, and servers that write an earlier refusal once more on a kept connection. They are drawn by a generator of their own, so that old seeds play the same faults.

--- a/crates/soak/src/harm.rs
+++ b/crates/soak/src/harm.rs
@@ -39,7 +39,9 @@
             | Fault::Configuration
             | Fault::Restart { .. }
             | Fault::ReloadChanged { .. }
-            | Fault::ConfigurationChanged
+            | Fault::OddEntry { .. }
+            | Fault::Row { .. }
+            | Fault::ConfigurationRow(_)
             | Fault::Restore => {}
         }
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,8 @@
 mod crashing_part;
 mod harm;
 mod kept_callers;
+mod odd_store;
+mod oddities;
 mod plan;
 mod proxy;
 mod restarts;
@@ -20,6 +22,7 @@
 
 pub use crate::{
     checks::{Seen, Violation, check, check_overlap, check_unanswered},
+    oddities::{OddKey, OddValue, plan_oddities},
     plan::{Fault, Planned, Stalls, Targets, plan, plan_stalls},
     proxy::{Link, Proxy},
     series::{Series, plan_series},
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -47,6 +47,9 @@
     /// Callers that keep their connections, if there are series
     #[bpaf(argument("N"), fallback(24))]
     kept_callers: usize,
+    /// Mean milliseconds between two odd rows or repeated answers; 0 for none
+    #[bpaf(argument("MS"), fallback(0))]
+    odd_gap_ms: u64,
     /// Program of another version of the node, to which nodes change and back as they are started again
     #[bpaf(argument("PATH"), optional)]
     other_node: Option<PathBuf>,
@@ -70,6 +73,7 @@
             gap: Duration::from_millis(args.series_gap_ms),
             callers: args.kept_callers,
         }),
+        odd_gap: (args.odd_gap_ms > 0).then(|| Duration::from_millis(args.odd_gap_ms)),
     };
     let mut broken = 0;
     for seed in args.seed..args.seed.saturating_add(args.seeds) {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,8 +1,11 @@
 //! Which faults come when, by a seed.
 
 use {
-    crate::proxy::Link,
-    glade_standins::site::{EngineFault, StoreFault},
+    crate::{
+        oddities::{OddKey, OddValue},
+        proxy::Link,
+    },
+    glade_standins::site::{EngineFault, RowFault, StoreFault},
     std::time::Duration,
 };
 
@@ -98,8 +101,22 @@
         /// The node.
         node: usize,
     },
-    /// The operator writes a configuration that differs from the one before.
-    ConfigurationChanged,
+    /// Another writer leaves an odd entry in the registry.
+    OddEntry {
+        /// Its key.
+        key: OddKey,
+        /// Its value.
+        value: OddValue,
+    },
+    /// The store garbles the row of an engine in its answers.
+    Row {
+        /// The engine.
+        engine: usize,
+        /// How.
+        fault: RowFault,
+    },
+    /// The store garbles the row of the configuration in its answers.
+    ConfigurationRow(RowFault),
     /// A copy of the store is made, and the store goes back to it at the end.
     Restore,
 }
--- a/crates/soak/src/series.rs
+++ b/crates/soak/src/series.rs
@@ -57,7 +57,7 @@
         _ => {
             let configurations = rng.usize(CONFIGURATIONS);
             repeat(at, configurations, spacing(rng, CONFIGURATION_SPACING_MS), |_number| {
-                Fault::ConfigurationChanged
+                Fault::Configuration
             })
         }
     }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -6,6 +6,8 @@
         crashing_part::CrashingPart,
         harm::{Harm, Harmed},
         kept_callers::{KeptCallers, KeptRequest},
+        odd_store,
+        oddities::plan_oddities,
         plan::{Fault, Planned, Stalls, Targets, plan, plan_restores, plan_stalls},
         proxy::{Link, Proxy},
         restarts::Restarts,
@@ -60,6 +62,8 @@
     pub crashing_from: Option<Duration>,
     /// Planned work, with callers that keep their connections; `None` without any.
     pub series: Option<Series>,
+    /// Mean time between two odd rows or repeated answers; `None` without any.
+    pub odd_gap: Option<Duration>,
 }
 
 /// What a soak has seen.
@@ -205,14 +209,15 @@
         self.report
     }
 
-    /// Draws all faults, in the order of their beginning. Restores, stalls and series are drawn by
+    /// Draws all faults, in the order of their beginning. Restores, stalls, series and oddities are drawn by
     /// generators of their own, so that a seed's other faults and its requests are the same with and
     /// without them.
     fn plan(&mut self) -> Vec<Planned> {
-        let Size { nodes, engines, time, gap, stalls, series, .. } = self.size;
+        let Size { nodes, engines, time, gap, stalls, series, odd_gap, .. } = self.size;
         let targets = Targets { nodes, engines, plain: PLAIN };
         let (mut of_restores, mut of_stalls) = (self.rng.clone(), self.rng.clone().fork());
         let mut of_series = of_stalls.clone().fork();
+        let mut of_oddities = of_series.clone().fork();
         let mut planned = plan(&mut self.rng, targets, time, gap);
         planned.extend(plan_restores(&mut of_restores, time));
         if let Some(stalls) = stalls {
@@ -221,6 +226,9 @@
         if let Some(series) = series {
             planned.extend(plan_series(&mut of_series, targets, time, series));
         }
+        if let Some(gap) = odd_gap {
+            planned.extend(plan_oddities(&mut of_oddities, targets, time, gap));
+        }
         planned.sort_by_key(|planned| planned.at);
         planned
     }
@@ -247,14 +255,18 @@
             Fault::PlainStall { server, fault } => self.plain_faults[server].begin_stall(fault),
             Fault::Configuration => {
                 self.version += 1;
-                self.site.configure(self.version);
+                self.put_configuration();
             }
             Fault::Restore => self.site.store.copy(),
             Fault::Restart { node } => self.restart(node),
             Fault::ReloadChanged { node } => self.site.reload_node(node, changed_settings),
-            Fault::ConfigurationChanged => {
-                self.version += 1;
-                self.site.put_catalog(&changed_catalog(self.version));
+            Fault::OddEntry { key, value } => odd_store::put_entry(&self.site, key, value),
+            Fault::Row { engine, fault } => {
+                odd_store::set_engine_row(&self.site, engine, Some(fault));
+            }
+            Fault::ConfigurationRow(fault) => {
+                odd_store::set_configuration_row(&self.site, Some(fault));
+                self.put_configuration();
             }
         }
         self.put_server_faults();
@@ -281,8 +293,15 @@
                 Fault::Reload { .. }
                 | Fault::Configuration
                 | Fault::Restart { .. }
-                | Fault::ReloadChanged { .. }
-                | Fault::ConfigurationChanged => {}
+                | Fault::ReloadChanged { .. } => {}
+                Fault::OddEntry { key, .. } => odd_store::remove_entry(&self.site, key),
+                Fault::Row { engine, .. } => {
+                    odd_store::set_engine_row(&self.site, engine, None);
+                }
+                Fault::ConfigurationRow(_) => {
+                    odd_store::set_configuration_row(&self.site, None);
+                    self.put_configuration();
+                }
             }
             self.put_server_faults();
         }
@@ -297,10 +316,18 @@
         }
     }
 
+    /// The operator writes the configuration; with series, each differs from the one before.
+    fn put_configuration(&self) {
+        match self.size.series {
+            Some(_) => self.site.put_catalog(&changed_catalog(self.version)),
+            None => self.site.configure(self.version),
+        }
+    }
+
     /// The store goes back to its copy; operators and backend servers write again what they had written.
     fn restore(&self) {
         self.site.store.restore();
-        self.site.configure(self.version);
+        self.put_configuration();
         let servers = self.site.engines.iter().chain(&self.site.plain);
         servers.for_each(SiteServer::register);
     }
--- a/crates/soak/tests/plans.rs
+++ b/crates/soak/tests/plans.rs
@@ -1,7 +1,7 @@
 //! Seeds that once failed go on playing the faults that they played then.
 
 use {
-    glade_soak::{Fault, Series, Targets, plan, plan_series},
+    glade_soak::{Fault, Series, Targets, plan, plan_oddities, plan_series},
     std::time::Duration,
 };
 
@@ -35,5 +35,18 @@
     let count = |kind: fn(&Fault) -> bool| planned.iter().filter(|one| kind(&one.fault)).count();
     assert!(count(|fault| matches!(fault, Fault::Restart { .. })) > 5);
     assert!(count(|fault| matches!(fault, Fault::ReloadChanged { .. })) > 5);
-    assert!(count(|fault| *fault == Fault::ConfigurationChanged) > 5);
+    assert!(count(|fault| *fault == Fault::Configuration) > 5);
+}
+
+#[test]
+fn oddities_hold_odd_entries_garbled_rows_and_repeated_answers() {
+    let targets = Targets { nodes: 5, engines: 4, plain: 2 };
+    let mut rng = fastrand::Rng::with_seed(1);
+    let (time, gap) = (Duration::from_secs(20), Duration::from_millis(200));
+    let planned = plan_oddities(&mut rng, targets, time, gap);
+    let count = |kind: fn(&Fault) -> bool| planned.iter().filter(|one| kind(&one.fault)).count();
+    assert!(count(|fault| matches!(fault, Fault::OddEntry { .. })) > 5);
+    assert!(count(|fault| matches!(fault, Fault::Row { .. })) > 2);
+    assert!(count(|fault| matches!(fault, Fault::ConfigurationRow(_))) > 2);
+    assert!(count(|fault| matches!(fault, Fault::Engine { .. } | Fault::Plain { .. })) > 5);
 }
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -16,6 +16,7 @@
     request_gap: Duration::from_millis(10),
     crashing_from: None,
     series: None,
+    odd_gap: None,
 };
 const DENSE: Size = Size { nodes: 7, engines: 5, gap: Duration::from_millis(120), ..SMALL };
 const STALLING: Size = stalling(false);
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -156,8 +156,7 @@
 
     /// Puts `catalog` in force.
     pub fn put_catalog(&self, catalog: &Catalog) {
-        let key = format!("{}/{}", glade_adapter::config::TABLE, glade_adapter::config::KEY);
-        self.store.put(&key, glade_adapter::config::encode(catalog));
+        self.store.put(&configuration_key(), glade_adapter::config::encode(catalog));
     }
 
     /// Starts another node and returns its position.
@@ -509,6 +508,16 @@
     }
 }
 
+/// Key in the store of the configuration.
+pub fn configuration_key() -> String {
+    format!("{}/{}", glade_adapter::config::TABLE, glade_adapter::config::KEY)
+}
+
+/// Key in the store of the entry of the server called `id`.
+pub fn registry_key(id: &str) -> String {
+    format!("{}/{id}", glade_adapter::registry::TABLE)
+}
+
 /// Terms of a request, which asks for `events` events if it has a model.
 pub fn caller_terms(id: &str, model: Option<&str>, events: u64, parts: &[u64]) -> RequestMetadata {
     let output_tokens = u32::try_from(events).map_or(u32::MAX, |events| events * TOKENS_PER_EVENT);
