Soak: engines that break streams off and spoil those that they resume

With `--odd-gap-ms`, two or three engines at a time break streams off after a few events and answer a request to resume one with a 200 that holds nothing, an empty line, an error as an event or the head of an HTTP response.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use crate::{
     checks::{Seen, Violation, check, check_overlap, check_unanswered},
-    oddities::{OddKey, OddValue, plan_oddities},
+    oddities::{OddKey, OddValue, plan_oddities, plan_spoiled_streams},
     plan::{Fault, Planned, Stalls, Targets, plan, plan_stalls},
     proxy::{Link, Proxy},
     series::{Series, plan_series},
--- a/crates/soak/src/oddities.rs
+++ b/crates/soak/src/oddities.rs
@@ -8,6 +8,17 @@
 
 /// How long one lasts, in milliseconds.
 const LASTS_MS: Range<u64> = 500..4000;
+/// Engines that spoil resumed streams at a time.
+const SPOILING_ENGINES: Range<usize> = 2..4;
+/// Events after which they break streams off.
+const EVENTS_BEFORE_BREAK: Range<u64> = 1..11;
+/// What they send in place of the rest of a stream.
+const SPOILED_TEXTS: [&str; 4] = [
+    "",
+    "\n\n",
+    "data: {\"error\":\"no such stream\"}\n\n",
+    "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 5\r\n\r\nerror",
+];
 /// Statuses of refusals.
 const REFUSALS: [u16; 3] = [503, 429, 421];
 
@@ -50,6 +61,36 @@
     }
 }
 
+/// Draws engines that break streams off and spoil those that they are to resume, several at a time, for
+/// `time`.
+pub fn plan_spoiled_streams(
+    rng: &mut fastrand::Rng,
+    targets: Targets,
+    time: Duration,
+    gap: Duration,
+) -> Vec<Planned> {
+    let mut at = Duration::ZERO;
+    let mut planned = Vec::new();
+    loop {
+        at += gap.mul_f64(rng.f64() * 2.0);
+        if at >= time {
+            return planned;
+        }
+        let lasts = Duration::from_millis(rng.u64(LASTS_MS));
+        let text = SPOILED_TEXTS[rng.usize(0..SPOILED_TEXTS.len())];
+        let (first, engines) = (rng.usize(0..targets.engines), rng.usize(SPOILING_ENGINES));
+        let events = rng.u64(EVENTS_BEFORE_BREAK);
+        planned.extend((0..engines).map(|number| Planned {
+            at,
+            lasts,
+            fault: Fault::Engine {
+                engine: (first + number) % targets.engines,
+                fault: EngineFault::SpoilsResumed { events, text },
+            },
+        }));
+    }
+}
+
 fn draw(rng: &mut fastrand::Rng, targets: Targets) -> Fault {
     let engine = rng.usize(0..targets.engines);
     let server = rng.usize(0..targets.plain);
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -7,7 +7,7 @@
         harm::{Harm, Harmed},
         kept_callers::{KeptCallers, KeptRequest},
         odd_store,
-        oddities::plan_oddities,
+        oddities::{plan_oddities, plan_spoiled_streams},
         plan::{Fault, Planned, Stalls, Targets, plan, plan_restores, plan_stalls},
         proxy::{Link, Proxy},
         restarts::Restarts,
@@ -227,7 +227,9 @@
             planned.extend(plan_series(&mut of_series, targets, time, series));
         }
         if let Some(gap) = odd_gap {
+            let mut of_streams = of_oddities.fork();
             planned.extend(plan_oddities(&mut of_oddities, targets, time, gap));
+            planned.extend(plan_spoiled_streams(&mut of_streams, targets, time, gap * 3));
         }
         planned.sort_by_key(|planned| planned.at);
         planned
