--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -365,6 +365,9 @@
         "empty" => {
             "its stream ended properly without an event, which doesn't prove that none is missing"
         }
+        "unproven_refusal" => {
+            "it refused a request without naming it, on a connection that had carried others"
+        }
         "silent" => "nothing came in time",
         _ => return name.to_owned(),
     };
--- a/crates/standins/src/site/engine_fault.rs
+++ b/crates/standins/src/site/engine_fault.rs
@@ -29,6 +29,8 @@
     Hangs,
     /// It rejects requests without running them.
     Rejects,
+    /// It rejects requests without running them or naming them.
+    RejectsUnnamed,
     /// It keeps requests in its queue for this long, and then rejects them.
     RejectsAfter(Duration),
     /// It keeps places, and rejects the requests that come for them.
@@ -43,6 +45,8 @@
     Closed(Duration),
     /// It fails every request.
     Fails,
+    /// It runs every request and answers with this status.
+    FailsAs(u16),
     /// It fails every request, after this long.
     FailsAfter(Duration),
     /// It signs answers with another request's name.
@@ -66,6 +70,7 @@
             | Self::TricklesAfter(_)
             | Self::Hangs
             | Self::Fails
+            | Self::FailsAs(_)
             | Self::FailsAfter(_)
             | Self::Crosses
             | Self::Crashes
@@ -73,6 +78,7 @@
             Self::None
             | Self::PausesAfter(_)
             | Self::Rejects
+            | Self::RejectsUnnamed
             | Self::RejectsAfter(_)
             | Self::RejectsReserved
             | Self::RejectsReservedAfter(_)
@@ -86,7 +92,7 @@
     /// Time in the queue of a request that is rejected; `None` if it is run.
     pub(crate) fn rejects_after(self, reserved: bool) -> Option<Duration> {
         match self {
-            Self::Rejects | Self::Closed(_) => Some(Duration::ZERO),
+            Self::Rejects | Self::RejectsUnnamed | Self::Closed(_) => Some(Duration::ZERO),
             Self::RejectsAfter(time) => Some(time),
             Self::RejectsReserved => reserved.then_some(Duration::ZERO),
             Self::RejectsReservedAfter(time) => reserved.then_some(time),
@@ -100,6 +106,7 @@
             | Self::ReservesAfter(_)
             | Self::LeavesWhenAsked
             | Self::Fails
+            | Self::FailsAs(_)
             | Self::FailsAfter(_)
             | Self::Crosses
             | Self::Crashes
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -24,7 +24,7 @@
     engine::{ServerSpec, SiteServer},
     engine_fault::EngineFault,
     kept_connection::{KeptConnection, KeptOutcome},
-    odd_rows::{ODD_KEYS, odd_entries},
+    odd_rows::{ODD_KEYS, leaving_entry, odd_entries, sound_entry},
     run_log::{Run, RunLog},
     store::{SiteStore, StoreFault},
     unframed::{UnframedEnd, UnframedServer},
