--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod engine_fault;
 mod http;
+mod kept_connection;
 mod odd_rows;
 mod run_log;
 mod store;
@@ -22,6 +23,7 @@
     endless::{EndlessPart, EndlessServer, Pace, marks},
     engine::{ServerSpec, SiteServer},
     engine_fault::EngineFault,
+    kept_connection::{KeptConnection, KeptOutcome},
     odd_rows::{ODD_KEYS, leaving_entry, odd_entries, sound_entry},
     run_log::{Run, RunLog},
     store::{SiteStore, StoreFault},
