Admit late in a drain only what has to be answered before the process ends

Callers of a node that was told to end got their connection closed without an answer for calls that a server was running, claims among them.

A server that stalls outlasts the estimate, and a drain lasts for the whole grace period while callers keep coming, so such requests are sent until shortly before its end.

Change: from then on the time limit of the request, its deadline or its route's, has to fit. Others are refused at once as not run, and callers find another node. Requests that were admitted before are still sent by the estimate.

--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -1,4 +1,4 @@
-//! Admission control of a node that drains before it exits.
+//! Which requests a node that drains before it exits still admits, and sends to servers.
 
 use std::time::{Duration, Instant};
 
@@ -23,13 +23,25 @@
         Self { started_at, grace_period }
     }
 
-    /// True if a request that may take `longest_duration` can still be served.
-    pub(crate) fn admits(&self, now: Instant, longest_duration: Duration) -> bool {
+    /// True if a request that has to be answered by `answer_by` is admitted. A server that stalls may
+    /// use all of that time, so an estimate of the request's duration isn't enough.
+    pub(crate) fn admits(&self, now: Instant, answer_by: Instant) -> bool {
+        let time_limit = answer_by.saturating_duration_since(now);
+        self.time_left(now).is_none_or(|left| time_limit < left)
+    }
+
+    /// True if an admitted request that may take `longest_duration` can still be sent to a server.
+    pub(crate) fn permits_sending(&self, now: Instant, longest_duration: Duration) -> bool {
+        self.time_left(now).is_none_or(|left| longest_duration.mul_f64(ESTIMATE_MARGIN) < left)
+    }
+
+    /// Time left for answers; `None` as long as every request is served.
+    fn time_left(&self, now: Instant) -> Option<Duration> {
         let elapsed = now.saturating_duration_since(self.started_at);
-        if elapsed < self.grace_period.mul_f64(ADMIT_ALL_SHARE) {
-            return true;
-        }
         let left = self.grace_period.saturating_sub(elapsed).saturating_sub(FLUSH_TIME);
-        longest_duration.mul_f64(ESTIMATE_MARGIN) < left
+        (elapsed >= self.grace_period.mul_f64(ADMIT_ALL_SHARE)).then_some(left)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -323,7 +323,7 @@
     fn exits_before(&self, spec: &RequestSpec) -> bool {
         let Some(drain) = self.drain.get() else { return false };
         let now = self.clock.now();
-        !drain.admits(now, self.dispatcher.borrow().longest_duration(now, spec))
+        !drain.permits_sending(now, self.dispatcher.borrow().longest_duration(now, spec))
     }
 
     /// Returns once it is too late to send a request with `spec` to a server from this VM. Never
@@ -357,7 +357,8 @@
             end_line.mark_end_logged();
             OwnAnswer::not_run("no_service", ACCEPT_PAUSE)
         })?;
-        if self.exits_before(&spec) {
+        let now = self.clock.now();
+        if self.drain.get().is_some_and(|drain| !drain.admits(now, routed.answer_by())) {
             end_line.mark_end_logged();
             return Err(OwnAnswer::not_run(Refusal::Leaving.name(), RETRY_ELSEWHERE_AFTER));
         }
