--- a/crates/relay/src/admitted_request.rs
+++ b/crates/relay/src/admitted_request.rs
@@ -109,6 +109,11 @@
         self.failed_attempts.borrow_mut().add(server, failure);
     }
 
+    /// Replaces the failure of an attempt at `server`, which was counted as silent, by `failure`.
+    pub(crate) fn replace_silent(&self, server: ServerIdx, failure: AttemptFailure) {
+        self.failed_attempts.borrow_mut().replace_silent(server, failure);
+    }
+
     /// Allows another attempt at the servers that made no reservation.
     pub(crate) fn readmit_unreserved(&self) {
         self.failed_attempts.borrow_mut().readmit_unreserved();
@@ -132,7 +137,7 @@
         self.error_answer.borrow_mut().take_if(|answer| is_fit(answer))
     }
 
-    /// Restarts the wait for a first byte, because a stream has to continue at another server.
+    /// Restarts the wait for a first byte, because the time until now was lost at servers that won't answer.
     pub(crate) fn restart_wait(&mut self, now: Instant) {
         self.open_request.spec.arrived_at = now;
         self.open_request.spec.first_byte_deadline = self.routed.give_up_at(now);
--- a/crates/relay/src/hedge.rs
+++ b/crates/relay/src/hedge.rs
@@ -97,7 +97,7 @@
                     };
                 }
                 HedgeOutcome::SilentFailed(failure, other, other_answer) => {
-                    self.record_failure(admitted, server, failure);
+                    self.record_silent_failure(admitted, server, failure);
                     (server, answer, is_counted) = (other, other_answer, false);
                 }
                 HedgeOutcome::NoOtherServer(cause) => self.log_server_kept(admitted, server, cause),
@@ -173,7 +173,7 @@
     ) -> Result<(ServerIdx, Result<ConnectedAttempt<D>, AttemptFailure>), Option<Refused>> {
         let attempt = self.next_attempt(admitted).await?;
         let server = attempt.server;
-        Ok((server, ConnectedAttempt::open(attempt, admitted).await))
+        Ok((server, ConnectedAttempt::open_to_reserve(attempt, admitted).await))
     }
 }
 
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,8 +1,11 @@
 //! Which faults come when, by a seed.
 
 use {
-    crate::proxy::Link,
-    glade_standins::site::{EngineFault, StoreFault},
+    crate::{
+        oddities::{OddKey, OddValue},
+        proxy::Link,
+    },
+    glade_standins::site::{EngineFault, RowFault, StoreFault},
     std::time::Duration,
 };
 
@@ -88,6 +91,32 @@
     },
     /// The operator writes the configuration anew.
     Configuration,
+    /// A node is told to end, and is started again as soon as it has ended.
+    Restart {
+        /// The node.
+        node: usize,
+    },
+    /// A node's settings file is changed, and the node is told to read it.
+    ReloadChanged {
+        /// The node.
+        node: usize,
+    },
+    /// Another writer leaves an odd entry in the registry.
+    OddEntry {
+        /// Its key.
+        key: OddKey,
+        /// Its value.
+        value: OddValue,
+    },
+    /// The store garbles the row of an engine in its answers.
+    Row {
+        /// The engine.
+        engine: usize,
+        /// How.
+        fault: RowFault,
+    },
+    /// The store garbles the row of the configuration in its answers.
+    ConfigurationRow(RowFault),
     /// A copy of the store is made, and the store goes back to it at the end.
     Restore,
 }
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -59,6 +59,8 @@
 const LISTEN_RETRY: Duration = Duration::from_millis(20);
 /// Events under way to a caller.
 const EVENTS_IN_HAND: usize = 4;
+/// Tokens of an event.
+const TOKENS_PER_EVENT: u64 = 5;
 
 /// What a server is.
 #[derive(Clone, Debug)]
@@ -71,7 +73,7 @@
     pub models: Vec<String>,
     /// Whether it runs models.
     pub is_engine: bool,
-    /// Events of a stream.
+    /// Least number of events of a stream; more if its caller asks for more tokens.
     pub events: u64,
     /// Pause between events, and before a whole answer.
     pub pause: Duration,
@@ -449,10 +451,10 @@
 
     /// Writes an earlier answer once more if the server's fault is that.
     fn repeat_answer(&self, writer: &RawWriter, path: &str) -> io::Result<()> {
-        let is_order = path == ORDER_PATH;
         let answer = match self.lock().fault {
-            EngineFault::RepeatsAnswer(answer) if !is_order => answer,
-            EngineFault::RepeatsOrderAnswer(answer) if is_order => answer,
+            EngineFault::RepeatsAnswer(answer) if path != ORDER_PATH => answer,
+            EngineFault::RepeatsOrderAnswer(answer) if path == ORDER_PATH => answer,
+            EngineFault::RepeatsPlaceAnswer(answer) if path == reservation::PATH => answer,
             _ => return Ok(()),
         };
         match answer.at {
@@ -590,7 +592,8 @@
         | EngineFault::Closed(_)
         | EngineFault::Crashes
         | EngineFault::RepeatsAnswer(_)
-        | EngineFault::RepeatsOrderAnswer(_) => {}
+        | EngineFault::RepeatsOrderAnswer(_)
+        | EngineFault::RepeatsPlaceAnswer(_) => {}
     }
     let marks = shared.marks(&id, true);
     if shared.spec.is_engine {
@@ -654,7 +657,8 @@
         let _ = sender.send(Ok(Bytes::from_static(text.as_bytes()))).await;
         return false;
     }
-    for (sent, id) in (first..=shared.spec.events).enumerate() {
+    let last = shared.spec.events.max(u64::from(terms.output_tokens_max) / TOKENS_PER_EVENT);
+    for (sent, id) in (first..=last).enumerate() {
         if breaks_after(fault) == Some(sent as u64) {
             break_off(shared, sender).await;
             return false;
