--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,7 +22,7 @@
     glade_observe::Metrics,
     glade_process::{EndSignals, keep_running},
     glade_relay::{Relay, RelayDependencies, RelayHandle},
-    glade_settings::NodeSettings,
+    glade_settings::{NodeSettings, NodeTiming},
     glade_types::Incarnation,
     http_body_util::Full,
     hyper::{
@@ -195,15 +195,13 @@
     };
     spawn_local(reloader.run(reload));
     end.recv().await;
-    let settings = Arc::clone(&in_force.borrow());
+    let timing = in_force.borrow().timing;
     log::info!("leaving");
     lifecycle.begin_drain();
     control.shut_down();
-    let grace = settings.timing.grace_period;
-    relay.drain(grace);
-    // Waits at most for the grace time, however often it starts again.
-    let drained = keep_running("drain", async || drain(&settings, &relay).await);
-    if timeout(grace.saturating_sub(GRACE_RESERVE), drained).await.is_err() {
+    relay.drain(timing.grace_period);
+    let drained = keep_running("drain", async || drain(&timing, &relay).await);
+    if timeout(timing.grace_period.saturating_sub(GRACE_RESERVE), drained).await.is_err() {
         log::info!(under_way = relay.in_flight() as u64; "grace_over");
     }
     log::info!("stopped");
@@ -259,28 +257,19 @@
     })
 }
 
-/// Serves callers until none sends requests any more and all answers are written, or until the
-/// grace time is over.
-async fn drain(settings: &NodeSettings, relay: &RelayHandle<PlatformDialect>) {
-    let timing = &settings.timing;
-    let accept_time = (timing.directory_ttl + DIRECTORY_MARGIN).min(timing.grace_period / 2);
+/// Serves callers until none sends requests any more and all answers are written.
+async fn drain(timing: &NodeTiming, relay: &RelayHandle<PlatformDialect>) {
     log_drain_stage("accepting", relay);
-    sleep(accept_time).await;
+    sleep((timing.directory_ttl + DIRECTORY_MARGIN).min(timing.grace_period / 2)).await;
     log_drain_stage("finishing", relay);
-    let drain_time = timing.grace_period.saturating_sub(GRACE_RESERVE).saturating_sub(accept_time);
-    let drained = async {
-        // Twice in a row, since a caller may be about to send its next request.
-        let mut idle_checks = 0;
-        while idle_checks < 2 {
-            sleep(IDLE_CHECK_INTERVAL).await;
-            idle_checks = if relay.in_flight() == 0 { idle_checks + 1 } else { 0 };
-        }
-        log_drain_stage("closing", relay);
-        relay.close().await;
-    };
-    if timeout(drain_time, drained).await.is_err() {
-        log::info!(under_way = relay.in_flight() as u64; "grace_over");
+    // Twice in a row, since a caller may be about to send its next request.
+    let mut idle_checks = 0;
+    while idle_checks < 2 {
+        sleep(IDLE_CHECK_INTERVAL).await;
+        idle_checks = if relay.in_flight() == 0 { idle_checks + 1 } else { 0 };
     }
+    log_drain_stage("closing", relay);
+    relay.close().await;
 }
 
 /// Logs that a stage of the drain begins, so that the log of a node that ends in the drain tells how
--- a/crates/relay/src/idle_connections.rs
+++ b/crates/relay/src/idle_connections.rs
@@ -14,8 +14,6 @@
 /// Idle time after which a server is assumed to close a connection, unless it announced another
 /// time.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Longest idle time that a server is believed to keep a connection for.
-const IDLE_TIMEOUT_MAX: Duration = Duration::from_secs(3600);
 /// Share of the announced idle time during which a connection is reused. A request that is sent
 /// late in that time may cross with the server's close.
 const REUSE_SHARE: f64 = 0.6;
@@ -73,8 +71,7 @@
         connection: Connection,
         announced_timeout: Option<Duration>,
     ) {
-        let idle_timeout = announced_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT).min(IDLE_TIMEOUT_MAX);
-        let reuse_time = idle_timeout.mul_f64(REUSE_SHARE);
+        let reuse_time = announced_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT).mul_f64(REUSE_SHARE);
         if reuse_time.is_zero() {
             return;
         }
