Bound the numbers of configurations, reports and other nodes' loads

Cause: times, counts and sizes from outside entered arithmetic as they came. A load time of 1.8e19 s overflowed "now + time", which panics in builds of every kind; a report with Seq, loads near 2^32 of two nodes and counts of demand overflowed sums (a panic with overflow checks, a wrapped number without); Adapters made every node list that many names.

Evidence: a seeded property test sends odd numbers in configurations, entries, reports and headers through their decoders and through dispatcher and placement controller, 1,500 cases. Before, one after the other: panicked at crates/dispatch/src/load.rs:26:9: attempt to add with overflow panicked at crates/residency/src/managed_engine.rs:461:9: attempt to add with overflow panicked at .../library/std/src/time.rs:429:33: overflow when adding duration to instant (without the bounds of Catalog::new; numbers_of_a_configuration_are_bounded failed then, too: 18000000000000000000s, not 86400s) After: it passes, and 14 of 14 decoding tests.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -29,7 +29,7 @@
 }
 
 impl Catalog {
-    /// Indexes a configuration. Every new configuration has a higher version than the one before.
+    /// Indexes a configuration, with all numbers bounded. Every new configuration has a higher version than the one before.
     pub fn new(
         version: u64,
         limits: CallerLimits,
@@ -37,15 +37,15 @@
         services: Vec<Service>,
     ) -> Self {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
-        for route in routes {
+        for route in routes.into_iter().map(Route::bounded) {
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let services =
-            services.into_iter().map(|service| (service.name.clone(), service)).collect();
-        Self { version, limits, routes: by_host, services }
+            services.into_iter().map(|service| (service.name.clone(), service.bounded())).collect();
+        Self { version, limits: limits.bounded(), routes: by_host, services }
     }
 
     /// Version of the configuration.
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -12,6 +12,7 @@
 //! from the platform's formats.
 
 mod adapter_name;
+mod bounds;
 mod caller_limits;
 mod catalog;
 mod demand_report;
@@ -25,6 +26,7 @@
 
 pub use crate::{
     adapter_name::{base_model_of, is_adapter, is_adapter_of},
+    bounds::DURATION_MAX,
     caller_limits::CallerLimits,
     catalog::Catalog,
     demand_report::{DemandReport, ModelDemand},
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -20,6 +20,26 @@
 }
 
 impl Load {
+    /// Most load that one VM reports for a server. Sums over a thousand VMs fit into the fields.
+    const MAX: Self = Self {
+        in_flight: 1 << 20,
+        outstanding_prefill_us: 1 << 40,
+        held_tokens: 1 << 40,
+        waiting_hundredths: 1 << 20,
+    };
+
+    /// Returns the load with all fields bounded. Loads of other VMs are bounded once, when they arrive.
+    pub fn bounded(self) -> Self {
+        Self {
+            in_flight: self.in_flight.min(Self::MAX.in_flight),
+            outstanding_prefill_us: self
+                .outstanding_prefill_us
+                .min(Self::MAX.outstanding_prefill_us),
+            held_tokens: self.held_tokens.min(Self::MAX.held_tokens),
+            waiting_hundredths: self.waiting_hundredths.min(Self::MAX.waiting_hundredths),
+        }
+    }
+
     /// Adds another load to this one.
     pub fn add(&mut self, other: &Self) {
         self.in_flight += other.in_flight;
--- a/crates/node/src/demand_aggregator.rs
+++ b/crates/node/src/demand_aggregator.rs
@@ -38,8 +38,8 @@
     pub(crate) fn on_report(&mut self, now: Instant, vm: &VmId, report: &DemandReport) {
         for demand in &report.models {
             let requested = self.requested.entry(demand.model.clone()).or_default();
-            requested.0 += demand.requests;
-            requested.1 += demand.prompt_tokens;
+            requested.0 = requested.0.saturating_add(demand.requests);
+            requested.1 = requested.1.saturating_add(demand.prompt_tokens);
             let key = (demand.model.clone(), vm.clone());
             if demand.in_flight > 0 {
                 self.in_flight.insert(key, (demand.in_flight, now));
@@ -64,7 +64,8 @@
             entry.prompt_tokens = prompt_tokens;
         }
         for ((model, _), (count, _)) in &self.in_flight {
-            models.entry(model.clone()).or_insert_with(|| no_demand(model)).in_flight += count;
+            let entry = models.entry(model.clone()).or_insert_with(|| no_demand(model));
+            entry.in_flight = entry.in_flight.saturating_add(*count);
         }
         let models: Vec<ModelDemand> = models.into_values().collect();
         self.last_in_flight.extend(
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -130,6 +130,8 @@
         scope: LoadScope,
         loads: Vec<ServerLoad>,
     ) {
+        let bounded = |load: ServerLoad| ServerLoad { load: load.load.bounded(), ..load };
+        let loads = loads.into_iter().map(bounded).collect();
         let Some(peer) = self.by_vm.get_mut(&from.vm) else { return };
         if peer.info.incarnation != from.incarnation {
             return;
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -4,7 +4,7 @@
 
 use {
     crate::registry_update::{LapsedEntry, RegistryUpdate, ServerEntry},
-    glade_catalog::{ServerKey, ServerRecord, ServerState, is_adapter_of},
+    glade_catalog::{DURATION_MAX, ServerKey, ServerRecord, ServerState, is_adapter_of},
     glade_dispatch::{Load, ServerView},
     glade_platform::Revision,
     glade_residency::{EngineDigest, PendingLoad},
@@ -199,7 +199,7 @@
             let pending = digest
                 .pending_loads
                 .iter()
-                .map(|pending| (pending.model.clone(), now + pending.ready_in))
+                .map(|pending| (pending.model.clone(), now + pending.ready_in.min(DURATION_MAX)))
                 .collect();
             self.pending_loads.insert(key.clone(), pending);
             self.digests.insert(key.clone(), digest);
--- a/crates/residency/src/demand_table.rs
+++ b/crates/residency/src/demand_table.rs
@@ -133,6 +133,6 @@
             .in_flight
             .values()
             .filter(|(_, at)| now.saturating_duration_since(*at) < REPORT_MAX_AGE);
-        f64::from(recent.map(|(count, _)| *count).sum::<u32>())
+        recent.map(|(count, _)| f64::from(*count)).sum()
     }
 }
