Outlast a lease row that another writer has overwritten

What operators would see: two nodes that give engines orders at the same time under the same fencing token, or orders that engines refuse.

Cause: a lease row that can't be decoded counted as no row. A candidate took the lease over at once, while the holder still acted on it, and epochs began at one again. A row with the largest epoch of 64 bits made the next one overflow: a panic with overflow checks, epoch 0 without.

Change: while a row exists that can't be decoded, a candidate waits as long as for a holder that is silent. It remembers the latest epoch that it has seen in rows or in heartbeats of holders, and continues above it. A row whose epoch belongs to a later era than the store's isn't a candidate's. Such rows are logged.

--- a/crates/lease/src/lease_candidate.rs
+++ b/crates/lease/src/lease_candidate.rs
@@ -72,6 +72,9 @@
     reported_renewal: Option<(Revision, Instant)>,
     /// Latest epoch whose holder has reported that it no longer acts.
     resigned_epoch: u64,
+    /// Latest epoch that a row or a holder has named. A row that another writer has overwritten
+    /// doesn't show it.
+    latest_epoch: u64,
     /// Latest known era of the store; `None` until the store has answered.
     era: Option<Era>,
     /// When the lease term that a new era of the store has cut short would have ended. Until then
@@ -97,6 +100,7 @@
             next_operation_at: now,
             reported_renewal: None,
             resigned_epoch: 0,
+            latest_epoch: 0,
             era: None,
             lost_term_until: None,
             restored_at: None,
@@ -134,6 +138,11 @@
         }
     }
 
+    /// A holder reports that it holds the lease with `epoch`.
+    pub fn on_epoch_reported(&mut self, epoch: u64) {
+        self.latest_epoch = self.latest_epoch.max(epoch);
+    }
+
     /// The holder of `epoch` reports that it no longer acts, although the row still names it.
     pub fn on_resigned(&mut self, now: Instant, epoch: u64) {
         if epoch > self.resigned_epoch {
@@ -238,6 +247,7 @@
             State::Watching(watching) if self.can_take_over(watching, now) => {
                 let expected = watching.revision;
                 let epoch = LeaseRow::next_epoch(watching.row.as_ref(), self.era());
+                let epoch = epoch.max(self.latest_epoch.saturating_add(1));
                 Some(self.write(now, expected, epoch, write_id))
             }
             State::Watching(_) => Some(LeaseAction::Read),
@@ -333,7 +343,11 @@
         let Some(row) = &watching.row else {
             return match self.restored_at {
                 Some(at) => self.restored_takeover_at(at),
-                None => watching.seen_at + self.config.takeover_delay,
+                None if watching.revision == Revision::ABSENT => {
+                    watching.seen_at + self.config.takeover_delay
+                }
+                // Another writer has overwritten the row of a holder who may still act.
+                None => self.restored_takeover_at(watching.seen_at),
             };
         };
         if row.era != watching.revision.era {
@@ -353,7 +367,7 @@
     }
 
     /// When this candidate may take over a lease whose row, seen at `since`, comes from a copy of
-    /// the store. The row does not show who acts now, so any present holder is given the full
+    /// the store or from another writer. The row does not show who acts now, so any present holder is given the full
     /// duration.
     fn restored_takeover_at(&self, since: Instant) -> Instant {
         match self.lost_term_until {
@@ -389,8 +403,8 @@
             self.read_now(now);
             return;
         }
-        let row: Option<LeaseRow> =
-            stored.and_then(|stored| serde_json::from_slice(&stored.value).ok());
+        let row = stored.and_then(LeaseRow::decode);
+        self.latest_epoch = self.latest_epoch.max(row.as_ref().map_or(0, |row| row.epoch));
         let written = row.as_ref().and_then(|row| {
             self.attempts.iter().find(|attempt| attempt.row.write_id == row.write_id)
         });
@@ -413,6 +427,7 @@
 
     fn confirm(&mut self, now: Instant, revision: Revision, attempt: Attempt) {
         self.attempts.clear();
+        self.latest_epoch = self.latest_epoch.max(attempt.row.epoch);
         if self.is_releasing {
             let row = Some(attempt.row);
             self.state = State::Watching(Watching { revision, row, seen_at: now });
--- a/crates/lease/src/lease_row.rs
+++ b/crates/lease/src/lease_row.rs
@@ -1,7 +1,7 @@
 //! Content of a lease's row.
 
 use {
-    glade_platform::Era,
+    glade_platform::{Era, StoredRow},
     glade_types::{Incarnation, VmId},
     serde::{Deserialize, Serialize},
 };
@@ -32,9 +32,21 @@
 const EPOCH_COUNTER_BITS: u32 = 32;
 
 impl LeaseRow {
+    /// Decodes a row; `None` if another writer has written it. Such a row is logged.
+    pub(crate) fn decode(stored: &StoredRow) -> Option<Self> {
+        let row: Option<Self> = serde_json::from_slice(&stored.value).ok();
+        // A holder counts its acquisitions on top of its store's era.
+        let row = row.filter(|row| row.epoch >> EPOCH_COUNTER_BITS <= stored.revision.era.0);
+        if row.is_none() {
+            log::warn!(key = stored.key.as_str(), revision = stored.revision.number; "lease_row_unreadable");
+        }
+        row
+    }
+
     /// The epoch of an acquisition on top of `row` in `era`. A restored store may lack the latest
     /// epochs, so the epochs of an era are higher than those of all earlier eras.
     pub fn next_epoch(row: Option<&Self>, era: Era) -> u64 {
-        row.map_or(0, |row| row.epoch).max(era.0 << EPOCH_COUNTER_BITS) + 1
+        let first_of_era = era.0.saturating_mul(1 << EPOCH_COUNTER_BITS);
+        row.map_or(0, |row| row.epoch).max(first_of_era).saturating_add(1)
     }
 }
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -174,6 +174,7 @@
     pub(crate) fn on_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) {
         if let Some(claim) = heartbeat.holder {
             self.lease.on_renewal_reported(now, claim.revision);
+            self.lease.on_epoch_reported(claim.epoch);
         }
         if heartbeat.resigned_epoch > self.peer_resigned_epoch {
             self.peer_resigned_epoch = heartbeat.resigned_epoch;
