Replace a quarantine row that can't be decoded, and bound its counts

Cause: a row of the quarantine's table that couldn't be decoded counted as absent, so a node with an entry for its key wrote on the condition that there is no row, met a conflict, and tried again at the next tick, for ever: write calls many times a second. Counts near 2^32 in a row overflowed as parts were quarantined again (a panic with overflow checks; without them the generation wraps and others ignore the entry).

Change: the row's revision is kept, and the next write replaces it. An entry with counts beyond 2^20, without parts or under another key isn't one.

--- a/crates/node/src/quarantine_store.rs
+++ b/crates/node/src/quarantine_store.rs
@@ -37,8 +37,8 @@
 /// What one node knows of the rows of the table.
 #[derive(Debug, Default)]
 pub(crate) struct QuarantineStore {
-    /// Rows as last read or written.
-    rows: BTreeMap<u64, (Revision, Entry)>,
+    /// Rows as last read or written; no entry if a row can't be decoded.
+    rows: BTreeMap<u64, (Revision, Option<Entry>)>,
     /// A write is in progress.
     is_writing: bool,
     retry_at: Option<Instant>,
@@ -60,10 +60,16 @@
 }
 
 fn decode(row: &StoredRow) -> Option<Entry> {
-    serde_json::from_slice(&row.value)
-        .inspect_err(
-            |err| log::warn!(reason = err.to_string().as_str(); "quarantine_row_unreadable"),
-        )
+    let decoded = serde_json::from_slice(&row.value).map_err(|err| err.to_string());
+    let valid = decoded.and_then(|entry: Entry| {
+        let is_own = entry.is_valid() && entry.key() == entry_key(&row.key);
+        is_own.then_some(entry).ok_or_else(|| "not an entry of its key".to_owned())
+    });
+    valid
+        .inspect_err(|reason| {
+            let key = row.key.as_str();
+            log::warn!(key = key, reason = reason.as_str(); "quarantine_row_unreadable");
+        })
         .ok()
 }
 
@@ -72,11 +78,12 @@
 }
 
 impl QuarantineStore {
-    /// Records a row that was read, and returns its entry.
+    /// Records a row that was read, and returns its entry. One that can't be decoded is replaced by
+    /// the next write.
     pub(crate) fn on_row(&mut self, row: &StoredRow) -> Option<Entry> {
-        let (key, entry) = (entry_key(&row.key)?, decode(row)?);
+        let (key, entry) = (entry_key(&row.key)?, decode(row));
         self.rows.insert(key, (row.revision, entry.clone()));
-        (entry.key() == Some(key)).then_some(entry)
+        entry
     }
 
     /// Records that the row of the entry `key` was removed.
@@ -125,7 +132,7 @@
     fn is_unsaved(&self, entry: &Entry) -> bool {
         let row = entry.key().and_then(|key| self.rows.get(&key));
         match row {
-            Some((_, saved)) => saved != entry,
+            Some((_, saved)) => saved.as_ref() != Some(entry),
             None => !entry.is_lifted,
         }
     }
@@ -155,7 +162,7 @@
         match answer {
             Ok(TxnAnswer::Committed(_)) if entry.is_lifted => self.on_removed(key),
             Ok(TxnAnswer::Committed(revision)) => {
-                self.rows.insert(key, (revision, entry.clone()));
+                self.rows.insert(key, (revision, Some(entry.clone())));
             }
             Ok(TxnAnswer::Conflict(rows)) => {
                 self.on_removed(key);
--- a/crates/node/src/quarantine_store/tests.rs
+++ b/crates/node/src/quarantine_store/tests.rs
@@ -113,3 +113,21 @@
     assert!(!rows.is_unsaved(&stored));
     assert!(rows.is_unsaved(&entry()));
 }
+
+/// Guards against a write that meets the same conflict at every tick.
+#[test]
+fn a_row_that_cant_be_read_is_replaced_by_the_next_write() {
+    let too_large = Entry { generation: u32::MAX, ..entry() };
+    for value in [b"{".to_vec(), Vec::new(), encode(&too_large)] {
+        let store = FakeStore::default();
+        let odd = Txn::compare_and_set(row_key(KEY), Revision::ABSENT, value);
+        assert!(matches!(finish(store.transact(&odd)), Ok(TxnAnswer::Committed(_))));
+        let mut rows = QuarantineStore::default();
+        let first = finish(store.transact(&rows.txn(KEY, &entry())));
+        assert!(matches!(first, Ok(TxnAnswer::Conflict(_))));
+        assert_eq!(rows.on_written(Instant::now(), &entry(), first), None);
+        assert!(rows.is_unsaved(&entry()));
+        let second = finish(store.transact(&rows.txn(KEY, &entry())));
+        assert!(matches!(second, Ok(TxnAnswer::Committed(_))), "{second:?}");
+    }
+}
--- a/crates/quarantine/src/entry.rs
+++ b/crates/quarantine/src/entry.rs
@@ -22,6 +22,16 @@
 }
 
 impl Entry {
+    /// Highest count in an entry. Nodes count up by one, so that an entry beyond it comes from another
+    /// writer.
+    const COUNT_MAX: u32 = 1 << 20;
+
+    /// True if nodes may have written the entry.
+    pub fn is_valid(&self) -> bool {
+        let counts = [self.generation, self.crashes, self.trials];
+        counts.into_iter().all(|count| count <= Self::COUNT_MAX) && !self.parts.is_empty()
+    }
+
     /// The part that identifies the entry.
     pub fn key(&self) -> Option<u64> {
         self.parts.last().copied()
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -59,8 +59,12 @@
         self.merge(now, &EntryUpdate { entry, trial_in: trial_interval(0) });
     }
 
-    /// Merges an entry of another node. Returns true if that changes anything.
+    /// Merges an entry of another node. Returns true if that changes anything; an entry that no node
+    /// can have written doesn't.
     pub fn merge(&mut self, now: Instant, update: &EntryUpdate) -> bool {
+        if !update.entry.is_valid() {
+            return false;
+        }
         let Some(key) = update.entry.key() else { return false };
         let trial_at = now + update.trial_in.min(TRIAL_INTERVAL_MAX);
         if let Some(kept) = self.entries.get_mut(&key) {
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -173,3 +173,22 @@
     assert!(!quarantine.merge(now, &EntryUpdate { entry, trial_in: Duration::ZERO }));
     assert!(!quarantine.blocks(&[1]));
 }
+
+/// Guards against counts that overflow when the parts are quarantined again.
+#[test]
+fn an_entry_with_counts_out_of_range_changes_nothing() {
+    let now = Instant::now();
+    let sound = Entry { parts: vec![1], generation: 1, is_lifted: false, crashes: 5, trials: 0 };
+    let odd = [
+        Entry { generation: u32::MAX, ..sound.clone() },
+        Entry { trials: u32::MAX, ..sound.clone() },
+        Entry { crashes: u32::MAX, ..sound.clone() },
+        Entry { parts: Vec::new(), ..sound.clone() },
+    ];
+    for entry in odd {
+        let mut quarantine = Quarantine::default();
+        assert!(!quarantine.restore(now, entry.clone()), "{entry:?}");
+        quarantine.add(now, &Attribution { parts: vec![1], crashes: 5 });
+        assert!(quarantine.blocks(&[1]), "{entry:?}");
+    }
+}
