--- a/crates/node/src/node_discovery.rs
+++ b/crates/node/src/node_discovery.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{event::Event, peer_message::PeerInfo},
-    glade_platform::{ChangeFeed, Key, StoreError, TableService, Txn, Write},
+    glade_platform::{ChangeFeed, Key, StoreError, StoredRow, TableService, Txn, Write},
     std::{rc::Rc, time::Duration},
     tokio::{sync::mpsc::Sender, time::sleep},
 };
@@ -83,8 +83,7 @@
         loop {
             match self.store.snapshot(TABLE).await {
                 Ok(snapshot) => {
-                    let info = |value: &[u8]| serde_json::from_slice(value).ok();
-                    return snapshot.rows.iter().filter_map(|row| info(&row.value)).collect();
+                    return snapshot.rows.iter().filter_map(decode).collect();
                 }
                 Err(err) => self.back_off(&mut backoff, &err).await,
             }
@@ -101,5 +100,15 @@
     }
 }
 
+/// Decodes a node's row. Rows of other writers are logged and skipped.
+fn decode(row: &StoredRow) -> Option<PeerInfo> {
+    let key = row.key.as_str();
+    serde_json::from_slice(&row.value)
+        .inspect_err(|err| {
+            log::warn!(key = key, reason = err.to_string().as_str(); "node_row_unreadable");
+        })
+        .ok()
+}
+
 #[cfg(test)]
 mod tests;
