Test that a server that has refused a request gets it no second time

An earlier refusal that names the same request, written once more, would be believed. It can't come: a refusal closes its connection, and the server isn't asked for that request again. Passes on the code before too.

--- a/crates/system/tests/repeated_answers.rs
+++ b/crates/system/tests/repeated_answers.rs
@@ -195,3 +195,16 @@
     let log = site.node_log(0);
     assert!(!log.contains("\"event\":\"server_found_gone\""), "{log}");
 }
+
+#[test]
+fn a_server_that_has_refused_a_request_gets_it_no_second_time() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    for path in [CLAIM, BATCH] {
+        set_faults(&site, EngineFault::None);
+        send_requests(&site, path);
+        set_faults(&site, EngineFault::Rejects);
+        for (id, reply) in send_requests(&site, path) {
+            assert!(site.log.arrivals_of(&id) <= site.log.servers_of(&id, 0).len(), "{reply:?}");
+        }
+    }
+}
