Planner: don't take an engine's metrics for the answer to an order

Operators: an engine that writes its metrics once more on the connection of an order had the order recorded as done, whatever became of it.

Cause: the client reads the metrics and sends the order on one connection, and went by the status of the next answer alone.

Change: the metrics are the only earlier answer on that connection, so an answer to an order that reads as metrics leaves the outcome unknown. The whole answer is read for this; one that breaks off is unknown too.

--- a/crates/engine/src/http_engine.rs
+++ b/crates/engine/src/http_engine.rs
@@ -118,9 +118,14 @@
             // The order hasn't been sent yet, so any failure up to here means that it has no effect.
             Ok(_) | Err(_) => return OrderOutcome::NotSent,
         }
-        let sent = connection.send(self.order_request(order), self.order_timeout).await;
-        match sent {
-            Ok(head) => order_outcome(head.status().as_u16()),
+        let req = self.order_request(order);
+        match self.pool.fetch_on(connection, req, self.order_timeout).await {
+            // The answer to the request for metrics, written once more.
+            Ok(answer) if parse_metrics(self.addr, &answer).is_ok() => {
+                self.pool.remove_idle(self.addr);
+                OrderOutcome::Unknown
+            }
+            Ok(answer) => order_outcome(answer.status.as_u16()),
             Err(err) if err.outcome() == CallOutcome::NotRun => OrderOutcome::NotSent,
             Err(_) => OrderOutcome::Unknown,
         }
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -147,7 +147,12 @@
         self.fetch_on(connection, req, time_limit).await
     }
 
-    async fn fetch_on(
+    /// Like [`fetch`](Self::fetch), on `connection`.
+    ///
+    /// # Errors
+    ///
+    /// As those of [`fetch`](Self::fetch), except that the connection is open.
+    pub async fn fetch_on(
         &self,
         mut connection: Connection,
         req: Request<Full<Bytes>>,
