--- a/crates/relay/src/admitted_request.rs
+++ b/crates/relay/src/admitted_request.rs
@@ -109,6 +109,11 @@
         self.failed_attempts.borrow_mut().add(server, failure);
     }
 
+    /// Replaces the failure of an attempt at `server`, which was counted as silent, by `failure`.
+    pub(crate) fn replace_silent(&self, server: ServerIdx, failure: AttemptFailure) {
+        self.failed_attempts.borrow_mut().replace_silent(server, failure);
+    }
+
     /// Allows another attempt at the servers that made no reservation.
     pub(crate) fn readmit_unreserved(&self) {
         self.failed_attempts.borrow_mut().readmit_unreserved();
@@ -132,12 +137,20 @@
         self.error_answer.borrow_mut().take_if(|answer| is_fit(answer))
     }
 
-    /// Restarts the wait for a first byte, because a stream has to continue at another server.
+    /// Restarts the wait for a first byte, because the time until now was lost at servers that won't answer.
     pub(crate) fn restart_wait(&mut self, now: Instant) {
         self.open_request.spec.arrived_at = now;
         self.open_request.spec.first_byte_deadline = self.routed.give_up_at(now);
     }
 
+    /// True if the events up to `last_event_id` hold as many tokens as the request allows, so that none can
+    /// follow.
+    pub(crate) fn has_all_tokens(&self, last_event_id: Option<u64>) -> bool {
+        let spec = &self.open_request.spec;
+        let tokens = last_event_id.unwrap_or(0).saturating_mul(u64::from(spec.tokens_per_event));
+        spec.output_tokens_max > 0 && tokens >= u64::from(spec.output_tokens_max)
+    }
+
     /// Makes the request a trial of quarantined parts.
     pub(crate) fn begin_trial(&self) {
         self.is_trial.set(true);
--- a/crates/relay/src/attempt_failure.rs
+++ b/crates/relay/src/attempt_failure.rs
@@ -28,6 +28,8 @@
     /// The answer isn't a valid answer to this request: it names another request, isn't signed,
     /// isn't a stream of consecutive events, or is too long.
     Foreign,
+    /// The stream ended properly without an event, which doesn't prove that none is missing.
+    Empty,
     /// A refusal that names no request came on a connection that has carried other requests. It may
     /// be an earlier refusal, written once more, so it proves nothing about this request.
     UnprovenRefusal,
@@ -51,6 +53,7 @@
             Self::Failed
             | Self::Broken
             | Self::Foreign
+            | Self::Empty
             | Self::UnprovenRefusal
             | Self::Silent
             | Self::Quarantined => true,
@@ -78,7 +81,7 @@
     pub(crate) fn weight(self) -> u32 {
         match self {
             Self::NotSent | Self::NotHeld | Self::Quarantined => 0,
-            Self::NotReserved | Self::Refused(_) | Self::Failed => 1,
+            Self::NotReserved | Self::Refused(_) | Self::Failed | Self::Empty => 1,
             Self::Broken | Self::Foreign | Self::UnprovenRefusal => 2,
             Self::NotConnected | Self::Down | Self::OtherServer | Self::Silent => 3,
         }
@@ -99,6 +102,7 @@
             | Self::NotHeld
             | Self::Failed
             | Self::Foreign
+            | Self::Empty
             | Self::Quarantined => false,
         }
     }
@@ -116,6 +120,7 @@
             Self::Failed => "failed",
             Self::Broken => "broken",
             Self::Foreign => "foreign",
+            Self::Empty => "empty",
             Self::UnprovenRefusal => "unproven_refusal",
             Self::Silent => "silent",
             Self::Quarantined => "quarantined",
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -20,7 +20,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        sync::mpsc::{Sender, channel},
+        sync::mpsc::Sender,
         time::{sleep, timeout},
     },
 };
@@ -76,7 +76,7 @@
 }
 
 impl<D: Dialect> EventStream<D> {
-    /// Returns a stream that continues after `last_event_id` with `first`.
+    /// Returns a stream that continues after `last_event_id` with `first`, or is complete without it.
     pub(crate) fn new(
         answering: AnsweringAttempt<D>,
         first: Option<Event>,
@@ -120,9 +120,8 @@
 
     /// Forwards the stream in a task of its own.
     pub(crate) fn spawn(self, relay: &Rc<Relay<D>>, admitted: AdmittedRequest) -> AnswerBody {
-        let (sender, receiver) = channel(CHANNEL_EVENTS_MAX);
-        tokio::task::spawn_local(self.run(Rc::clone(relay), admitted, sender));
-        AnswerBody::Chunks(receiver)
+        let relay = Rc::clone(relay);
+        AnswerBody::spawn(CHANNEL_EVENTS_MAX, |caller| self.run(relay, admitted, caller))
     }
 
     /// Takes the `next` event of a server that was silent and has sent something after all.
@@ -202,7 +201,7 @@
                 Ok(None) => return ForwardEnd::Complete,
                 Err(failure) => return ForwardEnd::Failed(failure),
             };
-            if !follows(self.last_event_id, event.id) {
+            if !event.follows(self.last_event_id) {
                 return ForwardEnd::Failed(AttemptFailure::Foreign);
             }
             if self.exceeds_token_limit(admitted) {
@@ -282,12 +281,3 @@
         stream = continuation => stream,
     }
 }
-
-/// True if an event numbered `id` may come after the one numbered `last`.
-fn follows(last: Option<u64>, id: Option<u64>) -> bool {
-    match (last, id) {
-        (Some(last), Some(id)) => id == last + 1,
-        (None, Some(_)) => true,
-        (_, None) => false,
-    }
-}
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -59,6 +59,8 @@
 const LISTEN_RETRY: Duration = Duration::from_millis(20);
 /// Events under way to a caller.
 const EVENTS_IN_HAND: usize = 4;
+/// Tokens of an event.
+const TOKENS_PER_EVENT: u64 = 5;
 
 /// What a server is.
 #[derive(Clone, Debug)]
@@ -71,7 +73,7 @@
     pub models: Vec<String>,
     /// Whether it runs models.
     pub is_engine: bool,
-    /// Events of a stream.
+    /// Least number of events of a stream; more if its caller asks for more tokens.
     pub events: u64,
     /// Pause between events, and before a whole answer.
     pub pause: Duration,
@@ -576,6 +578,8 @@
         }
         EngineFault::None
         | EngineFault::BreaksAfter(_)
+        | EngineFault::SpoilsResumed { .. }
+        | EngineFault::SendsInstead(_)
         | EngineFault::PausesAfter(_)
         | EngineFault::TricklesAfter(_)
         | EngineFault::Rejects
@@ -648,10 +652,15 @@
     sender: &Sender<io::Result<Bytes>>,
 ) -> bool {
     let first = terms.last_event_id.map_or(1, |last| last + 1);
-    for (sent, id) in (first..=shared.spec.events).enumerate() {
-        if fault == EngineFault::BreaksAfter(sent as u64) {
-            // The caller may have left.
-            let _ = sender.send(Err(broken())).await;
+    if let Some(text) = text_in_place_of_events(fault, terms) {
+        // The caller may have left.
+        let _ = sender.send(Ok(Bytes::from_static(text.as_bytes()))).await;
+        return false;
+    }
+    let last = shared.spec.events.max(u64::from(terms.output_tokens_max) / TOKENS_PER_EVENT);
+    for (sent, id) in (first..=last).enumerate() {
+        if breaks_after(fault) == Some(sent as u64) {
+            break_off(shared, sender).await;
             return false;
         }
         if fault == EngineFault::PausesAfter(sent as u64) {
@@ -667,5 +676,35 @@
             return false;
         }
     }
+    if breaks_after(fault) == Some(shared.spec.events) {
+        break_off(shared, sender).await;
+        return false;
+    }
     true
 }
+
+/// Breaks the connection once the events before have left.
+async fn break_off(shared: &Shared, sender: &Sender<io::Result<Bytes>>) {
+    sleep(shared.spec.pause).await;
+    // The caller may have left.
+    let _ = sender.send(Err(broken())).await;
+}
+
+/// Events of a stream after which a server with `fault` breaks off.
+fn breaks_after(fault: EngineFault) -> Option<u64> {
+    match fault {
+        EngineFault::BreaksAfter(events) | EngineFault::SpoilsResumed { events, .. } => {
+            Some(events)
+        }
+        _ => None,
+    }
+}
+
+/// What a server with `fault` sends in place of the events that `terms` ask for.
+fn text_in_place_of_events(fault: EngineFault, terms: &RequestMetadata) -> Option<&'static str> {
+    match fault {
+        EngineFault::SendsInstead(text) => Some(text),
+        EngineFault::SpoilsResumed { text, .. } => terms.last_event_id.map(|_| text),
+        _ => None,
+    }
+}
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -10,18 +10,23 @@
 mod engine;
 mod engine_fault;
 mod http;
+mod kept_connection;
+mod odd_rows;
 mod run_log;
 mod store;
 mod unframed;
 mod work;
 
 pub use self::{
-    caller::{Caller, Reply},
+    caller::{Caller, Reply, terms_lines},
     earlier_answer::{EarlierAnswer, RepeatedAt},
-    endless::{EndlessPart, EndlessServer, Pace},
+    endless::{EndlessPart, EndlessServer, Pace, marks},
     engine::{ServerSpec, SiteServer},
     engine_fault::EngineFault,
+    kept_connection::{KeptConnection, KeptOutcome},
+    odd_rows::{ODD_KEYS, leaving_entry, odd_entries, sound_entry},
     run_log::{Run, RunLog},
     store::{SiteStore, StoreFault},
     unframed::{UnframedEnd, UnframedServer},
 };
+pub use glade_adapter::row_fault::RowFault;
