Test what may stand in place of a resumed stream, byte by byte

The next engine's answer is written to the socket as it is: an empty answer, by length and in chunks, with a trailer; an error in a chunk, in place of a chunk, as JSON; an encoded one; one cut short; 204; 500. None of it may reach the caller, and no stream may look complete.

With the node binary of the test fails at the first of them (length 0: 200, three events, whole).

--- a/crates/standins/src/site/endless.rs
+++ b/crates/standins/src/site/endless.rs
@@ -128,8 +128,8 @@
     }
 }
 
-/// Header lines by which an answer belongs to `request`.
-pub(crate) fn marks(request: &str) -> String {
+/// Headers of `request`.
+pub(crate) fn headers(request: &str) -> HeaderMap {
     let mut sent = HeaderMap::new();
     for line in request.lines().skip(1) {
         let Some((name, value)) = line.split_once(": ") else { continue };
@@ -137,6 +137,12 @@
             sent.insert(name, value);
         }
     }
+    sent
+}
+
+/// Header lines by which an answer belongs to `request`.
+pub(crate) fn marks(request: &str) -> String {
+    let sent = headers(request);
     let request_id = stand_in::read_request_id(&sent).map(|id| RequestId::new(&id));
     let mut headers = HeaderMap::new();
     let marks = AnswerMetadata { request_id, signed: true, ..AnswerMetadata::default() };
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod engine_fault;
 mod http;
+mod raw;
 mod run_log;
 mod store;
 mod unframed;
@@ -19,6 +20,7 @@
     endless::{EndlessPart, EndlessServer, Pace},
     engine::{ServerSpec, SiteServer},
     engine_fault::EngineFault,
+    raw::{RawAnswer, RawServer},
     run_log::{Run, RunLog},
     store::{SiteStore, StoreFault},
     unframed::{UnframedEnd, UnframedServer},
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -7,8 +7,8 @@
         Route, Service, WeightedService,
     },
     glade_standins::site::{
-        Caller, EndlessPart, EndlessServer, EngineFault, Pace, Reply, RunLog, ServerSpec,
-        SiteServer, SiteStore, StoreFault, UnframedEnd, UnframedServer,
+        Caller, EndlessPart, EndlessServer, EngineFault, Pace, RawAnswer, RawServer, Reply, RunLog,
+        ServerSpec, SiteServer, SiteStore, StoreFault, UnframedEnd, UnframedServer,
     },
     glade_types::{ModelName, RequestId, RouteName, ServiceName},
     rustix::process::{Pid, Signal, kill_process},
@@ -419,6 +419,13 @@
         self.runtime.block_on(UnframedServer::spawn(pieces, end))
     }
 
+    /// Puts a server that always sends the same in the place of an engine.
+    pub fn replace_engine_by(&self, position: usize, answer: RawAnswer) -> RawServer {
+        let server = self.runtime.block_on(RawServer::spawn(answer));
+        self.engines[position].advertise(server.addr());
+        server
+    }
+
     /// Waits until `holds` is true.
     ///
     /// # Panics
--- a/crates/system/tests/short_streams.rs
+++ b/crates/system/tests/short_streams.rs
@@ -2,7 +2,7 @@
 
 use {
     glade_catalog::{Catalog, RequestMetadata, Route},
-    glade_standins::site::{Caller, EngineFault, Reply, UnframedEnd, UnframedServer},
+    glade_standins::site::{Caller, EngineFault, RawAnswer, Reply, UnframedEnd, UnframedServer},
     glade_system::site::{BATCH, CHAT, EVENTS, HOST, Site, catalog},
     glade_types::{ModelName, RequestId},
     std::time::{Duration, Instant},
@@ -85,6 +85,50 @@
     }
 }
 
+/// Answers that don't continue a stream after [`EVENTS_BEFORE_BREAK`] events.
+const NOT_RESUMED: [RawAnswer; 10] = [
+    RawAnswer { status: OK, headers: "content-length: 0\r\n", body: "" },
+    RawAnswer { status: OK, headers: CHUNKED, body: "0\r\n\r\n" },
+    RawAnswer { status: OK, headers: CHUNKED, body: "0\r\ngrpc-status: 13\r\n\r\n" },
+    RawAnswer { status: OK, headers: CHUNKED, body: "5\r\nerror\r\n0\r\n\r\n" },
+    RawAnswer { status: OK, headers: CHUNKED, body: "HTTP/1.1 500 Error\r\n\r\nerror" },
+    RawAnswer {
+        status: OK,
+        headers: "content-type: application/json\r\n",
+        body: "{\"error\":1}\n\n",
+    },
+    RawAnswer {
+        status: OK,
+        headers: "content-encoding: gzip\r\n",
+        body: "id: 4\ndata: token-4\n\n",
+    },
+    RawAnswer { status: OK, headers: "content-length: 99\r\n", body: "id: 4\ndata: tok" },
+    RawAnswer { status: "HTTP/1.1 204 No Content", headers: "", body: "" },
+    RawAnswer { status: "HTTP/1.1 500 Error", headers: "", body: "id: 4\ndata: token-4\n\n" },
+];
+const OK: &str = "HTTP/1.1 200 OK";
+const CHUNKED: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+
+#[test]
+fn a_stream_that_broke_off_doesnt_go_on_with_what_isnt_its_next_event() {
+    for answer in NOT_RESUMED {
+        let mut site = Site::start_unconfigured(0, &[&["m0"], &["m0"]]);
+        set_faults(&site, EngineFault::SpoilsResumed { events: EVENTS_BEFORE_BREAK, text: "" });
+        let server = site.replace_engine_by(1, answer);
+        site.add_node();
+        site.configure(1);
+        site.all_serve();
+        site.eventually("a stream is resumed there", || {
+            let (_id, reply) = send(&site, CHAT);
+            let is_whole = reply.status == 200 && reply.whole;
+            assert!(!is_whole, "{answer:?}: {reply:?}");
+            let is_part = events(EVENTS_BEFORE_BREAK).starts_with(&reply.body);
+            assert!(reply.status != 200 || is_part, "{answer:?}: {reply:?}");
+            server.resumes() > 0
+        });
+    }
+}
+
 #[test]
 fn a_stream_that_an_engine_resumes_without_events_goes_on_at_a_third() {
     for text in NO_EVENTS {
