--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod control;
 mod control_metrics;
+mod control_task;
+mod control_thread;
 mod demand_aggregator;
 mod directory_handler;
 mod endpoint_exchange;
@@ -36,9 +38,13 @@
 mod registry_update;
 mod reload;
 mod reloader;
+mod signals;
 mod start_exchange;
 mod status_page;
 mod store_health;
 mod table_watcher;
 
-pub use crate::node::{Node, NodeError};
+pub use crate::{
+    node::{Node, NodeError},
+    signals::Signals,
+};
--- a/crates/relay/src/connected_attempt.rs
+++ b/crates/relay/src/connected_attempt.rs
@@ -18,7 +18,7 @@
     glade_http::{Connection, HttpError},
     glade_types::BackendId,
     http_body_util::{BodyExt, Full, Limited},
-    hyper::{Request, StatusCode, header::CONTENT_ENCODING, http::response::Parts},
+    hyper::{Request, StatusCode, Uri, header::CONTENT_ENCODING, http::response::Parts},
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
@@ -33,6 +33,11 @@
 /// Largest accepted answer to a reservation request.
 const RESERVATION_BYTES_MAX: usize = 4 << 10;
 
+/// Statuses that promise a caller that its request hasn't run and never will. Another is 421, which
+/// no server's answer passes on.
+const PROMISE_STATUSES: [StatusCode; 3] =
+    [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
+
 /// An attempt that has a connection. Nothing of the request has been sent yet.
 #[derive(Debug)]
 pub(crate) struct ConnectedAttempt<D: Dialect> {
@@ -58,6 +63,26 @@
         Ok(Self { attempt, connection, reservation: None })
     }
 
+    /// Connects to the server of `attempt`, which is asked for a reservation if it makes any: on a new
+    /// connection, because the answer names neither the request nor the reservation that was asked
+    /// for, and must not be an earlier one.
+    ///
+    /// # Errors
+    ///
+    /// The connection can't be opened.
+    pub(crate) async fn open_to_reserve(
+        attempt: Attempt<D>,
+        admitted: &AdmittedRequest,
+    ) -> Result<Self, AttemptFailure> {
+        if reservation_max(admitted).is_zero() {
+            return Self::open(attempt, admitted).await;
+        }
+        let (relay, server) = (Rc::clone(attempt.relay()), attempt.server);
+        relay.log_sent(admitted, server);
+        let connection = relay.connect_new(server).await?;
+        Ok(Self { attempt, connection, reservation: None })
+    }
+
     pub(crate) fn server(&self) -> ServerIdx {
         self.attempt.server
     }
@@ -76,12 +101,15 @@
         let (relay, server) = (Rc::clone(attempt.relay()), attempt.server);
         let req = build_request(&relay, admitted, server, last_event_id, reservation.as_ref());
         let within = admitted.time_left(relay.clock.now());
+        let was_used = connection.is_used();
         let response = connection.send(req, within).await.map_err(AttemptFailure::from)?;
         let (head, body) = response.into_parts();
         let metadata = relay.dialect.read_answer_metadata(&head.headers);
         let expected_server = relay.dispatcher.borrow().record(server).key.id.clone();
-        relay.apply_answer_metadata(server, head.status, &metadata);
-        check_head(admitted, &expected_server, &head, &metadata)?;
+        let checked = check_head(admitted, &expected_server, was_used, &head, &metadata);
+        let is_own = checked.err().is_none_or(AttemptFailure::is_own_answer);
+        relay.apply_answer_metadata(server, head.status, &metadata, is_own);
+        checked?;
         Ok(AnsweringAttempt::new(attempt, head, connection, body))
     }
 
@@ -125,7 +153,7 @@
         let answer = self.connection.send(req, RESERVE_TIMEOUT).await;
         let (head, body) = answer.map_err(|err| failure_before_sending(&err))?.into_parts();
         let metadata = relay.dialect.read_answer_metadata(&head.headers);
-        relay.apply_answer_metadata(server, head.status, &metadata);
+        relay.apply_answer_metadata(server, head.status, &metadata, true);
         let is_expected_server = metadata.server.as_ref() == Some(&record.key.id);
         match head.status {
             // A server that is leaving may exit before it has served the request.
@@ -163,10 +191,9 @@
     reservation: Option<&Reservation>,
 ) -> Request<Full<Bytes>> {
     let head = &admitted.head;
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut req = Request::new(Full::new(admitted.body.clone()));
     *req.method_mut() = head.method.clone();
-    *req.uri_mut() = path.parse().expect("part of a URI that was read");
+    *req.uri_mut() = head.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
     let headers = req.headers_mut();
     *headers = head.headers.clone();
     hop_by_hop::strip(headers);
@@ -187,10 +214,12 @@
     req
 }
 
-/// Checks that an answer's head belongs to this request and can be passed on.
+/// Checks that an answer's head belongs to this request and can be passed on. `was_used` tells
+/// whether its connection had carried other requests.
 fn check_head(
     admitted: &AdmittedRequest,
     expected_server: &BackendId,
+    was_used: bool,
     head: &Parts,
     metadata: &AnswerMetadata,
 ) -> Result<(), AttemptFailure> {
@@ -198,6 +227,10 @@
     if metadata.request_id.as_ref().is_some_and(|id| *id != admitted.routed.id) {
         return Err(AttemptFailure::Foreign);
     }
+    let is_refusal = metadata.not_run || head.status == StatusCode::MISDIRECTED_REQUEST;
+    if is_refusal && metadata.request_id.is_none() && was_used {
+        return Err(AttemptFailure::UnprovenRefusal);
+    }
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         let is_expected_server = metadata.server.as_ref() == Some(expected_server);
         return Err(if is_expected_server {
@@ -209,6 +242,10 @@
     if metadata.not_run {
         return Err(AttemptFailure::Refused(head.status));
     }
+    if PROMISE_STATUSES.contains(&head.status) {
+        // Passed on, it would promise what the server hasn't stated.
+        return Err(AttemptFailure::Failed);
+    }
     let usable = metadata.signed
         && metadata.request_id.is_some()
         && !head.headers.contains_key(CONTENT_ENCODING);
@@ -227,6 +264,10 @@
         if let Some(connection) = idle {
             return Ok(connection);
         }
+        self.connect_new(server).await
+    }
+
+    async fn connect_new(&self, server: ServerIdx) -> Result<Connection, AttemptFailure> {
         let addr = self.dispatcher.borrow().record(server).addr;
         Connection::open(addr, CONNECT_TIMEOUT).await.map_err(AttemptFailure::from)
     }
--- a/crates/soak/src/harm.rs
+++ b/crates/soak/src/harm.rs
@@ -37,6 +37,11 @@
             | Fault::EngineStall { .. }
             | Fault::PlainStall { .. }
             | Fault::Configuration
+            | Fault::Restart { .. }
+            | Fault::ReloadChanged { .. }
+            | Fault::OddEntry { .. }
+            | Fault::Row { .. }
+            | Fault::ConfigurationRow(_)
             | Fault::Restore => {}
         }
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,14 +10,21 @@
 mod checks;
 mod crashing_part;
 mod harm;
+mod kept_callers;
+mod odd_store;
+mod oddities;
 mod plan;
 mod proxy;
+mod restarts;
+mod series;
 mod server_faults;
 mod soak;
 
 pub use crate::{
-    checks::{Seen, Violation, check, check_overlap},
+    checks::{Seen, Violation, check, check_overlap, check_unanswered},
+    oddities::{OddKey, OddValue, plan_oddities, plan_spoiled_streams},
     plan::{Fault, Planned, Stalls, Targets, plan, plan_stalls},
     proxy::{Link, Proxy},
+    series::{Series, plan_series},
     soak::{Report, Size, Soak},
 };
--- a/crates/standins/src/site/endless.rs
+++ b/crates/standins/src/site/endless.rs
@@ -141,7 +141,7 @@
 }
 
 /// Header lines by which an answer belongs to `request`.
-pub(crate) fn marks(request: &str) -> String {
+pub fn marks(request: &str) -> String {
     let sent = headers(request);
     let request_id = stand_in::read_request_id(&sent).map(|id| RequestId::new(&id));
     let mut headers = HeaderMap::new();
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -5,10 +5,13 @@
 //! callers and servers see rather than what the system says of itself.
 
 mod caller;
+mod earlier_answer;
 mod endless;
 mod engine;
 mod engine_fault;
 mod http;
+mod kept_connection;
+mod odd_rows;
 mod raw;
 mod run_log;
 mod store;
@@ -16,12 +19,16 @@
 mod work;
 
 pub use self::{
-    caller::{Caller, Reply},
-    endless::{EndlessPart, EndlessServer, Pace},
+    caller::{Caller, Reply, terms_lines},
+    earlier_answer::{EarlierAnswer, RepeatedAt},
+    endless::{EndlessPart, EndlessServer, Pace, marks},
     engine::{ServerSpec, SiteServer},
     engine_fault::EngineFault,
+    kept_connection::{KeptConnection, KeptOutcome},
+    odd_rows::{ODD_KEYS, leaving_entry, odd_entries, sound_entry},
     raw::{RawAnswer, RawServer},
     run_log::{Run, RunLog},
     store::{SiteStore, StoreFault},
     unframed::{UnframedEnd, UnframedServer},
 };
+pub use glade_adapter::row_fault::RowFault;
