--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -12,6 +12,7 @@
 mod http;
 mod kept_connection;
 mod odd_rows;
+mod raw;
 mod run_log;
 mod store;
 mod unframed;
@@ -25,6 +26,7 @@
     engine_fault::EngineFault,
     kept_connection::{KeptConnection, KeptOutcome},
     odd_rows::{ODD_KEYS, leaving_entry, odd_entries, sound_entry},
+    raw::{RawAnswer, RawServer},
     run_log::{Run, RunLog},
     store::{SiteStore, StoreFault},
     unframed::{UnframedEnd, UnframedServer},
