--- a/crates/relay/src/connected_attempt.rs
+++ b/crates/relay/src/connected_attempt.rs
@@ -18,7 +18,7 @@
     glade_http::{Connection, HttpError},
     glade_types::BackendId,
     http_body_util::{BodyExt, Full, Limited},
-    hyper::{Request, StatusCode, header::CONTENT_ENCODING, http::response::Parts},
+    hyper::{Request, StatusCode, Uri, header::CONTENT_ENCODING, http::response::Parts},
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::time::timeout,
 };
@@ -63,6 +63,26 @@
         Ok(Self { attempt, connection, reservation: None })
     }
 
+    /// Connects to the server of `attempt`, which is asked for a reservation if it makes any: on a new
+    /// connection, because the answer names neither the request nor the reservation that was asked
+    /// for, and must not be an earlier one.
+    ///
+    /// # Errors
+    ///
+    /// The connection can't be opened.
+    pub(crate) async fn open_to_reserve(
+        attempt: Attempt<D>,
+        admitted: &AdmittedRequest,
+    ) -> Result<Self, AttemptFailure> {
+        if reservation_max(admitted).is_zero() {
+            return Self::open(attempt, admitted).await;
+        }
+        let (relay, server) = (Rc::clone(attempt.relay()), attempt.server);
+        relay.log_sent(admitted, server);
+        let connection = relay.connect_new(server).await?;
+        Ok(Self { attempt, connection, reservation: None })
+    }
+
     pub(crate) fn server(&self) -> ServerIdx {
         self.attempt.server
     }
@@ -171,10 +191,9 @@
     reservation: Option<&Reservation>,
 ) -> Request<Full<Bytes>> {
     let head = &admitted.head;
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let mut req = Request::new(Full::new(admitted.body.clone()));
     *req.method_mut() = head.method.clone();
-    *req.uri_mut() = path.parse().expect("part of a URI that was read");
+    *req.uri_mut() = head.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
     let headers = req.headers_mut();
     *headers = head.headers.clone();
     hop_by_hop::strip(headers);
@@ -245,6 +264,10 @@
         if let Some(connection) = idle {
             return Ok(connection);
         }
+        self.connect_new(server).await
+    }
+
+    async fn connect_new(&self, server: ServerIdx) -> Result<Connection, AttemptFailure> {
         let addr = self.dispatcher.borrow().record(server).addr;
         Connection::open(addr, CONNECT_TIMEOUT).await.map_err(AttemptFailure::from)
     }
