--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -421,7 +421,8 @@
             if !ends_well {
                 let now = self.clock.now();
                 let ago = told.map(|told| format!(", told to end {:?} ago", now - told.at));
-                let seen = format!("node-{node}: {code}{}", ago.unwrap_or_default());
+                let other = if self.site.runs_other(node) { " of the other version" } else { "" };
+                let seen = format!("node-{node}{other}: {code}{}", ago.unwrap_or_default());
                 let promise = "no node ends by itself";
                 self.report.violations.push(Violation { promise, seen });
             }
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -224,6 +224,11 @@
         node.runs_other = !node.runs_other;
     }
 
+    /// True if a node runs the other version, if there is one.
+    pub fn runs_other(&self, position: usize) -> bool {
+        self.other_node.is_some() && self.nodes[position].runs_other
+    }
+
     /// True if the process of a node was started and not yet waited for.
     pub fn has_process(&self, position: usize) -> bool {
         self.nodes[position].child.is_some()
