Soak: check requests as they end also while the nodes settle

The exception for the end of a grace period goes by the time at which an answer is seen to be cut. During the settling time answers were looked at only at its end, up to 8 s later, so that an allowed cut would have been reported.

--- a/crates/soak/src/kept_callers.rs
+++ b/crates/soak/src/kept_callers.rs
@@ -51,13 +51,20 @@
         Self { callers: (0..callers).map(caller).collect(), clock }
     }
 
-    /// Sends the requests that are due, and returns those that have ended.
-    pub(crate) fn tick(&mut self, site: &Site, now: Duration) -> Vec<(SentRequest, KeptOutcome)> {
-        let ended = self.callers.iter_mut().filter_map(|caller| caller.end(site, now)).collect();
+    /// Sends the requests that are due.
+    pub(crate) fn send_due(&mut self, site: &Site, now: Duration) {
         for caller in &mut self.callers {
             caller.begin(site, now, self.clock.as_ref());
         }
-        ended
+    }
+
+    /// Returns the requests that have ended.
+    pub(crate) fn take_ended(
+        &mut self,
+        site: &Site,
+        now: Duration,
+    ) -> Vec<(SentRequest, KeptOutcome)> {
+        self.callers.iter_mut().filter_map(|caller| caller.end(site, now)).collect()
     }
 
     /// Waits for the requests that are under way.
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -187,7 +187,9 @@
                 self.send();
             }
             self.look();
-            self.use_kept_connections();
+            if let Some(callers) = &mut self.kept_callers {
+                callers.send_due(&self.site, self.now);
+            }
             self.site.pause(TICK);
             self.now += TICK;
         }
@@ -368,18 +370,10 @@
         self.sent.push(Sent { request, reply });
     }
 
-    /// Sends requests on kept connections, and checks those that have ended.
-    fn use_kept_connections(&mut self) {
-        let Some(callers) = &mut self.kept_callers else { return };
-        let ended = callers.tick(&self.site, self.now);
-        ended.into_iter().for_each(|(request, outcome)| self.check_kept(request, outcome));
-    }
-
     /// Checks the nodes, requests that have ended, and the engines.
     fn look(&mut self) {
         self.look_at_nodes();
-        let ended: Vec<Sent> = self.sent.extract_if(.., |sent| sent.reply.is_finished()).collect();
-        ended.into_iter().for_each(|sent| self.check(sent));
+        self.check_ended();
         if let Some(part) = &mut self.crashing_part {
             part.watch(self.now, &self.site.engines);
         }
@@ -407,6 +401,15 @@
         }
     }
 
+    /// Checks requests that have ended.
+    fn check_ended(&mut self) {
+        let ended: Vec<Sent> = self.sent.extract_if(.., |sent| sent.reply.is_finished()).collect();
+        ended.into_iter().for_each(|sent| self.check(sent));
+        let Some(callers) = &mut self.kept_callers else { return };
+        let ended = callers.take_ended(&self.site, self.now);
+        ended.into_iter().for_each(|(request, outcome)| self.check_kept(request, outcome));
+    }
+
     /// Starts nodes again that have ended. One that was told to end may have been told before it could
     /// listen to that.
     fn look_at_nodes(&mut self) {
@@ -502,6 +505,7 @@
         let settled_at = self.now + SETTLE_TIME;
         while self.now < settled_at || self.restarts.are_under_way() {
             self.look_at_nodes();
+            self.check_ended();
             self.site.pause(TICK);
             self.now += TICK;
         }
