Bound what deaf and stalled peers take from sound ones

A node whose peers had stopped could be mute and deaf for the others: a reviewer queued messages for eight peers that never read, after which none for a sound peer was taken, and half of four large frames held up a sound peer's large frame for 9.7 s.

Cause: the bytes that may be queued for all peers had no part reserved for each, and a large frame kept its place for 10 s whether bytes came or not. At its limit of connections the inbox rejected new ones in favour of stale ones.

Change: 64 KiB are reserved for each peer beside the room that all share; a large frame whose bytes stop for 1 s gives up its place, and the wait for a place doesn't count against its sender; a new connection replaces the oldest.

--- a/crates/wire/src/inbox.rs
+++ b/crates/wire/src/inbox.rs
@@ -8,32 +8,36 @@
         transport::{FRAME_BYTES_MAX, FRAME_HEADER_BYTES, IDLE_TIMEOUT_RECEIVER},
     },
     serde::de::DeserializeOwned,
-    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::VecDeque, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         io::{AsyncRead, AsyncReadExt, BufReader},
         net::{TcpListener, TcpSocket, TcpStream},
         runtime::Handle,
         sync::Semaphore,
-        task::{AbortHandle, JoinSet},
+        task::{AbortHandle, JoinError, JoinSet},
         time::{sleep, timeout},
     },
 };
 
 /// Connections that wait to be accepted. All peers may connect at once.
 const BACKLOG: u32 = 1024;
-/// Most connections. Further ones are closed as soon as they are accepted.
-const CONNECTIONS_MAX: usize = 1024;
+/// Most connections, well below the descriptors that a process usually has. A further one replaces the
+/// oldest, which its peer opens again if it still needs it.
+const CONNECTIONS_MAX: usize = 512;
 /// Pause after accepting a connection failed, which usually means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Bytes of a connection that are read ahead, so that a small frame takes one read.
 const READ_AHEAD_BYTES: usize = 2 << 10;
 /// Frames of more than [`LARGE_FRAME_BYTES`] that are received at a time, over all connections. They
 /// bound the memory that peers can claim.
-const LARGE_FRAMES_MAX: usize = 4;
+const LARGE_FRAMES_MAX: usize = 8;
 /// Size above which a frame is a large one.
 const LARGE_FRAME_BYTES: usize = 64 << 10;
-/// Time limit for a frame, from its first byte to its last.
+/// Time limit for a frame's header, and for the rest of the frame once there is room for it.
 const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time limit for further bytes of a frame, so that peers that stop in the middle of large frames don't
+/// keep others from sending theirs.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Receives messages in tasks of a runtime. Dropping the inbox closes its connections.
 #[derive(Debug)]
@@ -102,27 +106,32 @@
     F: Fn(&[u8]) -> Result<(), WireError> + Send + Sync + 'static,
 {
     let mut connections = JoinSet::new();
+    let mut oldest_first: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             Some(ended) = connections.join_next() => {
-                if let Err(err) = ended {
+                if let Some(err) = ended.err().filter(JoinError::is_panic) {
                     log::error!("a connection of a peer was given up: {err}");
                 }
+                oldest_first.retain(|connection| !connection.is_finished());
                 continue;
             }
         };
         match accepted {
-            Ok((_, peer)) if connections.len() >= CONNECTIONS_MAX => {
-                log::warn!("rejected a connection of {peer}: {CONNECTIONS_MAX} are open");
-            }
             Ok((stream, peer)) => {
+                if oldest_first.len() >= CONNECTIONS_MAX
+                    && let Some(oldest) = oldest_first.pop_front()
+                {
+                    log::warn!("closed the oldest of {CONNECTIONS_MAX} connections of peers");
+                    oldest.abort();
+                }
                 let receiver = Arc::clone(&receiver);
-                connections.spawn(async move {
+                oldest_first.push_back(connections.spawn(async move {
                     if let Err(err) = receiver.receive(stream).await {
                         log::debug!("connection of peer {peer} ended: {err}");
                     }
-                });
+                }));
             }
             Err(err) => {
                 log::warn!("can't accept a connection of a peer: {err}");
@@ -148,34 +157,39 @@
             if timeout(IDLE_TIMEOUT_RECEIVER, reader.read(&mut header[..1])).await?? == 0 {
                 return Ok(());
             }
-            let rest = self.receive_rest(&mut reader, &mut header, &mut frame);
-            timeout(FRAME_TIMEOUT, rest).await??;
+            timeout(FRAME_TIMEOUT, reader.read_exact(&mut header[1..])).await??;
+            self.receive_body(&mut reader, u64::from_be_bytes(header), &mut frame).await?;
+            if let Err(err) = (self.on_frame)(&frame) {
+                log::debug!("dropped a message from a peer: {err}");
+            }
+            frame.clear();
+            frame.shrink_to(READ_AHEAD_BYTES);
         }
     }
 
-    /// Receives the frame whose header's first byte has arrived, and passes it on.
-    async fn receive_rest(
+    /// Receives the `len` bytes that follow a header into `frame`.
+    async fn receive_body(
         &self,
         reader: &mut (impl AsyncRead + Unpin),
-        header: &mut [u8; FRAME_HEADER_BYTES],
+        len: u64,
         frame: &mut Vec<u8>,
     ) -> io::Result<()> {
-        reader.read_exact(&mut header[1..]).await?;
-        let len = usize::try_from(u64::from_be_bytes(*header)).unwrap_or(usize::MAX);
+        let len = usize::try_from(len).unwrap_or(usize::MAX);
         if len > FRAME_BYTES_MAX {
             return Err(io::Error::new(io::ErrorKind::InvalidData, "frame is too long"));
         }
         let is_large = len > LARGE_FRAME_BYTES;
         let _permit = if is_large { self.large_frames.acquire().await.ok() } else { None };
         // The buffer grows with the bytes that arrive, not with the length that the peer announces.
-        if reader.take(len as u64).read_to_end(frame).await? < len {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        if let Err(err) = (self.on_frame)(frame) {
-            log::debug!("dropped a message from a peer: {err}");
-        }
-        frame.clear();
-        frame.shrink_to(READ_AHEAD_BYTES);
-        Ok(())
+        let mut body = reader.take(len as u64);
+        let receive = async {
+            while frame.len() < len {
+                if timeout(STALL_TIMEOUT, body.read_buf(frame)).await?? == 0 {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+            }
+            Ok(())
+        };
+        timeout(FRAME_TIMEOUT, receive).await?
     }
 }
--- a/crates/wire/src/outbox.rs
+++ b/crates/wire/src/outbox.rs
@@ -4,7 +4,7 @@
     crate::{
         error::WireError,
         frame,
-        peer_sender::{PeerSender, SendQueueBytes},
+        peer_sender::{PeerSender, SharedQueueBytes},
         transport::FRAME_BYTES_MAX,
     },
     serde::Serialize,
@@ -22,7 +22,7 @@
 pub struct Outbox {
     runtime: Handle,
     senders: HashMap<SocketAddr, PeerSender>,
-    queue_bytes: SendQueueBytes,
+    shared_queue_bytes: SharedQueueBytes,
     dropped: AtomicU64,
     sent_bytes: AtomicU64,
 }
@@ -33,7 +33,7 @@
         Self {
             runtime,
             senders: HashMap::new(),
-            queue_bytes: SendQueueBytes::new(),
+            shared_queue_bytes: SharedQueueBytes::new(),
             dropped: AtomicU64::new(0),
             sent_bytes: AtomicU64::new(0),
         }
@@ -73,8 +73,10 @@
             self.senders.retain(|_, sender| is_open(sender));
             self.senders.insert(addr, PeerSender::spawn(&self.runtime, addr));
         }
-        let is_queued =
-            self.senders.get(&addr).is_some_and(|sender| sender.queue(&self.queue_bytes, bytes));
+        let is_queued = self
+            .senders
+            .get(&addr)
+            .is_some_and(|sender| sender.queue(&self.shared_queue_bytes, bytes));
         if is_queued { Ok(()) } else { Err(WireError::Dropped { addr }) }
     }
 
--- a/crates/wire/src/peer_sender.rs
+++ b/crates/wire/src/peer_sender.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         handshake::PipelineEnd,
-        transport::{FRAME_BYTES_MAX, FRAME_HEADER_BYTES, IDLE_TIMEOUT_SENDER},
+        transport::{FRAME_HEADER_BYTES, IDLE_TIMEOUT_SENDER},
     },
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
@@ -21,10 +21,11 @@
 
 /// Most messages queued for one peer. Further messages are dropped.
 const QUEUE_LEN_MAX: usize = 128;
-/// Most bytes queued for one peer.
-const QUEUE_BYTES_MAX: usize = FRAME_BYTES_MAX;
-/// Most bytes queued for all peers, so that many peers that don't receive can't take all memory.
-const ALL_QUEUES_BYTES_MAX: usize = 16 << 20;
+/// Bytes that may be queued for a peer whatever is queued for others.
+const RESERVED_QUEUE_BYTES: usize = 64 << 10;
+/// Most bytes queued for all peers beyond what is reserved for each, so that many peers that don't
+/// receive can't take all memory.
+const SHARED_QUEUE_BYTES_MAX: usize = 16 << 20;
 /// Time limit for a connection to be established: a SYN that was lost is sent again after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Shortest delay before another attempt to connect.
@@ -34,15 +35,15 @@
 /// Time limit for writing one frame. A peer that reads nothing for so long is as good as gone.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Bytes that may still be queued for all peers.
+/// Bytes that may still be queued for all peers, beyond what is reserved for each.
 #[derive(Clone, Debug)]
-pub(crate) struct SendQueueBytes {
+pub(crate) struct SharedQueueBytes {
     left: Arc<Semaphore>,
 }
 
-impl SendQueueBytes {
+impl SharedQueueBytes {
     pub(crate) fn new() -> Self {
-        Self { left: Arc::new(Semaphore::new(ALL_QUEUES_BYTES_MAX)) }
+        Self { left: Arc::new(Semaphore::new(SHARED_QUEUE_BYTES_MAX)) }
     }
 }
 
@@ -50,8 +51,7 @@
 #[derive(Debug)]
 struct QueuedFrame {
     bytes: Vec<u8>,
-    _of_peer: OwnedSemaphorePermit,
-    _of_all: OwnedSemaphorePermit,
+    _permit: OwnedSemaphorePermit,
 }
 
 /// A queue of messages to one peer and the task that sends them. Dropping the sender closes the
@@ -59,7 +59,7 @@
 #[derive(Debug)]
 pub(crate) struct PeerSender {
     queue: Sender<QueuedFrame>,
-    bytes_left: Arc<Semaphore>,
+    reserved_bytes_left: Arc<Semaphore>,
     task: AbortHandle,
 }
 
@@ -68,8 +68,8 @@
     pub(crate) fn spawn(runtime: &Handle, addr: SocketAddr) -> Self {
         let (queue, frames) = channel(QUEUE_LEN_MAX);
         let task = runtime.spawn(Connector { addr, frames }.run());
-        let bytes_left = Arc::new(Semaphore::new(QUEUE_BYTES_MAX));
-        Self { queue, bytes_left, task: task.abort_handle() }
+        let reserved_bytes_left = Arc::new(Semaphore::new(RESERVED_QUEUE_BYTES));
+        Self { queue, reserved_bytes_left, task: task.abort_handle() }
     }
 
     /// True if the task has ended, because nothing was sent for [`IDLE_TIMEOUT_SENDER`].
@@ -78,17 +78,16 @@
     }
 
     /// Queues `frame`, and returns whether there was room for it.
-    pub(crate) fn queue(&self, all: &SendQueueBytes, frame: &[u8]) -> bool {
+    pub(crate) fn queue(&self, shared: &SharedQueueBytes, frame: &[u8]) -> bool {
         let Ok(len) = u32::try_from(frame.len()) else { return false };
-        let Ok(of_peer) = Arc::clone(&self.bytes_left).try_acquire_many_owned(len) else {
-            return false;
-        };
-        let Ok(of_all) = Arc::clone(&all.left).try_acquire_many_owned(len) else { return false };
+        let reserved = Arc::clone(&self.reserved_bytes_left).try_acquire_many_owned(len);
+        let permit = reserved.or_else(|_| Arc::clone(&shared.left).try_acquire_many_owned(len));
+        let Ok(permit) = permit else { return false };
         let Ok(slot) = self.queue.try_reserve() else { return false };
         let mut bytes = Vec::with_capacity(FRAME_HEADER_BYTES + frame.len());
         bytes.extend_from_slice(&(frame.len() as u64).to_be_bytes());
         bytes.extend_from_slice(frame);
-        slot.send(QueuedFrame { bytes, _of_peer: of_peer, _of_all: of_all });
+        slot.send(QueuedFrame { bytes, _permit: permit });
         true
     }
 }
