Report loads again that the control thread may have missed

Other nodes could keep believing in a load that is gone, or not know of one: a report that found the control thread's queue full counted as made, and a control that starts again after a panic has none until loads change.

Found by reading; there is no test of its own. The product of events and tokens of a stream saturates.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -153,11 +153,14 @@
         Self { events, is_shutting_down: Arc::default() }
     }
 
-    /// Queues an event for the control thread. The event is dropped if the queue is full.
-    pub(crate) fn send(&self, event: Event) {
-        if self.events.try_send(event).is_err() {
+    /// Queues an event for the control thread. The event is dropped if the queue is full; returns
+    /// whether it was queued.
+    pub(crate) fn send(&self, event: Event) -> bool {
+        let is_queued = self.events.try_send(event).is_ok();
+        if !is_queued {
             log::warn!("control_behind");
         }
+        is_queued
     }
 
     /// Has the control thread shut down, at its next tick if the queue is full.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -54,6 +54,9 @@
 const REPORT_INTERVAL_MIN: Duration = Duration::from_millis(5);
 /// Number of load reports for each demand report.
 const LOADS_PER_DEMAND: u32 = 5;
+/// Number of load reports after which loads are reported although they haven't changed, because the
+/// control thread may have started again.
+const LOADS_PER_REPEAT: u32 = 20;
 
 /// Part of the grace time that is reserved for the end of the process itself.
 const GRACE_RESERVE: Duration = Duration::from_millis(500);
@@ -175,7 +178,9 @@
     bind_page(listen.metrics, metrics_page(&metrics)).await.map_err(bind_error(listen.metrics))?;
     let view = Arc::clone(&published.view);
     let events = control.clone();
-    let on_update = Box::new(move |update| events.send(Event::TrafficUpdate(update)));
+    let on_update = Box::new(move |update| {
+        events.send(Event::TrafficUpdate(update));
+    });
     let retry_limit = retry_limit(&settings);
     let rng = fastrand::Rng::new();
     let meter = metrics.meter();
@@ -346,15 +351,19 @@
     for count in 0_u32.. {
         ticks.tick().await;
         let present_loads = relay.loads();
-        let loads = (present_loads != last_reported).then(|| present_loads.clone());
-        last_reported = present_loads;
+        let is_repeated = count.is_multiple_of(LOADS_PER_REPEAT) && !present_loads.is_empty();
+        let is_due = is_repeated || present_loads != last_reported;
+        let loads = is_due.then(|| present_loads.clone());
         let demand = if count.is_multiple_of(LOADS_PER_DEMAND) {
             relay.take_demand()
         } else {
             DemandReport::default()
         };
         if loads.is_some() || !demand.models.is_empty() {
-            control.send(Event::TrafficReport(TrafficReport { loads, demand }));
+            let is_queued = control.send(Event::TrafficReport(TrafficReport { loads, demand }));
+            if is_queued && is_due {
+                last_reported = present_loads;
+            }
         }
     }
 }
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -252,7 +252,7 @@
     /// Reports the throughput, logs the end of the stream and returns the connection to the pool.
     fn finish(self, relay: &Relay<D>, admitted: &AdmittedRequest) {
         let later_events = self.events.saturating_sub(1);
-        let tokens = later_events * admitted.open_request.spec.tokens_per_event;
+        let tokens = later_events.saturating_mul(admitted.open_request.spec.tokens_per_event);
         let time = relay.clock.now().saturating_duration_since(self.first_event_at);
         let tokens_per_event = admitted.open_request.spec.tokens_per_event.max(1);
         let decode_step = self.min_event_gap.map(|gap| gap / tokens_per_event);
