Tests: don't check ports while a process is being started

Cause: a test checks that a port is free by listening on it for a moment. A process that another thread starts at that moment holds that socket until it runs its program, so that the port is still taken when the node listens on it.

Change: checks of ports and starts of processes exclude each other.

--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -21,7 +21,7 @@
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         sync::{
-            OnceLock,
+            Mutex, MutexGuard, OnceLock, PoisonError,
             atomic::{AtomicU32, Ordering},
         },
         thread,
@@ -210,6 +210,7 @@
                 command.stdout(out.try_clone().expect("a log file")).stderr(out);
             }
         }
+        let _lock = lock_port_checks();
         node.child = Some(command.spawn().expect("the node can be started"));
     }
 
@@ -659,7 +660,10 @@
         let offset = 1 + NEXT.fetch_add(1, Ordering::Relaxed) % (PORTS_A_PROCESS - 1);
         loopback(first + offset as u16)
     })
-    .filter(|addr| TcpListener::bind(addr).is_ok());
+    .filter(|addr| {
+        let _lock = lock_port_checks();
+        TcpListener::bind(addr).is_ok()
+    });
     let mut take = || free.next().expect("the sequence has no end");
     NodeAddrs {
         callers: take(),
@@ -670,6 +674,13 @@
     }
 }
 
+/// Keeps checks of ports and starts of processes apart: a process that is being started holds the
+/// sockets of this one until it runs its program, and with them a port that is being checked.
+fn lock_port_checks() -> MutexGuard<'static, ()> {
+    static LOCK: Mutex<()> = Mutex::new(());
+    LOCK.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// First of a block of ports that is this process's own for as long as it runs. Other tests may run
 /// beside this one, and the ports of a node that was killed must be free when it starts again.
 fn own_ports() -> u16 {
