--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -29,7 +29,8 @@
 }
 
 impl Catalog {
-    /// Indexes a configuration, with all numbers bounded. Every new configuration has a higher version than the one before.
+    /// Indexes a configuration, with all numbers bounded. Every new configuration has a higher version
+    /// than the one before.
     pub fn new(
         version: u64,
         limits: CallerLimits,
--- a/crates/node/src/engine_client.rs
+++ b/crates/node/src/engine_client.rs
@@ -34,7 +34,8 @@
         Rc::new(Self { pool: Pool::with_max_answer_bytes(ANSWER_BYTES_MAX), events })
     }
 
-    /// Sends an order, on a new connection: an answer to an order doesn't name it. The answer arrives as an [`Event::OrderAnswered`].
+    /// Sends an order, on a new connection, because an answer to an order doesn't name it. The answer
+    /// arrives as an [`Event::OrderAnswered`].
     pub(crate) fn send_order(self: &Rc<Self>, order: EngineOrder) {
         let client = Rc::clone(self);
         spawn_task(&self.events, async move {
--- a/crates/soak/src/restarts/tests.rs
+++ b/crates/soak/src/restarts/tests.rs
@@ -1,3 +1,5 @@
+//! Which ends of nodes are told from those that the soak asked for.
+
 use super::*;
 
 const TICK: Duration = Duration::from_secs(10);
