--- a/crates/soak/src/harm/tests.rs
+++ b/crates/soak/src/harm/tests.rs
@@ -1,3 +1,5 @@
+//! What counts as harmed, and for how long.
+
 use super::*;
 
 const AT: Duration = Duration::from_secs(10);
--- a/crates/soak/src/server_faults/tests.rs
+++ b/crates/soak/src/server_faults/tests.rs
@@ -1,3 +1,5 @@
+//! Which of several faults of a server is in force.
+
 use super::*;
 
 #[test]
