Log what servers state about their limits

server_limit_named, server_limit_changed, server_limit_ended and, once a minute a server, server_limit_unreadable; request_sent has limit_per_s.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -69,6 +69,8 @@
     pub decode_step_s: f64,
     /// Whether the server is in this VM's data centre.
     pub same_data_centre: bool,
+    /// Limit that the server names, in requests per second.
+    pub limit_per_s: Option<f64>,
 }
 
 /// Decides for all requests of one VM.
@@ -376,6 +378,7 @@
             slowness: server.speed.slowness(),
             decode_step_s: server.speed.decode_step_s(),
             same_data_centre: server.view.same_data_centre,
+            limit_per_s: server.limit.get().map(|(rate, _)| rate),
         }
     }
 
--- a/crates/dispatch/src/outcomes.rs
+++ b/crates/dispatch/src/outcomes.rs
@@ -10,6 +10,7 @@
         server::ServerIdx,
     },
     glade_catalog::{ServerKey, base_model_of},
+    glade_limit::{LimitChange, StatedLimit},
     std::time::{Duration, Instant},
 };
 
@@ -140,6 +141,17 @@
         is_new.then(|| server.view.record.key.clone())
     }
 
+    /// Records what an answer to a request sent at `sent_at` has stated about its server's limit.
+    pub fn record_stated_limit(
+        &mut self,
+        now: Instant,
+        idx: ServerIdx,
+        sent_at: Instant,
+        stated: StatedLimit,
+    ) -> Option<LimitChange> {
+        self.servers[idx.get()].limit.record(now, sent_at, stated)
+    }
+
     /// Records that a server asked for no requests from this VM for `time`. Returns how much of
     /// that time is respected.
     pub fn back_off(&mut self, now: Instant, idx: ServerIdx, time: Duration) -> Duration {
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -6,6 +6,7 @@
         cluster_view::ServerView, health::Health, load::Load, prompt_log::PromptLog,
         remote_prompts::RemotePrompts, speed::Speed,
     },
+    glade_limit::KnownLimit,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -63,6 +64,8 @@
     pub(crate) health: Health,
     /// Measured speed.
     pub(crate) speed: Speed,
+    /// Rate limit that the server names in its answers.
+    pub(crate) limit: KnownLimit,
 }
 
 impl Server {
@@ -79,6 +82,7 @@
             remote_prompts: RemotePrompts::default(),
             health: Health::default(),
             speed: Speed::default(),
+            limit: KnownLimit::default(),
         }
     }
 
--- a/crates/relay/src/answer_metadata.rs
+++ b/crates/relay/src/answer_metadata.rs
@@ -11,8 +11,9 @@
         traffic_update::TrafficUpdate,
     },
     glade_dispatch::ServerIdx,
+    glade_limit::{LimitChange, StatedLimit},
     hyper::StatusCode,
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 impl<D: Dialect> Relay<D> {
@@ -54,4 +55,34 @@
         log::info!(server = id, time_ms = time_ms; "server_closed");
         (self.on_update)(TrafficUpdate::ServerBackoff(dispatcher.record(server).key.clone(), time));
     }
+
+    /// Applies the limit that an answer to a request which was sent to `server` at `sent_at` has
+    /// stated.
+    pub(crate) fn apply_stated_limit(
+        &self,
+        server: ServerIdx,
+        sent_at: Instant,
+        stated: StatedLimit,
+    ) {
+        let now = self.clock.now();
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        let Some(change) = dispatcher.record_stated_limit(now, server, sent_at, stated) else {
+            return;
+        };
+        let id = dispatcher.record(server).key.id.as_str();
+        let per_s = match stated {
+            StatedLimit::PerSecond(rate) => Some(rate),
+            StatedLimit::None | StatedLimit::Unreadable => None,
+        };
+        match change {
+            LimitChange::Named => log::warn!(server = id, per_s = per_s; "server_limit_named"),
+            LimitChange::Changed { before } => {
+                log::warn!(server = id, per_s = per_s, before = before; "server_limit_changed");
+            }
+            LimitChange::Ended { before } => {
+                log::info!(server = id, before = before; "server_limit_ended");
+            }
+            LimitChange::Unreadable => log::warn!(server = id; "server_limit_unreadable"),
+        }
+    }
 }
--- a/crates/relay/src/connected_attempt.rs
+++ b/crates/relay/src/connected_attempt.rs
@@ -16,6 +16,7 @@
     glade_catalog::RetryPolicy,
     glade_dispatch::ServerIdx,
     glade_http::{Connection, HttpError},
+    glade_limit::StatedLimit,
     glade_types::BackendId,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{Request, StatusCode, Uri, header::CONTENT_ENCODING, http::response::Parts},
@@ -102,6 +103,7 @@
         let req = build_request(&relay, admitted, server, last_event_id, reservation.as_ref());
         let within = admitted.time_left(relay.clock.now());
         let was_used = connection.is_used();
+        let sent_at = relay.clock.now();
         let response = connection.send(req, within).await.map_err(AttemptFailure::from)?;
         let (head, body) = response.into_parts();
         let metadata = relay.dialect.read_answer_metadata(&head.headers);
@@ -109,6 +111,9 @@
         let checked = check_head(admitted, &expected_server, was_used, &head, &metadata);
         let is_own = checked.err().is_none_or(AttemptFailure::is_own_answer);
         relay.apply_answer_metadata(server, head.status, &metadata, is_own);
+        if is_own {
+            relay.apply_stated_limit(server, sent_at, metadata.rate_limit);
+        }
         checked?;
         Ok(AnsweringAttempt::new(attempt, head, connection, body))
     }
@@ -150,10 +155,15 @@
             tokens: u64::from(spec.prompt_tokens) + u64::from(spec.output_tokens),
             ttl: RESERVATION_TTL.min(reservation_max(admitted)),
         });
+        let sent_at = relay.clock.now();
         let answer = self.connection.send(req, RESERVE_TIMEOUT).await;
         let (head, body) = answer.map_err(|err| failure_before_sending(&err))?.into_parts();
         let metadata = relay.dialect.read_answer_metadata(&head.headers);
         relay.apply_answer_metadata(server, head.status, &metadata, true);
+        // Only answers to requests tell that a limit has ended.
+        if metadata.rate_limit != StatedLimit::None {
+            relay.apply_stated_limit(server, sent_at, metadata.rate_limit);
+        }
         let is_expected_server = metadata.server.as_ref() == Some(&record.key.id);
         match head.status {
             // A server that is leaving may exit before it has served the request.
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -5,6 +5,7 @@
     crate::reservation::{Reservation, ReservationParams},
     bytes::Bytes,
     glade_catalog::RequestMetadata,
+    glade_limit::StatedLimit,
     glade_types::{BackendId, RequestId},
     http_body_util::Full,
     hyper::{HeaderMap, Request},
@@ -27,7 +28,7 @@
 }
 
 /// Metadata in the headers of a server's answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerMetadata {
     /// The request that is answered.
     pub request_id: Option<RequestId>,
@@ -41,6 +42,8 @@
     pub leaving: bool,
     /// Time for which the server accepts no requests from this VM. Sent with rejections.
     pub backoff: Option<Duration>,
+    /// What the answer says of the rate of requests that the server takes.
+    pub rate_limit: StatedLimit,
 }
 
 /// A header of a request can't be parsed.
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -35,7 +35,8 @@
             slowness = inputs.slowness,
             step_us = (inputs.decode_step_s * 1e6) as u64,
             near = inputs.same_data_centre,
-            failed_share = inputs.failed_share;
+            failed_share = inputs.failed_share,
+            limit_per_s = inputs.limit_per_s;
             "request_sent"
         );
     }
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -19,6 +19,7 @@
         EngineReport, OrderAnswer, OrderKind, RequestMetadata, Residence, ServerKey, ServerRecord,
         ServerState, base_model_of, is_adapter,
     },
+    glade_limit::StatedLimit,
     glade_relay::{AnswerMetadata, Dialect},
     glade_types::{BackendId, DataCentre, ModelName, ServiceName},
     http_body_util::BodyExt,
@@ -96,6 +97,8 @@
     reservations_made: u64,
     /// Least length of a whole answer.
     answer_bytes: usize,
+    /// What its answers state as its limit, a value a line.
+    limit_text: Option<String>,
     /// Part of a prompt on which it crashes as it begins to answer, unless the part is the last.
     crash_part: Option<u64>,
     /// Times that a request has crashed it.
@@ -163,6 +166,7 @@
             reservations: BTreeSet::new(),
             reservations_made: 0,
             answer_bytes: 0,
+            limit_text: None,
             crash_part: None,
             crashes: 0,
             is_down: false,
@@ -186,6 +190,11 @@
         self.shared.lock().crash_part = part;
     }
 
+    /// States a limit in all answers to requests, as the lines of `text`; none if that is `None`.
+    pub fn state_limit(&self, text: Option<&str>) {
+        self.shared.lock().limit_text = text.map(str::to_owned);
+    }
+
     /// Times that a request has crashed the server.
     pub fn crashes(&self) -> u64 {
         self.shared.lock().crashes
@@ -362,6 +371,7 @@
             signed,
             leaving: self.lock().says_leaving,
             backoff: None,
+            rate_limit: StatedLimit::None,
         }
     }
 
@@ -377,6 +387,9 @@
         let mut response = Response::new(body);
         *response.status_mut() = status;
         stand_in::write_answer_metadata(response.headers_mut(), marks);
+        if let Some(text) = &self.lock().limit_text {
+            stand_in::write_limit_text(response.headers_mut(), text);
+        }
         response
     }
 
--- a/crates/standins/src/site/run_log.rs
+++ b/crates/standins/src/site/run_log.rs
@@ -5,7 +5,7 @@
     std::{
         collections::BTreeSet,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::time::sleep,
 };
@@ -44,6 +44,8 @@
     /// Requests that were rejected, each with the server.
     rejections: Vec<(String, String)>,
     places: Vec<Place>,
+    /// Requests that have reached a server, each with the server and the time.
+    arrivals: Vec<(String, Instant)>,
 }
 
 /// A place that a server has kept.
@@ -79,6 +81,13 @@
         runs + entries.rejections.iter().filter(|(id, _)| id == request_id).count()
     }
 
+    /// When requests have reached `server`, in their order.
+    pub fn arrival_times(&self, server: &str) -> Vec<Instant> {
+        let entries = self.lock();
+        let at_server = entries.arrivals.iter().filter(|(name, _)| name == server);
+        at_server.map(|(_, at)| *at).collect()
+    }
+
     /// Servers that have run or rejected a request, or kept a place that nobody came for, of those after
     /// the first `places_before`: it may have been this request's.
     pub fn servers_of(&self, request_id: &str, places_before: usize) -> BTreeSet<String> {
@@ -101,6 +110,7 @@
         let mut entries = self.lock();
         let position = entries.runs.len();
         let is_elsewhere = entries.is_worked_on(&run.request_id, position);
+        entries.arrivals.push((run.server.clone(), Instant::now()));
         entries.runs.push(run);
         if is_elsewhere {
             tokio::spawn(self.clone().watch_overlap(position));
@@ -121,7 +131,9 @@
 
     /// A server rejects a request.
     pub(crate) fn reject(&self, request_id: &str, server: &str) {
-        self.lock().rejections.push((request_id.to_owned(), server.to_owned()));
+        let mut entries = self.lock();
+        entries.arrivals.push((server.to_owned(), Instant::now()));
+        entries.rejections.push((request_id.to_owned(), server.to_owned()));
     }
 
     /// A server keeps a place.
