--- a/crates/dispatch/benches/decide.rs
+++ b/crates/dispatch/benches/decide.rs
@@ -40,6 +40,7 @@
             held_tokens: 9_000,
             waiting_hundredths: 0,
         },
+        limit: None,
     };
     let view = ClusterView {
         catalog: None,
@@ -52,7 +53,7 @@
     };
     let limit = RetryLimit { share: 0.2, window: Duration::from_secs(10), reserve: 600.0 };
     let mut dispatcher = Dispatcher::new(limit, 1);
-    dispatcher.update_view(&view);
+    dispatcher.update_view(Instant::now(), &view);
     dispatcher
 }
 
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -5,6 +5,7 @@
     crate::{
         cost::{cost_s, hash_with_seed, predicted_first_byte_s, stalls_streams, unit_fraction},
         dispatcher::Dispatcher,
+        limits::limited_retry_after,
         request_spec::RequestSpec,
         server::{Server, ServerIdx},
         server_queues::QueuePriority,
@@ -51,6 +52,8 @@
 struct DelayedServer {
     /// Remaining time for which the server asked this VM for no requests, in seconds.
     backoff_s: f64,
+    /// Expected time until this VM gets a permit for the server, in seconds.
+    permit_s: f64,
     /// Predicted time to the first byte, in seconds.
     first_byte_s: f64,
 }
@@ -91,7 +94,9 @@
         let mut has_known_server = is_resident;
         let mut base_is_resident = false;
         let mut soonest_delayed: Option<DelayedServer> = None;
+        let mut has_limited_server = false;
         let mut eligible: Vec<(u64, ServerIdx)> = Vec::new();
+        let mut eligible_limited: Vec<(u64, ServerIdx)> = Vec::new();
         let base = request.model.as_ref().map(base_model_of);
         let priority = QueuePriority::of(now, request);
         for idx in candidates {
@@ -110,14 +115,21 @@
                     continue;
                 }
             }
+            let permit_s = self.permit_wait_s(now, idx, &priority);
+            has_limited_server |= permit_s.is_some();
+            if permit_s.is_some() && self.skips_limited {
+                continue;
+            }
             let backoff_s = server.backoff_remaining(now).as_secs_f64();
             let queued_ahead_us = self.queues.reserved_prefill_us(idx, &priority);
             if backoff_s > 0.0
+                || permit_s.is_some_and(|time_s| time_s > 0.0)
                 || !self.has_capacity(now, server, request, prefill_us, queued_ahead_us)
             {
                 let delayed = DelayedServer {
                     backoff_s,
-                    first_byte_s: backoff_s
+                    permit_s: permit_s.unwrap_or(0.0),
+                    first_byte_s: backoff_s.max(permit_s.unwrap_or(0.0))
                         + predicted_first_byte_s(now, server, request, prefill_us)
                         + server
                             .speed
@@ -127,8 +139,10 @@
                     Some(soonest_delayed.map_or(delayed, |soonest| soonest.earlier(delayed)));
                 continue;
             }
-            eligible.push((hash_with_seed(request.seed, idx), idx));
+            let list = if permit_s.is_some() { &mut eligible_limited } else { &mut eligible };
+            list.push((hash_with_seed(request.seed, idx), idx));
         }
+        let eligible = self.prefer_unlimited(now, eligible, eligible_limited);
         if let [(_, only)] = eligible[..]
             && self.has_many_vms()
             && self.has_recent_remote_prompts(now)
@@ -155,12 +169,18 @@
         if let Some(delayed) = soonest_delayed {
             return match self.refuse_if_late(now, request, delayed.first_byte_s) {
                 None => Verdict::Wait { missing: false },
+                Some(_) if delayed.permit_s > delayed.backoff_s => {
+                    refuse(Refusal::Limited, limited_retry_after(delayed.permit_s))
+                }
                 Some(_) if delayed.backoff_s > 0.0 => {
                     refuse(Refusal::Overloaded, Duration::from_secs_f64(delayed.backoff_s))
                 }
                 Some(refusal) => refusal,
             };
         }
+        if has_limited_server {
+            return refuse(Refusal::Limited, RETRY_AFTER_DEFAULT);
+        }
         if !has_known_server {
             return refuse(Refusal::NoServer, RETRY_AFTER_DEFAULT);
         }
--- a/crates/dispatch/src/cluster_view.rs
+++ b/crates/dispatch/src/cluster_view.rs
@@ -3,6 +3,7 @@
 use {
     crate::load::Load,
     glade_catalog::{Catalog, ServerRecord},
+    glade_limit::NamedLimit,
     glade_quarantine::QuarantineView,
     glade_types::ModelName,
     std::{
@@ -25,6 +26,8 @@
     pub resident_models: Arc<HashSet<ModelName>>,
     /// Load that other VMs have reported for the server.
     pub other_vms_load: Load,
+    /// Rate limit that the server names, as all VMs together know it.
+    pub limit: Option<NamedLimit>,
 }
 
 /// A consistent snapshot of the control thread's state.
--- a/crates/dispatch/src/coordinator.rs
+++ b/crates/dispatch/src/coordinator.rs
@@ -88,8 +88,11 @@
     /// Returns a coordinator without servers.
     pub fn new() -> Self {
         let no_retries = RetryLimit { share: 0.0, window: Duration::from_secs(1), reserve: 0.0 };
+        let mut dispatcher = Dispatcher::new(no_retries, 0);
+        // Nodes hold the permits for limited servers and decide about them.
+        dispatcher.skips_limited = true;
         Self {
-            dispatcher: Dispatcher::new(no_retries, 0),
+            dispatcher,
             tickets: HashMap::new(),
             waiting: HashMap::new(),
             services: HashMap::new(),
@@ -102,7 +105,7 @@
     /// Applies a new snapshot of the cluster. This coordinator alone decides about servers in its
     /// own data centre, so the load that other VMs report for them is dropped: it would be counted
     /// twice.
-    pub fn update_view(&mut self, view: &ClusterView) {
+    pub fn update_view(&mut self, now: Instant, view: &ClusterView) {
         let servers = view.servers.iter().map(|server| {
             let mut server = server.clone();
             if server.same_data_centre {
@@ -111,7 +114,7 @@
             server
         });
         let view = ClusterView { servers: servers.collect(), live_vms: 1, ..view.clone() };
-        self.dispatcher.update_view(&view);
+        self.dispatcher.update_view(now, &view);
         if let Some(catalog) = &view.catalog
             && self.version != Some(catalog.version())
         {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -5,6 +5,7 @@
         cluster_view::ClusterView,
         demand_log::DemandLog,
         load::{Load, ServerLoad},
+        permit_queues::PermitQueues,
         prefill_fit::PrefillFit,
         prompt_sent::PromptSent,
         request_spec::RequestSpec,
@@ -90,6 +91,10 @@
     /// Waiting requests by the server expected to take them; servers are reserved for some of
     /// these.
     pub(crate) queues: ServerQueues,
+    /// Waiting requests by the limited server that is expected to take them.
+    pub(crate) permit_queues: PermitQueues,
+    /// Limited servers aren't chosen: whoever sends the requests decides about these.
+    pub(crate) skips_limited: bool,
     /// Waiting requests of this VM by the tag of the server's key, in hundredths of requests.
     pub(crate) waiting_by_server: HashMap<u32, u32>,
     pub(crate) models_ready_at: HashMap<ModelName, Instant>,
@@ -123,6 +128,8 @@
             in_flight_requests: HashMap::new(),
             waiting: BTreeMap::new(),
             queues: ServerQueues::default(),
+            permit_queues: PermitQueues::default(),
+            skips_limited: false,
             waiting_by_server: HashMap::new(),
             models_ready_at: HashMap::new(),
             catalog: None,
@@ -144,19 +151,20 @@
     }
 
     /// Applies a new snapshot of the cluster from the control thread.
-    pub fn update_view(&mut self, view: &ClusterView) {
+    pub fn update_view(&mut self, now: Instant, view: &ClusterView) {
         let mut has_changed = false;
         let take_usable = |server: &mut Server| std::mem::replace(&mut server.view.usable, false);
         let was_usable: Vec<bool> = self.servers.iter_mut().map(take_usable).collect();
         for server_view in &view.servers {
             match self.index_by_key.get(&server_view.record.key) {
-                Some(idx) => has_changed |= self.servers[idx.get()].update_view(server_view),
+                Some(idx) => has_changed |= self.servers[idx.get()].update_view(now, server_view),
                 None => {
                     has_changed = true;
                     let idx = ServerIdx(self.servers.len() as u32);
                     self.index_by_key.insert(server_view.record.key.clone(), idx);
                     self.index_by_tag.insert(server_view.record.key.short_hash(), idx);
                     let mut server = Server::new(server_view.clone());
+                    server.limit.apply_view(now, server_view.limit);
                     if let Some(fit) = self.prefill_fits.get(&server_view.record.service) {
                         server.speed.set_first_event_overhead_s(fit.overhead_s());
                     }
@@ -251,6 +259,7 @@
         let mut order: Vec<WaitId> = self.waiting.keys().copied().collect();
         order.sort_by_key(|id| QueuePriority::of(now, &self.waiting[id].0));
         self.queues.clear();
+        self.permit_queues.clear();
         let mut decided = Vec::new();
         for id in order {
             let (request, tried) = &self.waiting[&id];
@@ -260,6 +269,9 @@
                     let queued = QueuedRequest::of(now, request, self.prefill_us(request));
                     self.queues.add(server, queued);
                 }
+                if let Some(server) = self.soonest_limited_server(now, request, tried) {
+                    self.permit_queues.add(server, QueuePriority::of(now, request));
+                }
                 continue;
             }
             let Some((request, _)) = self.waiting.remove(&id) else { continue };
@@ -294,6 +306,9 @@
                 tokens: request.prompt_tokens,
                 event_tokens: request.tokens_per_event,
             });
+        if entry.limit.get().is_some() {
+            entry.permits.take(now);
+        }
         entry.own_load.add(&load);
         entry.record_prompt(now, outstanding_prefill_us);
         if request.prompt_tokens > 0
@@ -324,7 +339,7 @@
 
     /// True if the server at `idx` takes requests now, according to this VM's state.
     pub fn may_send_to(&self, now: Instant, idx: ServerIdx) -> bool {
-        self.servers[idx.get()].is_available(now)
+        self.servers[idx.get()].may_be_sent_to(now)
     }
 
     /// Indices of all servers that were ever known.
@@ -378,7 +393,7 @@
             slowness: server.speed.slowness(),
             decode_step_s: server.speed.decode_step_s(),
             same_data_centre: server.view.same_data_centre,
-            limit_per_s: server.limit.get().map(|(rate, _)| rate),
+            limit_per_s: server.limit.get().map(|limit| limit.per_second),
         }
     }
 
--- a/crates/dispatch/src/outcomes.rs
+++ b/crates/dispatch/src/outcomes.rs
@@ -10,7 +10,7 @@
         server::ServerIdx,
     },
     glade_catalog::{ServerKey, base_model_of},
-    glade_limit::{LimitChange, StatedLimit},
+    glade_limit::{LimitChange, LimitReport, StatedLimit},
     std::time::{Duration, Instant},
 };
 
@@ -142,14 +142,17 @@
     }
 
     /// Records what an answer to a request sent at `sent_at` has stated about its server's limit.
+    /// Returns what that has changed, and what the other VMs have to know.
     pub fn record_stated_limit(
         &mut self,
         now: Instant,
         idx: ServerIdx,
         sent_at: Instant,
         stated: StatedLimit,
-    ) -> Option<LimitChange> {
-        self.servers[idx.get()].limit.record(now, sent_at, stated)
+    ) -> (Option<LimitChange>, Option<LimitReport>) {
+        let limit = &mut self.servers[idx.get()].limit;
+        let change = limit.record(now, sent_at, stated);
+        (change, limit.report(now, change))
     }
 
     /// Records that a server asked for no requests from this VM for `time`. Returns how much of
--- a/crates/dispatch/src/server.rs
+++ b/crates/dispatch/src/server.rs
@@ -6,7 +6,7 @@
         cluster_view::ServerView, health::Health, load::Load, prompt_log::PromptLog,
         remote_prompts::RemotePrompts, speed::Speed,
     },
-    glade_limit::KnownLimit,
+    glade_limit::{KnownLimit, PermitPool},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -66,6 +66,12 @@
     pub(crate) speed: Speed,
     /// Rate limit that the server names in its answers.
     pub(crate) limit: KnownLimit,
+    /// Permits to send requests to the server while it names a limit.
+    pub(crate) permits: PermitPool,
+    /// When a probe of the limit was last wanted.
+    pub(crate) probe_wanted_at: Option<Instant>,
+    /// When the last refused request was told to come back.
+    pub(crate) return_at: Option<Instant>,
 }
 
 impl Server {
@@ -83,11 +89,15 @@
             health: Health::default(),
             speed: Speed::default(),
             limit: KnownLimit::default(),
+            permits: PermitPool::default(),
+            probe_wanted_at: None,
+            return_at: None,
         }
     }
 
     /// Applies a newer view. Returns true if the resident models have changed.
-    pub(crate) fn update_view(&mut self, view: &ServerView) -> bool {
+    pub(crate) fn update_view(&mut self, now: Instant, view: &ServerView) -> bool {
+        self.limit.apply_view(now, view.limit);
         let has_changed = !Arc::ptr_eq(&self.view.resident_models, &view.resident_models);
         self.process_gone &= Arc::ptr_eq(&self.view.record, &view.record);
         self.view = view.clone();
@@ -119,6 +129,12 @@
         self.is_usable() && self.backoff_remaining(now).is_zero()
     }
 
+    /// True if the server accepts requests now and names no limit, or this VM holds a permit.
+    pub(crate) fn may_be_sent_to(&self, now: Instant) -> bool {
+        let is_permitted = || self.permits.count(now) > 0 || self.permits.has_probe(now);
+        self.is_available(now) && (self.limit.get().is_none() || is_permitted())
+    }
+
     /// True if the server accepts requests now and is not ejected.
     pub(crate) fn is_available_and_healthy(&self, now: Instant) -> bool {
         self.is_available(now) && !self.health.is_ejected(now)
--- a/crates/dispatch/src/server_queues.rs
+++ b/crates/dispatch/src/server_queues.rs
@@ -40,6 +40,13 @@
     }
 }
 
+impl QueuePriority {
+    /// Urgency of the request; 0 is the most urgent.
+    pub(crate) fn rank(&self) -> u8 {
+        self.rank
+    }
+}
+
 /// A waiting request in the queue of the server that is expected to take it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct QueuedRequest {
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/start.rs
@@ -82,6 +82,8 @@
 impl StartVerdict {
     /// Returns a refusal with the expected time until the request can be taken.
     pub(crate) fn refused(reason: Refusal, retry_after: Duration) -> Self {
+        // Nodes of earlier versions don't know the reason.
+        let reason = if reason == Refusal::Limited { Refusal::Overloaded } else { reason };
         Self::Refused { reason, retry_after_ms: whole_ms(retry_after) }
     }
 }
--- a/crates/dispatch/src/verdict.rs
+++ b/crates/dispatch/src/verdict.rs
@@ -20,6 +20,8 @@
     Leaving,
     /// The prompt holds parts that crash engines.
     Quarantined,
+    /// Every server that could take it names a limit, which is used up.
+    Limited,
 }
 
 impl Refusal {
@@ -31,6 +33,7 @@
             Self::Overloaded => "overloaded",
             Self::Leaving => "leaving",
             Self::Quarantined => "quarantined",
+            Self::Limited => "limited",
         }
     }
 }
@@ -43,6 +46,7 @@
             Self::Overloaded => "all servers are busy",
             Self::Leaving => "this VM is about to end",
             Self::Quarantined => "the prompt holds parts that crash engines",
+            Self::Limited => "the limits that servers name are used up",
         })
     }
 }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -58,7 +58,7 @@
     }
 
     pub fn update_view(&mut self) {
-        self.dispatcher.update_view(&self.view);
+        self.dispatcher.update_view(self.now, &self.view);
     }
 
     /// Replaces the registry records of all engines by new copies.
@@ -134,6 +134,7 @@
         same_data_centre: true,
         resident_models: Arc::new(holds.iter().map(|name| model(name)).collect()),
         other_vms_load: Load::default(),
+        limit: None,
     }
 }
 
--- a/crates/dispatch/tests/common/simulation.rs
+++ b/crates/dispatch/tests/common/simulation.rs
@@ -157,7 +157,7 @@
             pending_events: VecDeque::new(),
         };
         if let Some(coordinator) = &mut simulation.coordinator {
-            coordinator.update_view(&simulation.nodes[0].view);
+            coordinator.update_view(simulation.nodes[0].now, &simulation.nodes[0].view);
         }
         let end_ms = load.last().map_or(0, |last| last.at_ms) + 20_000;
         let mut next = 0;
--- a/crates/dispatch/tests/coordinator.rs
+++ b/crates/dispatch/tests/coordinator.rs
@@ -20,7 +20,7 @@
     fn new(holds: &[&[&str]]) -> Self {
         let cluster = Fixture::engines(holds);
         let mut coordinator = Coordinator::new();
-        coordinator.update_view(&cluster.view);
+        coordinator.update_view(cluster.now, &cluster.view);
         Self { cluster, coordinator, next_ticket: 0 }
     }
 
@@ -138,7 +138,7 @@
 fn requests_for_other_data_centres_are_forwarded_once() {
     let mut fixture = CoordinatorFixture::new(&[&["m"], &["n"]]);
     fixture.cluster.view.servers[1].same_data_centre = false;
-    fixture.coordinator.update_view(&fixture.cluster.view);
+    fixture.coordinator.update_view(fixture.cluster.now, &fixture.cluster.view);
     let (_, actions) = fixture.request_start("n", 100);
     let [CoordinatorAction::Forward { request, .. }] = &actions[..] else { panic!("{actions:?}") };
     assert_eq!(request.reply_to, Some(node(1)));
--- a/crates/fuzz/tests/outside_data.rs
+++ b/crates/fuzz/tests/outside_data.rs
@@ -165,6 +165,7 @@
         resident_models: Arc::new(["m", "m/a1", "n"].into_iter().map(ModelName::new).collect()),
         other_vms_load: decoded_load(rng).bounded().plus(&decoded_load(rng).bounded()),
         record: Arc::clone(record),
+        limit: None,
     };
     let servers = records.iter().map(&mut server).collect();
     let view = ClusterView {
@@ -173,7 +174,7 @@
         live_vms: odd_number(rng) as u32,
         ..ClusterView::default()
     };
-    dispatcher.update_view(&view);
+    dispatcher.update_view(now, &view);
     for step in 0..4_u64 {
         let now = now + Duration::from_millis(step * 300);
         let Some(request) = request_spec(now, catalog, &decoded_terms(rng)) else { return };
--- a/crates/limit/src/known_limit.rs
+++ b/crates/limit/src/known_limit.rs
@@ -1,12 +1,17 @@
-//! The limit of one server, as the answers that one VM receives tell it.
+//! The limit of one server, as one VM's request path knows it: by the answers that the VM receives
+//! and by what other VMs report.
 
 use {
-    crate::stated_limit::StatedLimit,
+    crate::{limit_table::NamedLimit, stated_limit::StatedLimit},
     std::time::{Duration, Instant},
 };
 
 /// Shortest time between two reports of unreadable limits of one server.
 const UNREADABLE_REPORT_INTERVAL: Duration = Duration::from_secs(60);
+/// Shortest time between two reports of the same limit to the control thread.
+const NAMED_REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time within which the control thread's view has what the request path has reported.
+const VIEW_DELAY_MAX: Duration = Duration::from_secs(1);
 
 /// What an answer has changed.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,16 +32,33 @@
     Unreadable,
 }
 
+/// What the request path reports about a server's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LimitReport {
+    /// An answer has named this limit, in requests per second.
+    Named(f64),
+    /// An answer without a limit has arrived.
+    Ended {
+        /// Time since the request for it was sent.
+        sent_before: Duration,
+    },
+}
+
 /// The limit of one server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct KnownLimit {
-    limit: Option<(f64, Instant)>,
+    limit: Option<NamedLimit>,
+    /// When an answer to this VM last named a limit.
+    own_named_at: Option<Instant>,
+    /// When the request was sent whose answer ended the last limit.
+    end_sent_at: Option<Instant>,
+    reported_at: Option<Instant>,
     unreadable_at: Option<Instant>,
 }
 
 impl KnownLimit {
-    /// The limit in requests per second, and when an answer named it last.
-    pub fn get(&self) -> Option<(f64, Instant)> {
+    /// The limit that the server is known to name.
+    pub fn get(&self) -> Option<NamedLimit> {
         self.limit
     }
 
@@ -51,18 +73,20 @@
         stated: StatedLimit,
     ) -> Option<LimitChange> {
         match (stated, self.limit) {
-            (StatedLimit::PerSecond(rate), known) => {
-                self.limit = Some((rate, now));
+            (StatedLimit::PerSecond(per_second), known) => {
+                self.limit = Some(NamedLimit { per_second, named_at: now });
+                self.own_named_at = Some(now);
                 match known {
                     None => Some(LimitChange::Named),
-                    Some((before, _)) => {
-                        (before != rate).then_some(LimitChange::Changed { before })
-                    }
+                    Some(known) => (known.per_second != per_second)
+                        .then_some(LimitChange::Changed { before: known.per_second }),
                 }
             }
-            (StatedLimit::None, Some((before, named_at))) if sent_at > named_at => {
+            (StatedLimit::None, Some(known)) if sent_at > known.named_at => {
                 self.limit = None;
-                Some(LimitChange::Ended { before })
+                self.own_named_at = None;
+                self.end_sent_at = Some(sent_at);
+                Some(LimitChange::Ended { before: known.per_second })
             }
             (StatedLimit::None, _) => None,
             (StatedLimit::Unreadable, _) => {
@@ -76,4 +100,40 @@
             }
         }
     }
+
+    /// What to report after an answer that has caused `change`, if anything.
+    pub fn report(&mut self, now: Instant, change: Option<LimitChange>) -> Option<LimitReport> {
+        if let Some(LimitChange::Ended { .. }) = change {
+            let sent_at = self.end_sent_at?;
+            return Some(LimitReport::Ended {
+                sent_before: now.saturating_duration_since(sent_at),
+            });
+        }
+        let limit = self.limit.filter(|limit| limit.named_at == now)?;
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < NAMED_REPORT_INTERVAL;
+        if change.is_none() && self.reported_at.is_some_and(is_recent) {
+            return None;
+        }
+        self.reported_at = Some(now);
+        Some(LimitReport::Named(limit.per_second))
+    }
+
+    /// Applies the limit that all nodes together know. What this VM has found out itself a moment
+    /// ago may be missing there.
+    pub fn apply_view(&mut self, now: Instant, view: Option<NamedLimit>) {
+        match view {
+            Some(view) if self.end_sent_at.is_some_and(|at| at > view.named_at) => {}
+            Some(view) => {
+                if self.limit.is_none_or(|known| view.named_at >= known.named_at) {
+                    self.limit = Some(view);
+                }
+            }
+            None => {
+                let is_pending = |at: Instant| now.saturating_duration_since(at) < VIEW_DELAY_MAX;
+                if !self.own_named_at.is_some_and(is_pending) {
+                    self.limit = None;
+                }
+            }
+        }
+    }
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -3,6 +3,7 @@
 //! other nodes' messages, publishes it to the relay, which routes requests by it, and sends load
 //! and unload orders to all engines while the node holds the leader lease.
 
+mod limit_handlers;
 mod peer_handlers;
 mod quarantine_handlers;
 mod store_handlers;
@@ -18,6 +19,7 @@
         leadership::{Leadership, LeadershipConfig},
         leaf_digest::{NameTable, PendingDigests},
         leaf_registry::LeafRegistry,
+        limit_exchange::LimitExchange,
         load_exchange::LoadExchange,
         node_discovery::{FIRST_START_JITTER_MAX, NodeDiscovery},
         peer_message::{Heartbeat, PeerMessage},
@@ -115,6 +117,7 @@
     starts: StartExchange,
     quarantine: QuarantineExchange,
     quarantine_store: QuarantineStore,
+    limits: LimitExchange,
     demand: DemandAggregator,
     endpoints: EndpointExchange,
     is_shutting_down: bool,
@@ -209,6 +212,7 @@
             starts: StartExchange::default(),
             quarantine: QuarantineExchange::new(),
             quarantine_store: QuarantineStore::default(),
+            limits: LimitExchange::new(now),
             network,
             leadership,
             catalog: None,
@@ -438,6 +442,12 @@
             Event::TrafficUpdate(TrafficUpdate::PartsServed(parts)) => {
                 self.quarantine.on_local_served(now, &parts);
             }
+            Event::TrafficUpdate(TrafficUpdate::LimitStated(key, report)) => {
+                self.on_limit_stated(now, &key, report);
+            }
+            Event::TrafficUpdate(TrafficUpdate::PermitsWanted(wishes)) => {
+                self.on_permits_wanted(now, wishes);
+            }
             Event::TrafficUpdate(TrafficUpdate::TrialWanted(key)) => {
                 self.on_trial_wanted(now, key);
             }
@@ -484,6 +494,7 @@
         );
         self.forward_demand(now);
         self.tick_quarantine(now);
+        self.tick_limits(now);
         if now >= self.next_heartbeat_at {
             if self.network.update_mesh(now) {
                 self.on_role_change(now);
@@ -599,13 +610,13 @@
         let view = ClusterView {
             catalog: self.catalog.clone(),
             catalog_is_outdated: self.latest_catalog_version > self.catalog_version(),
-            servers: self.registry.views(now, &self.network.me.data_centre, &other_vms_loads),
+            servers: self.server_views(now, &other_vms_loads),
             models_ready_at: self.registry.models_ready_at(),
             has_coordinator: self.has_coordinator(now),
             live_vms,
             quarantine: Arc::clone(self.quarantine.view()),
         };
-        self.starts.update_view(&view);
+        self.starts.update_view(now, &view);
         self.published.view.store(Arc::new(view));
         self.published.endpoints.store(Arc::new(endpoints));
         self.published.view_changed.notify_one();
--- a/crates/node/src/control/peer_handlers.rs
+++ b/crates/node/src/control/peer_handlers.rs
@@ -109,6 +109,9 @@
             PeerMessage::Quarantine { entries, suspects } => {
                 self.quarantine.on_entries(now, &entries, suspects, self.network.mesh.is_core);
             }
+            PeerMessage::ServerLimits(updates) => self.on_peer_limits(now, from, &updates),
+            PeerMessage::PermitDemand(demands) => self.on_permit_demand(now, from, demands),
+            PeerMessage::PermitGrants(grants) => self.on_permit_grants(now, grants),
             PeerMessage::Residents { epoch, engines } => self.apply_residents(now, epoch, engines),
             PeerMessage::LeafResidents { epoch, engines } => {
                 let engines = self.name_table.decode_all(&engines, self.registry.keys());
@@ -174,6 +177,9 @@
         if let Some(message) = self.quarantine.entries_message(now) {
             self.network.send(now, addr, &message);
         }
+        if let Some(message) = self.limits.initial_message(now) {
+            self.network.send(now, addr, &message);
+        }
         if self.network.mesh.is_full_mesh {
             self.leadership.repeat_residents(now);
             return;
--- a/crates/node/src/control/tests/deployment.rs
+++ b/crates/node/src/control/tests/deployment.rs
@@ -9,11 +9,12 @@
         fixtures::RecordingTransport,
         peer_message::{PeerBatch, PeerInfo},
         peer_network::PeerNetwork,
-        published_state::PublishedState,
+        published_state::{PeerUpdates, PublishedState},
     },
     glade_catalog::{CallerLimits, Catalog},
     glade_clock::{Clock, ManualClock},
     glade_dispatch::ClusterView,
+    glade_limit::PermitGrant,
     glade_settings::{NodeListen, NodeSettings, NodeTiming, RetryLimits},
     glade_types::Incarnation,
     std::{
@@ -42,6 +43,8 @@
     control: Control,
     transport: RecordingTransport,
     published: PublishedState,
+    /// What the node publishes to its request path.
+    updates: PeerUpdates,
     _events: Receiver<Event>,
     /// When node discovery writes the node's row; `None` once that is done.
     writes_row_at: Option<Instant>,
@@ -98,7 +101,7 @@
     /// Starts the process of a node. Its seeds are the nodes before it.
     pub(super) fn start(&mut self, position: usize) {
         let now = self.clock.now();
-        let mut node = self.new_node(position, PublishedState::new().0);
+        let mut node = self.new_node(position, PublishedState::new());
         let catalog = Catalog::new(1, CallerLimits::default(), Vec::new(), Vec::new());
         node.control.apply_catalog(now, catalog, "store");
         self.nodes[position] = Some(node);
@@ -108,12 +111,16 @@
     pub(super) fn restart_control(&mut self, position: usize) {
         let now = self.clock.now();
         let Some(node) = self.nodes[position].take() else { return };
-        let mut node = self.new_node(position, node.published);
+        let mut node = self.new_node(position, (node.published, node.updates));
         node.control.continue_from_published(now);
         self.nodes[position] = Some(node);
     }
 
-    fn new_node(&mut self, position: usize, published: PublishedState) -> RunningNode {
+    fn new_node(
+        &mut self,
+        position: usize,
+        (published, updates): (PublishedState, PeerUpdates),
+    ) -> RunningNode {
         let now = self.clock.now();
         let me = &mut self.infos[position];
         me.incarnation = Incarnation(me.incarnation.0 + 1);
@@ -140,6 +147,7 @@
             control,
             transport,
             published,
+            updates,
             _events: inbox,
             writes_row_at: Some(writes_row_at),
             reads_rows_at: Some(reads_rows_at),
@@ -164,6 +172,20 @@
         self.nodes[position].as_ref().map(|node| node.published.view.load_full())
     }
 
+    /// Takes the permits that a node was granted for its request path, unless the node stands still.
+    pub(super) fn take_permits(&mut self, position: usize) -> Vec<PermitGrant> {
+        if self.frozen_nodes.contains(&position) {
+            return Vec::new();
+        }
+        let Some(node) = &mut self.nodes[position] else { return Vec::new() };
+        std::iter::from_fn(|| node.updates.permits.try_recv().ok()).flatten().collect()
+    }
+
+    /// The present time.
+    pub(super) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
     /// Positions of the running nodes that aren't cores.
     pub(super) fn leaves(&self) -> Vec<usize> {
         let is_leaf = |node: &RunningNode| !node.control.network.mesh.is_core;
--- a/crates/node/src/control_metrics.rs
+++ b/crates/node/src/control_metrics.rs
@@ -12,7 +12,7 @@
 };
 
 /// Kinds of messages, indexed by [`crate::peer_message::PeerMessage::kind`].
-pub(crate) const MESSAGE_KINDS: [&str; 23] = [
+pub(crate) const MESSAGE_KINDS: [&str; 26] = [
     "beat",
     "loads",
     "prompts",
@@ -36,6 +36,9 @@
     "attempts_lost",
     "parts_served",
     "quarantine",
+    "server_limits",
+    "permit_demand",
+    "permit_grants",
 ];
 
 /// Number of messages of one kind, and their bytes.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -87,7 +87,8 @@
             Self::TrafficUpdate(
                 TrafficUpdate::StartWanted(_)
                 | TrafficUpdate::AttemptLost(_)
-                | TrafficUpdate::PartsServed(_),
+                | TrafficUpdate::PartsServed(_)
+                | TrafficUpdate::PermitsWanted(_),
             ) => true,
             Self::PeerBatch(batch) => batch.is_routine(),
             _ => false,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod leaf_registry;
 mod lease;
 mod lifecycle;
+mod limit_exchange;
 mod load_exchange;
 mod mesh;
 mod node;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,9 +19,10 @@
     glade_catalog::DemandReport,
     glade_clock::{BootClock, Clock},
     glade_dispatch::{PromptSent, StartReply},
+    glade_limit::PermitGrant,
     glade_observe::Metrics,
     glade_process::{EndSignals, keep_running},
-    glade_relay::{Relay, RelayDependencies, RelayHandle},
+    glade_relay::{Relay, RelayDependencies, RelayHandle, TrafficUpdate},
     glade_settings::{NodeSettings, NodeTiming},
     glade_types::Incarnation,
     http_body_util::Full,
@@ -222,10 +223,14 @@
     spawn_local(keep_running("report_start_events", async move || {
         report_start_events(&from, &to).await;
     }));
+    let (from, to) = (relay.clone(), control.clone());
+    spawn_local(keep_running("report_permit_wishes", async move || {
+        report_permit_wishes(&from, &to).await;
+    }));
 }
 
 fn spawn_receivers(relay: &RelayHandle<PlatformDialect>, updates: PeerUpdates) {
-    let PeerUpdates { mut prompts, mut start_replies, mut trials } = updates;
+    let PeerUpdates { mut prompts, mut start_replies, mut trials, mut permits } = updates;
     let to = relay.clone();
     spawn_local(keep_running("receive_prompts", async move || {
         receive_prompts(&mut prompts, &to).await;
@@ -238,6 +243,10 @@
     spawn_local(keep_running("receive_trials", async move || {
         receive_trials(&mut trials, &to).await;
     }));
+    let to = relay.clone();
+    spawn_local(keep_running("receive_permits", async move || {
+        receive_permits(&mut permits, &to).await;
+    }));
 }
 
 fn spawn_view_watch(
@@ -326,6 +335,25 @@
     }
 }
 
+/// Reports which permits for limited servers requests want to the control thread.
+async fn report_permit_wishes(relay: &RelayHandle<PlatformDialect>, control: &ControlHandle) {
+    loop {
+        let wishes = relay.next_permit_wishes().await;
+        control.send(Event::TrafficUpdate(TrafficUpdate::PermitsWanted(wishes)));
+        sleep(REPORT_INTERVAL_MIN).await;
+    }
+}
+
+/// Passes permits for limited servers to traffic.
+async fn receive_permits(
+    receiver: &mut Receiver<Vec<PermitGrant>>,
+    relay: &RelayHandle<PlatformDialect>,
+) {
+    while let Some(permits) = receiver.recv().await {
+        relay.on_permits(&permits);
+    }
+}
+
 /// Passes replies of coordinators to traffic.
 async fn receive_start_replies(
     receiver: &mut Receiver<(SocketAddr, Vec<StartReply>)>,
--- a/crates/node/src/peer_message.rs
+++ b/crates/node/src/peer_message.rs
@@ -8,6 +8,7 @@
     },
     glade_catalog::{Catalog, DemandReport, ServerKey},
     glade_dispatch::{ServerLoad, StartEvent, StartReply, StartRequest},
+    glade_limit::{LimitUpdate, PermitDemand, PermitGrant},
     glade_platform::Revision,
     glade_quarantine::{EntryUpdate, LostAttempt},
     glade_residency::EngineDigest,
@@ -184,6 +185,12 @@
         /// Parts of which it must be known whether requests with them are answered.
         suspects: Vec<u64>,
     },
+    /// Rate limits that servers name.
+    ServerLimits(Vec<LimitUpdate>),
+    /// Demand for permits to send to limited servers, with the addresses at which nodes receive these.
+    PermitDemand(Vec<(SocketAddr, PermitDemand)>),
+    /// Permits for the receiver.
+    PermitGrants(Vec<PermitGrant>),
 }
 
 impl PeerMessage {
@@ -205,6 +212,8 @@
                 | Self::AttemptsLost(_)
                 | Self::PartsServed(_)
                 | Self::Quarantine { .. }
+                | Self::PermitDemand(_)
+                | Self::PermitGrants(_)
         )
     }
 
@@ -234,8 +243,17 @@
             Self::AttemptsLost(_) => 20,
             Self::PartsServed(_) => 21,
             Self::Quarantine { .. } => 22,
+            Self::ServerLimits(_) => 23,
+            Self::PermitDemand(_) => 24,
+            Self::PermitGrants(_) => 25,
         }
     }
+
+    /// True if nodes of earlier versions can't decode the message. It goes in batches of its own, so
+    /// that they lose nothing else.
+    pub(crate) fn is_extension(&self) -> bool {
+        matches!(self, Self::ServerLimits(_) | Self::PermitDemand(_) | Self::PermitGrants(_))
+    }
 }
 
 /// Messages of one sender that arrived in one frame.
--- a/crates/node/src/peer_network.rs
+++ b/crates/node/src/peer_network.rs
@@ -64,6 +64,10 @@
     due: Instant,
 }
 
+/// Address of a batch, and whether its messages are extensions, which nodes of earlier versions can't
+/// decode.
+type BatchKey = (SocketAddr, bool);
+
 /// When a message is sent.
 #[derive(Clone, Copy, Debug)]
 enum SendMode {
@@ -84,7 +88,8 @@
     /// True if this node has read from the store which other nodes there are.
     pub(crate) has_all_nodes: bool,
     transport: Box<dyn Transport>,
-    batches: HashMap<SocketAddr, Batch>,
+    /// Batches by address and by whether their messages are extensions.
+    batches: HashMap<BatchKey, Batch>,
     /// Role that was last logged: core, primary core, full mesh.
     logged_role: Option<(bool, bool, bool)>,
     metrics: ControlMetrics,
@@ -126,13 +131,14 @@
     /// Sends `message` to the node at `addr` without delay, after the messages that are pending for
     /// that node. The transport drops the batch if it can't be queued.
     pub(crate) fn send(&mut self, now: Instant, addr: SocketAddr, message: &PeerMessage) {
-        self.append_introduction(now, addr);
+        self.append_introduction(now, (addr, message.is_extension()));
         self.append_message(now, addr, message);
     }
 
-    /// Adds this node's introduction to the batch for `addr`, which is sent by `due`.
-    fn append_introduction(&mut self, due: Instant, addr: SocketAddr) {
-        self.append_message(due, addr, &PeerMessage::Introduction(self.me.clone()));
+    /// Adds this node's introduction to a batch, which is sent by `due`.
+    fn append_introduction(&mut self, due: Instant, key: BatchKey) {
+        let message = PeerMessage::Introduction(self.me.clone());
+        self.append(due, key, message.kind(), &frame::encode_batch_item(&message));
     }
 
     /// Sends `message` to all cores, and to this node's leaves.
@@ -246,7 +252,8 @@
                     SendMode::Batched => self.batch_delay(vm),
                     SendMode::Immediate => Duration::ZERO,
                 };
-                self.append(now + delay, addr, message.kind(), &part);
+                let key = (addr, message.is_extension());
+                self.append(now + delay, key, message.kind(), &part);
             }
         }
     }
@@ -274,20 +281,21 @@
     /// Encodes `message`, which goes to one node alone, and adds it to the batch for `addr`, which
     /// is sent by `due`.
     fn append_message(&mut self, due: Instant, addr: SocketAddr, message: &PeerMessage) {
-        self.append(due, addr, message.kind(), &frame::encode_batch_item(message));
+        let key = (addr, message.is_extension());
+        self.append(due, key, message.kind(), &frame::encode_batch_item(message));
     }
 
-    /// Adds an encoded message to the batch for `addr`, which is sent by `due`.
-    fn append(&mut self, due: Instant, addr: SocketAddr, kind: usize, part: &[u8]) {
+    /// Adds an encoded message to the batch `key`, which is sent by `due`.
+    fn append(&mut self, due: Instant, key: BatchKey, kind: usize, part: &[u8]) {
         self.metrics.on_sent(kind, part.len());
         let batch = self
             .batches
-            .entry(addr)
+            .entry(key)
             .or_insert_with(|| Batch { bytes: frame::encode(&self.process_hash), due });
         batch.bytes.extend_from_slice(part);
         batch.due = batch.due.min(due);
         if batch.bytes.len() >= BATCH_FULL_BYTES {
-            self.send_now(addr);
+            self.send_now(key);
         }
     }
 
@@ -299,15 +307,15 @@
     /// Sends the batches that are due.
     pub(crate) fn flush(&mut self, now: Instant) {
         let due = self.batches.iter().filter(|(_, batch)| batch.due <= now);
-        let due: Vec<SocketAddr> = due.map(|(addr, _)| *addr).collect();
-        due.into_iter().for_each(|addr| self.send_now(addr));
+        let due: Vec<BatchKey> = due.map(|(key, _)| *key).collect();
+        due.into_iter().for_each(|key| self.send_now(key));
     }
 
-    /// Sends the batch for `addr`.
-    fn send_now(&mut self, addr: SocketAddr) {
-        let Some(batch) = self.batches.remove(&addr) else { return };
+    /// Sends the batch `key`.
+    fn send_now(&mut self, key: BatchKey) {
+        let Some(batch) = self.batches.remove(&key) else { return };
         self.metrics.on_batch_sent(batch.bytes.len());
-        self.transport.send_batch(addr, &batch.bytes);
+        self.transport.send_batch(key.0, &batch.bytes);
     }
 
     /// Computes this node's connections in the mesh anew. Returns true if this node has become a
@@ -345,7 +353,7 @@
                 if is_leaf { leaf_revision } else { heartbeat.registry_revision };
             let heartbeat = Heartbeat { seq, acked_seq, registry_revision, ..heartbeat.clone() };
             let due = now + self.batch_delay(&vm);
-            self.append_introduction(due, addr);
+            self.append_introduction(due, (addr, false));
             self.append_message(due, addr, &PeerMessage::Heartbeat(heartbeat));
         }
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -278,6 +278,12 @@
         self.by_vm.get(vm).is_some_and(|peer| peer.is_live(now))
     }
 
+    /// True if the node on `vm` is live and accepts callers.
+    pub(crate) fn is_serving(&self, now: Instant, vm: &VmId) -> bool {
+        let peer = self.by_vm.get(vm).filter(|peer| peer.is_live(now));
+        peer.and_then(|peer| peer.heartbeat.as_ref()).is_some_and(|heartbeat| heartbeat.serving)
+    }
+
     /// The live node that claims to hold the lease; of several, the one with the latest epoch.
     pub(crate) fn holder(&self, now: Instant) -> Option<(&PeerInfo, HolderClaim)> {
         self.live(now)
--- a/crates/node/src/published_state.rs
+++ b/crates/node/src/published_state.rs
@@ -3,6 +3,7 @@
 use {
     arc_swap::ArcSwap,
     glade_dispatch::{ClusterView, PromptSent, StartReply},
+    glade_limit::PermitGrant,
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc},
     tokio::sync::{
@@ -17,6 +18,9 @@
 /// Capacity of the channel for replies of coordinators.
 const START_REPLIES_CAPACITY: usize = 256;
 
+/// Capacity of the channel for permits of limited servers.
+const PERMITS_CAPACITY: usize = 256;
+
 /// Capacity of the channel for permitted trials, of which there are few.
 const TRIALS_CAPACITY: usize = 16;
 
@@ -42,6 +46,8 @@
     pub(crate) start_replies: Receiver<(SocketAddr, Vec<StartReply>)>,
     /// Keys of quarantined combinations of which this node may try one request.
     pub(crate) trials: Receiver<u64>,
+    /// Permits to send requests to servers that name a limit.
+    pub(crate) permits: Receiver<Vec<PermitGrant>>,
 }
 
 /// State and channels by which the control thread publishes to the traffic thread.
@@ -55,6 +61,8 @@
     pub(crate) start_replies: Sender<(SocketAddr, Vec<StartReply>)>,
     /// Keys of quarantined combinations of which this node may try one request.
     pub(crate) trials: Sender<u64>,
+    /// Permits to send requests to servers that name a limit.
+    pub(crate) permits: Sender<Vec<PermitGrant>>,
     /// Notified after each change of the view.
     pub(crate) view_changed: Arc<Notify>,
 }
@@ -65,10 +73,12 @@
         let (prompts, prompts_receiver) = channel(PROMPTS_CAPACITY);
         let (start_replies, start_replies_receiver) = channel(START_REPLIES_CAPACITY);
         let (trials, trials_receiver) = channel(TRIALS_CAPACITY);
+        let (permits, permits_receiver) = channel(PERMITS_CAPACITY);
         let receivers = PeerUpdates {
             prompts: prompts_receiver,
             start_replies: start_replies_receiver,
             trials: trials_receiver,
+            permits: permits_receiver,
         };
         let published = Self {
             view: Arc::new(ArcSwap::from_pointee(ClusterView::default())),
@@ -76,6 +86,7 @@
             prompts,
             start_replies,
             trials,
+            permits,
             view_changed: Arc::default(),
         };
         (published, receivers)
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -321,6 +321,7 @@
             record: Arc::clone(&entry.record),
             resident_models: Arc::clone(&entry.resident_models),
             other_vms_load: other_vms_loads.get(&entry.key_hash).copied().unwrap_or_default(),
+            limit: None,
         };
         self.entries.values().map(view).collect()
     }
--- a/crates/node/src/start_exchange.rs
+++ b/crates/node/src/start_exchange.rs
@@ -56,7 +56,7 @@
         let coordinator = self.coordinator.get_or_insert_with(|| {
             log::info!("coordination_begun");
             let mut coordinator = Coordinator::new();
-            coordinator.update_view(view);
+            coordinator.update_view(now, view);
             coordinator
         });
         let actions: Vec<CoordinatorAction> = requests
@@ -81,9 +81,9 @@
     }
 
     /// Passes the present view of servers to the coordinator.
-    pub(crate) fn update_view(&mut self, view: &ClusterView) {
+    pub(crate) fn update_view(&mut self, now: Instant, view: &ClusterView) {
         if let Some(coordinator) = &mut self.coordinator {
-            coordinator.update_view(view);
+            coordinator.update_view(now, view);
         }
     }
 
--- a/crates/relay/src/answer_metadata.rs
+++ b/crates/relay/src/answer_metadata.rs
@@ -65,10 +65,19 @@
         stated: StatedLimit,
     ) {
         let now = self.clock.now();
-        let mut dispatcher = self.dispatcher.borrow_mut();
-        let Some(change) = dispatcher.record_stated_limit(now, server, sent_at, stated) else {
-            return;
-        };
+        let (change, report) =
+            self.dispatcher.borrow_mut().record_stated_limit(now, server, sent_at, stated);
+        if let Some(change) = change {
+            self.log_limit_change(server, stated, change);
+        }
+        if let Some(report) = report {
+            let key = self.dispatcher.borrow().record(server).key.clone();
+            (self.on_update)(TrafficUpdate::LimitStated(key, report));
+        }
+    }
+
+    fn log_limit_change(&self, server: ServerIdx, stated: StatedLimit, change: LimitChange) {
+        let dispatcher = self.dispatcher.borrow();
         let id = dispatcher.record(server).key.id.as_str();
         let per_s = match stated {
             StatedLimit::PerSecond(rate) => Some(rate),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,7 @@
 mod metrics;
 mod open_request;
 mod own_answer;
+mod permit_client;
 mod quarantine;
 mod relay;
 mod request_log;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -26,6 +26,8 @@
     waits: Counter<u64>,
     caller_left: Counter<u64>,
     quarantined: Counter<u64>,
+    limit_held: Counter<u64>,
+    limit_refused: Counter<u64>,
     first_byte_s: Histogram<f64>,
     stream_pause_s: Histogram<f64>,
 }
@@ -58,6 +60,14 @@
                 "quarantined_requests",
                 "Requests kept from servers because of a part of their prompts.",
             ),
+            limit_held: counter(
+                "limit_held",
+                "Requests that waited for a permit of a server that names a limit.",
+            ),
+            limit_refused: counter(
+                "limit_refused",
+                "Requests refused because the limits that servers name were used up.",
+            ),
             first_byte_s: histogram("first_byte", "Time to the first byte of an answer."),
             stream_pause_s: histogram(
                 "stream_pause",
@@ -102,6 +112,14 @@
         self.quarantined.add(1, &[]);
     }
 
+    pub(crate) fn on_limit_held(&self) {
+        self.limit_held.add(1, &[]);
+    }
+
+    pub(crate) fn on_limit_refused(&self) {
+        self.limit_refused.add(1, &[]);
+    }
+
     pub(crate) fn on_wait(&self) {
         self.waits.add(1, &[]);
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,6 +12,7 @@
         metrics::Metrics,
         open_request::OpenRequest,
         own_answer::OwnAnswer,
+        permit_client::PermitClient,
         quarantine::QuarantineClient,
         routed_request::RoutedRequest,
         start_client::StartClient,
@@ -26,6 +27,7 @@
         ClusterView, Dispatcher, PromptSent, Refusal, RequestSpec, RetryLimit, ServerLoad,
         StartEvent, StartReply,
     },
+    glade_limit::{PermitGrant, PermitWish},
     glade_process::{catch_panic, keep_running},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::{
@@ -94,6 +96,7 @@
     pub(crate) on_update: OnTrafficUpdate,
     pub(crate) start_client: StartClient,
     pub(crate) quarantine: QuarantineClient,
+    pub(crate) permit_client: PermitClient,
     pub(crate) metrics: Rc<Metrics>,
     drain: Cell<Option<Drain>>,
     drain_began: Notify,
@@ -118,7 +121,8 @@
     /// Applies the cluster state that the control thread published last.
     pub fn apply_view(&self) {
         let view = self.relay.view.load();
-        self.relay.dispatcher.borrow_mut().update_view(&view);
+        let now = self.relay.clock.now();
+        self.relay.dispatcher.borrow_mut().update_view(now, &view);
         self.relay.quarantine.on_view();
         self.relay.idle_connections.borrow_mut().close_expired(self.relay.clock.now());
         self.relay.wait_queue.wake();
@@ -167,6 +171,19 @@
         self.relay.quarantine.grant(self.relay.clock.now(), key);
     }
 
+    /// Waits until other permits for limited servers are wanted than before, and returns all.
+    pub async fn next_permit_wishes(&self) -> Vec<PermitWish> {
+        self.relay.next_permit_wishes().await
+    }
+
+    /// Applies permits that this VM was granted.
+    pub fn on_permits(&self, grants: &[PermitGrant]) {
+        let now = self.relay.clock.now();
+        let mut dispatcher = self.relay.dispatcher.borrow_mut();
+        grants.iter().for_each(|grant| dispatcher.add_permits(now, grant));
+        self.relay.wait_queue.wake();
+    }
+
     /// Replaces the limit on retried requests.
     pub fn set_retry_limit(&self, limit: RetryLimit) {
         self.relay.dispatcher.borrow_mut().set_retry_limit(limit);
@@ -222,6 +239,7 @@
             on_update,
             start_client: StartClient::new(rng.u32(..)),
             quarantine: QuarantineClient::default(),
+            permit_client: PermitClient::default(),
             metrics: Rc::new(Metrics::new(meter)),
             rng: RefCell::new(rng),
             drain: Cell::new(None),
--- a/crates/relay/src/server_answer.rs
+++ b/crates/relay/src/server_answer.rs
@@ -194,7 +194,7 @@
         let answer = if !admitted.failed_attempts().may_have_run() {
             let (cause, retry_after) = refused
                 .map_or(("refused", REFUSED_RETRY_AFTER), |refused| {
-                    (refused.reason.name(), refused.retry_after)
+                    (refused.reason.name(), self.return_after(admitted, refused))
                 });
             OwnAnswer::not_run(cause, retry_after)
         } else if admitted.time_left(self.clock.now()).is_zero() {
--- a/crates/relay/src/start_client.rs
+++ b/crates/relay/src/start_client.rs
@@ -162,7 +162,10 @@
     ) -> Option<StartResult<D>> {
         let spec = &admitted.open_request.spec;
         let needs_coordinator = self.view.load().has_coordinator && spec.model.is_some();
-        if !needs_coordinator || self.start_client.coordinator_is_silent(self.clock.now()) {
+        if !needs_coordinator
+            || self.start_client.coordinator_is_silent(self.clock.now())
+            || self.needs_permit(admitted)
+        {
             return None;
         }
         let (ticket, mut receiver) = self.start_client.register();
@@ -196,6 +199,8 @@
                     }
                     is_queued = true;
                 }
+                // The coordinator has chosen among the other servers only.
+                StartVerdict::Refused { .. } if self.has_limited_server(admitted) => return None,
                 StartVerdict::Refused { reason, retry_after_ms } => {
                     let retry_after = Duration::from_millis(u64::from(retry_after_ms));
                     return Some(Err(Refused { reason, retry_after }));
@@ -203,6 +208,7 @@
                 StartVerdict::Go { server } => {
                     let server = self.acceptable_server(admitted, server)?;
                     pending_start.is_granted = true;
+                    self.want_probes(self.clock.now(), admitted);
                     log::info!(
                         id = admitted.routed.id.as_str(),
                         ticket = ticket,
--- a/crates/relay/src/traffic_update.rs
+++ b/crates/relay/src/traffic_update.rs
@@ -1,12 +1,16 @@
 //! Updates that the traffic thread sends to the control thread immediately.
 
 use {
-    glade_catalog::ServerKey, glade_dispatch::StartRequest, glade_quarantine::LostAttempt,
-    glade_types::ModelName, std::time::Duration,
+    glade_catalog::ServerKey,
+    glade_dispatch::StartRequest,
+    glade_limit::{LimitReport, PermitWish},
+    glade_quarantine::LostAttempt,
+    glade_types::ModelName,
+    std::time::Duration,
 };
 
 /// An observation or request of the traffic thread.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum TrafficUpdate {
     /// A request waits for a model or adapter that no usable server holds.
     ModelWanted(ModelName),
@@ -24,6 +28,10 @@
     PartsServed(Vec<u64>),
     /// A request would be sent as the trial of the quarantined combination of parts with this key.
     TrialWanted(u64),
+    /// An answer has told something about the rate limit that its server names.
+    LimitStated(ServerKey, LimitReport),
+    /// All permits that requests of this VM want.
+    PermitsWanted(Vec<PermitWish>),
 }
 
 /// Called with each update.
--- a/crates/relay/src/wait_queue.rs
+++ b/crates/relay/src/wait_queue.rs
@@ -68,6 +68,7 @@
     fn drop(&mut self) {
         self.relay.wait_queue.senders.borrow_mut().remove(&self.id);
         self.relay.dispatcher.borrow_mut().cancel_waiting(self.id);
+        self.relay.permit_client.on_change();
     }
 }
 
@@ -89,6 +90,7 @@
         );
         match verdict {
             Verdict::Send(server) => {
+                self.want_probes(now, admitted);
                 let id = self.dispatcher.borrow_mut().begin_request(
                     now,
                     &admitted.open_request.spec,
@@ -96,7 +98,10 @@
                 );
                 Ok(Attempt::new(self, id, server))
             }
-            Verdict::Refuse { reason, retry_after } => Err(Refused { reason, retry_after }),
+            Verdict::Refuse { reason, retry_after } => {
+                self.want_probes(now, admitted);
+                Err(Refused { reason, retry_after })
+            }
             Verdict::Wait { missing } => {
                 if missing {
                     self.report_model_wanted(now, &admitted.routed.terms);
@@ -108,6 +113,7 @@
                     .borrow_mut()
                     .enqueue(&admitted.open_request.spec, &admitted.failed_attempts().tried);
                 self.wait_queue.senders.borrow_mut().insert(id, sender);
+                self.note_limit_wait(admitted);
                 let _guard = WaitGuard { relay: self, id };
                 let dropped = Refused { reason: Refusal::NoServer, retry_after: POLL_INTERVAL };
                 receiver.await.unwrap_or(Err(dropped))
@@ -140,7 +146,8 @@
                 // The queue is checked after a time-out as well as after a change.
                 let _ = timeout(POLL_INTERVAL, self.wait_queue.changed.notified()).await;
             }
-            let due = self.dispatcher.borrow_mut().poll_waiting(self.clock.now());
+            let now = self.clock.now();
+            let due = self.dispatcher.borrow_mut().poll_waiting(now);
             for (id, verdict, in_flight_id) in due {
                 let result = match (verdict, in_flight_id) {
                     (Verdict::Send(server), Some(in_flight_id)) => {
--- a/crates/system/tests/server_limit.rs
+++ b/crates/system/tests/server_limit.rs
@@ -1,8 +1,8 @@
 //! Real nodes before servers that name in their answers how many requests a second they take from all nodes together.
 
 use {
-    glade_standins::site::Reply,
-    glade_system::site::{CHAT, Site},
+    glade_standins::site::{Reply, SiteServer},
+    glade_system::site::{BROWSE, CHAT, CLAIM, Site},
     std::time::{Duration, Instant},
     tokio::task::JoinHandle,
 };
@@ -17,76 +17,183 @@
 /// Pause between two requests of the callers.
 const REQUEST_PAUSE: Duration = Duration::from_millis(25);
 
+/// Part of what a limit allows that callers who ask for more must get.
+const USED_SHARE: f64 = 0.6;
+
 /// Callers that send requests to all nodes in turn.
-struct Traffic<'a> {
-    site: &'a Site,
+struct Traffic {
     nodes: usize,
+    paths: &'static [&'static str],
     sent: Vec<JoinHandle<Option<Reply>>>,
 }
 
-impl<'a> Traffic<'a> {
-    fn new(site: &'a Site, nodes: usize) -> Self {
-        Self { site, nodes, sent: Vec::new() }
+impl Traffic {
+    fn new(nodes: usize, paths: &'static [&'static str]) -> Self {
+        Self { nodes, paths, sent: Vec::new() }
     }
 
-    fn play_for(&mut self, time: Duration) {
+    fn play_for(&mut self, site: &Site, time: Duration) {
         let began = Instant::now();
         while began.elapsed() < time {
             let node = self.sent.len() % self.nodes;
-            self.sent.push(self.site.begin(node, CHAT, Some("m0"), &self.site.request_id()));
-            self.site.pause(REQUEST_PAUSE);
+            let path = self.paths[self.sent.len() % self.paths.len()];
+            let model = (path == CHAT).then_some("m0");
+            self.sent.push(site.begin(node, path, model, &site.request_id()));
+            site.pause(REQUEST_PAUSE);
         }
     }
 
-    /// Statuses of all answers.
-    fn finish(self) -> Vec<u16> {
-        let site = self.site;
-        let replies = self.sent.into_iter().map(|sent| site.finish(sent));
-        replies.map(|reply| reply.map_or(0, |reply| reply.status)).collect()
+    /// Replies to all requests.
+    fn finish(self, site: &Site) -> Vec<Option<Reply>> {
+        self.sent.into_iter().map(|sent| site.finish(sent)).collect()
     }
 }
 
-/// Most requests that reached a server in one window that began after `since`.
-fn most_in_window(site: &Site, server: usize, since: Instant) -> usize {
-    let arrivals = site.log.arrival_times(site.engines[server].id());
-    let counted: Vec<Instant> = arrivals.into_iter().filter(|at| *at >= since).collect();
+fn statuses(replies: &[Option<Reply>]) -> Vec<u16> {
+    replies.iter().map(|reply| reply.as_ref().map_or(0, |reply| reply.status)).collect()
+}
+
+fn arrivals_since(site: &Site, server: &SiteServer, since: Instant) -> Vec<Instant> {
+    let arrivals = site.log.arrival_times(server.id());
+    arrivals.into_iter().filter(|at| *at >= since).collect()
+}
+
+/// Checks that `server` got no more than `limit_per_s` allows in any window that began after `since`.
+fn assert_within(site: &Site, server: &SiteServer, limit_per_s: f64, since: Instant) {
+    let arrivals = arrivals_since(site, server, since);
     let in_window =
-        |from: &Instant| counted.iter().filter(|at| *at >= from && **at < *from + WINDOW).count();
-    counted.iter().map(in_window).max().unwrap_or(0)
+        |from: &Instant| arrivals.iter().filter(|at| *at >= from && **at < *from + WINDOW).count();
+    let most = arrivals.iter().map(in_window).max().unwrap_or(0);
+    let allowed = (ALLOWED_SHARE * limit_per_s * WINDOW.as_secs_f64() + ALLOWED_BEYOND) as usize;
+    assert!(most <= allowed, "limit {limit_per_s}: {most} in 4 s, allowed {allowed}");
 }
 
-fn allowed(limit_per_s: f64) -> usize {
-    (ALLOWED_SHARE * limit_per_s * WINDOW.as_secs_f64() + ALLOWED_BEYOND) as usize
+/// Checks that `server` got about as much as `limit_per_s` allows after `since`.
+fn assert_used(site: &Site, server: &SiteServer, limit_per_s: f64, since: Instant) {
+    let arrivals = arrivals_since(site, server, since).len();
+    let due = USED_SHARE * limit_per_s * since.elapsed().as_secs_f64() - 1.0;
+    assert!(arrivals as f64 >= due, "limit {limit_per_s}: {arrivals} in {:?}", since.elapsed());
 }
 
-/// Plays traffic after `limits` are named by the first engines, and checks what these get.
-fn assert_limits_hold(nodes: usize, engines: usize, limits: &[&str]) -> Vec<u16> {
+fn site(nodes: usize, engines: usize) -> Site {
     let models: &[&str] = &["m0"];
-    let site = Site::start(nodes, &vec![models; engines]);
-    let mut traffic = Traffic::new(&site, nodes);
-    traffic.play_for(Duration::from_secs(1));
+    Site::start(nodes, &vec![models; engines])
+}
+
+#[test]
+fn servers_beside_free_ones_get_no_more_than_the_limits_that_they_name() {
+    let site = site(4, 4);
+    let mut traffic = Traffic::new(4, &[CHAT]);
+    traffic.play_for(&site, Duration::from_secs(1));
+    let limits = [2.1, 1.3];
     for (engine, limit) in site.engines.iter().zip(limits) {
-        engine.state_limit(Some(limit));
+        engine.state_limit(Some(&limit.to_string()));
     }
-    traffic.play_for(CONTACT_TIME);
+    traffic.play_for(&site, CONTACT_TIME);
     let since = Instant::now();
-    traffic.play_for(WINDOW + WINDOW / 2);
-    for (engine, limit) in limits.iter().enumerate() {
-        let rate: f64 = limit.parse().expect("a rate");
-        let most = most_in_window(&site, engine, since);
-        assert!(most <= allowed(rate), "limit {limit}: {most} in 4 s, allowed {}", allowed(rate));
+    traffic.play_for(&site, WINDOW + WINDOW / 2);
+    for (engine, limit) in site.engines.iter().zip(limits) {
+        assert_within(&site, engine, limit, since);
     }
-    traffic.finish()
+    let statuses = statuses(&traffic.finish(&site));
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
 
 #[test]
-fn servers_beside_free_ones_get_no_more_than_the_limits_that_they_name() {
-    let statuses = assert_limits_hold(4, 4, &["2.1", "1.3"]);
-    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+fn the_only_server_of_a_model_gets_no_more_than_the_limit_that_it_names() {
+    let site = site(6, 1);
+    let mut traffic = Traffic::new(6, &[CHAT]);
+    traffic.play_for(&site, Duration::from_secs(1));
+    site.engines[0].state_limit(Some("3.0"));
+    traffic.play_for(&site, CONTACT_TIME);
+    let since = Instant::now();
+    traffic.play_for(&site, WINDOW + WINDOW / 2);
+    assert_within(&site, &site.engines[0], 3.0, since);
+    assert_used(&site, &site.engines[0], 3.0, since);
+    for reply in traffic.finish(&site).iter().flatten() {
+        assert!([200, 503].contains(&reply.status), "{reply:?}");
+        assert!(reply.status == 200 || reply.headers.contains_key("retry-after"), "{reply:?}");
+    }
 }
 
 #[test]
-fn the_only_server_of_a_model_gets_no_more_than_the_limit_that_it_names() {
-    let statuses = assert_limits_hold(6, 1, &["3.0"]);
+fn plain_servers_get_no_more_than_the_limits_that_they_name() {
+    let site = site(4, 1);
+    let mut traffic = Traffic::new(4, &[BROWSE, CLAIM]);
+    site.plain.iter().for_each(|server| server.state_limit(Some("2.5")));
+    traffic.play_for(&site, CONTACT_TIME);
+    let since = Instant::now();
+    traffic.play_for(&site, WINDOW + WINDOW / 2);
+    for server in &site.plain {
+        assert_within(&site, server, 2.5, since);
+        assert_used(&site, server, 2.5, since);
+    }
+    let statuses = statuses(&traffic.finish(&site));
     assert!(statuses.iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
 }
+
+#[test]
+fn a_limit_holds_while_nodes_end_start_and_freeze() {
+    let mut site = site(5, 2);
+    let mut traffic = Traffic::new(5, &[CHAT]);
+    for engine in &site.engines {
+        engine.state_limit(Some("2.0"));
+    }
+    traffic.play_for(&site, CONTACT_TIME);
+    let since = Instant::now();
+    for node in 0..4 {
+        if node % 2 == 0 {
+            site.kill_node(node);
+            site.start_node(node);
+        } else {
+            site.pause_node(node);
+        }
+        traffic.play_for(&site, CONTACT_TIME);
+        if node % 2 == 1 {
+            site.resume_node(node);
+        }
+    }
+    let added = site.add_node();
+    traffic.nodes = added + 1;
+    traffic.play_for(&site, CONTACT_TIME);
+    for engine in &site.engines {
+        assert_within(&site, engine, 2.0, since);
+        assert_used(&site, engine, 1.0, since);
+    }
+}
+
+#[test]
+fn a_value_that_is_no_rate_neither_ends_a_limit_nor_is_obeyed() {
+    let site = site(3, 2);
+    let mut traffic = Traffic::new(3, &[CHAT]);
+    site.engines[0].state_limit(Some("1.5"));
+    site.engines[1].state_limit(Some("-1"));
+    traffic.play_for(&site, CONTACT_TIME);
+    let since = Instant::now();
+    let long = "9".repeat(400);
+    for odd in ["", "NaN", "inf", "-0.1", "1.5\n1.5", &long] {
+        site.engines[0].state_limit(Some(odd));
+        traffic.play_for(&site, Duration::from_millis(900));
+    }
+    assert_within(&site, &site.engines[0], 1.5, since);
+    assert!(arrivals_since(&site, &site.engines[1], since).len() > 100);
+    for node in 0..3 {
+        let log = site.node_log(node);
+        let lines = log.lines().filter(|line| line.contains("server_limit_unreadable")).count();
+        assert!(lines <= 2, "{lines} lines on node {node}");
+    }
+}
+
+#[test]
+fn a_server_that_names_no_limit_any_more_is_found_out_though_others_are_free() {
+    let site = site(3, 2);
+    let mut traffic = Traffic::new(3, &[CHAT]);
+    site.engines[0].state_limit(Some("1.0"));
+    traffic.play_for(&site, CONTACT_TIME);
+    site.engines[0].state_limit(None);
+    traffic.play_for(&site, 2 * CONTACT_TIME);
+    let since = Instant::now();
+    traffic.play_for(&site, Duration::from_secs(2));
+    let arrivals = arrivals_since(&site, &site.engines[0], since).len();
+    assert!(arrivals > 10, "{arrivals} requests");
+}
