--- a/crates/dispatch/src/permit_queues.rs
+++ b/crates/dispatch/src/permit_queues.rs
@@ -21,10 +21,10 @@
         self.by_server.entry(server).or_default().push(priority);
     }
 
-    /// Number of requests that get a permit of `server` before one with `priority`.
+    /// Number of requests that get a permit of `server` before another one with `priority`.
     pub(crate) fn ahead_of(&self, server: ServerIdx, priority: &QueuePriority) -> usize {
         let queue = self.by_server.get(&server).into_iter().flatten();
-        queue.filter(|other| *other < priority).count()
+        queue.filter(|other| *other <= priority).count()
     }
 
     /// Urgencies of the requests that wait for permits of `server`.
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -322,6 +322,7 @@
         "not_resident" => "no server holds the model, and none would in time",
         "overloaded" => "every server was too busy to answer in time",
         "quarantined" => "its prompt holds parts that crash engines",
+        "limited" => "the limits that its servers name were used up",
         "no_server" => "no server of the service was usable",
         "refused" => "every server that was tried refused it",
         "timed_out" => "its time was over",
--- a/crates/node/src/control/limit_handlers.rs
+++ b/crates/node/src/control/limit_handlers.rs
@@ -5,7 +5,7 @@
     crate::{load_exchange::LoadMap, peer_message::PeerInfo},
     glade_catalog::ServerKey,
     glade_dispatch::ServerView,
-    glade_limit::{LimitReport, LimitUpdate, PermitDemand, PermitGrant, PermitWish},
+    glade_limit::{LimitReport, LimitUpdate, NamedLimit, PermitDemand, PermitGrant, PermitWish},
     std::{net::SocketAddr, time::Instant},
 };
 
@@ -31,7 +31,21 @@
         from: &PeerInfo,
         updates: &[LimitUpdate],
     ) {
-        self.view_is_outdated |= self.limits.on_entries(now, from, updates, &mut self.network);
+        let listed: Vec<(u32, Option<f64>)> =
+            self.registry.keys().map(|key| self.known_rate(key)).collect();
+        if self.limits.on_entries(now, from, updates, &mut self.network) {
+            self.view_is_outdated = true;
+            for (key, (server, before)) in self.registry.keys().zip(listed) {
+                let limit = self.limits.limit(server);
+                log_limit(now, key, before, limit, from);
+            }
+        }
+    }
+
+    /// The hash of a server, and the limit that it names, in requests per second.
+    fn known_rate(&self, key: &ServerKey) -> (u32, Option<f64>) {
+        let server = key.short_hash();
+        (server, self.limits.limit(server).map(|limit| limit.per_second))
     }
 
     /// Handles the permits that this node's requests want.
@@ -75,3 +89,29 @@
         views
     }
 }
+
+/// Logs that another node has told of a change of a server's limit.
+fn log_limit(
+    now: Instant,
+    key: &ServerKey,
+    before: Option<f64>,
+    limit: Option<NamedLimit>,
+    from: &PeerInfo,
+) {
+    let (server, told_by) = (key.id.as_str(), from.vm.as_str());
+    match (before, limit) {
+        (None, Some(limit)) => {
+            let age_ms = now.saturating_duration_since(limit.named_at).as_millis() as u64;
+            let per_s = limit.per_second;
+            log::warn!(server = server, per_s = per_s, told_by = told_by, age_ms = age_ms; "server_limit_named");
+        }
+        (Some(before), Some(limit)) if before != limit.per_second => {
+            let per_s = limit.per_second;
+            log::warn!(server = server, per_s = per_s, before = before, told_by = told_by; "server_limit_changed");
+        }
+        (Some(before), None) => {
+            log::info!(server = server, before = before, told_by = told_by; "server_limit_ended");
+        }
+        _ => {}
+    }
+}
--- a/crates/node/src/limit_exchange.rs
+++ b/crates/node/src/limit_exchange.rs
@@ -118,7 +118,7 @@
         updates: &[LimitUpdate],
         network: &mut PeerNetwork,
     ) -> bool {
-        let before: Vec<(u32, f64)> = self.rates();
+        let before = self.rates();
         let changed = updates.iter().filter(|update| self.table.merge(now, update)).count();
         if changed == 0 {
             return false;
@@ -129,16 +129,11 @@
         } else if network.mesh.is_primary_core && !network.mesh.is_full_mesh {
             network.send_to_leaves_now(now, &self.entries_message(now));
         }
-        let has_changed = before != self.rates();
-        if has_changed {
-            for (server, per_s) in self.rates() {
-                log::info!(server_hash = server, per_s = per_s, told_by = from.vm.as_str(); "server_limit_heard");
-            }
-        }
-        has_changed
+        before != self.rates()
     }
 
-    fn rates(&self) -> Vec<(u32, f64)> {
+    /// The limits in force, by server, in requests per second.
+    fn rates(&self) -> BTreeMap<u32, f64> {
         self.table.in_force().map(|(server, limit)| (server, limit.per_second)).collect()
     }
 
--- a/crates/relay/src/answer_metadata.rs
+++ b/crates/relay/src/answer_metadata.rs
@@ -84,12 +84,17 @@
             StatedLimit::None | StatedLimit::Unreadable => None,
         };
         match change {
-            LimitChange::Named => log::warn!(server = id, per_s = per_s; "server_limit_named"),
+            LimitChange::Named => {
+                log::warn!(server = id, per_s = per_s, told_by = "answer"; "server_limit_named");
+            }
             LimitChange::Changed { before } => {
-                log::warn!(server = id, per_s = per_s, before = before; "server_limit_changed");
+                log::warn!(
+                    server = id, per_s = per_s, before = before, told_by = "answer";
+                    "server_limit_changed"
+                );
             }
             LimitChange::Ended { before } => {
-                log::info!(server = id, before = before; "server_limit_ended");
+                log::info!(server = id, before = before, told_by = "answer"; "server_limit_ended");
             }
             LimitChange::Unreadable => log::warn!(server = id; "server_limit_unreadable"),
         }
