Share the reserve of retries with VMs that have fallen silent

The reserve was divided by the number of live nodes, so eight nodes that lost each other took eight times the reserve; it is divided by all nodes now, silent ones included for ten minutes unless they have left.

--- a/crates/dispatch/benches/decide.rs
+++ b/crates/dispatch/benches/decide.rs
@@ -49,6 +49,7 @@
         models_ready_at: HashMap::new(),
         has_coordinator: false,
         live_vms: 300,
+        known_vms: 300,
         quarantine: Arc::default(),
     };
     let limit = RetryLimit { share: 0.2, window: Duration::from_secs(10), reserve: 600.0 };
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -109,6 +109,7 @@
     retry_limit: RetryLimit,
     retry_budgets: HashMap<ServiceName, RetryBudget>,
     pub(crate) live_vms: u32,
+    known_vms: u32,
     /// Random number of this VM, by which many VMs spread over the servers of plain services.
     pub(crate) vm_seed: u32,
     next_id: u64,
@@ -140,6 +141,7 @@
             retry_limit,
             retry_budgets: HashMap::new(),
             live_vms: 1,
+            known_vms: 1,
             next_id: 0,
         }
     }
@@ -178,6 +180,7 @@
             self.index_holders();
         }
         self.live_vms = view.live_vms.max(1);
+        self.known_vms = view.known_vms.max(self.live_vms);
         self.models_ready_at.clone_from(&view.models_ready_at);
         let Some(catalog) = &view.catalog else { return };
         let is_same = self.catalog.as_ref().is_some_and(|known| Arc::ptr_eq(known, catalog));
@@ -354,7 +357,7 @@
 
     /// Takes the permission for one retry to `service`, if the budget allows it.
     pub fn take_retry(&mut self, now: Instant, service: &ServiceName) -> bool {
-        let vms = self.live_vms;
+        let vms = self.known_vms;
         self.budget(service).take(now, vms)
     }
 
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -49,6 +49,7 @@
             models_ready_at: HashMap::new(),
             has_coordinator: false,
             live_vms: 8,
+            known_vms: 8,
             quarantine: Arc::default(),
         };
         let limit = RetryLimit { share: 0.2, window: Duration::from_secs(10), reserve: 56.0 };
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -353,3 +353,15 @@
         "the other has a prompt to prefill"
     );
 }
+
+#[test]
+fn the_reserve_of_retries_is_shared_with_vms_that_have_fallen_silent() {
+    let mut fixture = Fixture::engines(&[&["m"]]);
+    let service = fixture.request("m", 1).service;
+    fixture.view.live_vms = 1;
+    fixture.update_view();
+    let now = fixture.now;
+    let retries = (0..100).filter(|_| fixture.dispatcher.take_retry(now, &service)).count();
+    // An eighth of the reserve of 56, less its margin.
+    assert_eq!(retries, 5);
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -494,6 +494,7 @@
         );
         self.forward_demand(now);
         self.tick_quarantine(now);
+        self.network.update_known_nodes(now);
         self.tick_limits(now);
         if now >= self.next_heartbeat_at {
             if self.network.update_mesh(now) {
@@ -614,6 +615,7 @@
             models_ready_at: self.registry.models_ready_at(),
             has_coordinator: self.has_coordinator(now),
             live_vms,
+            known_vms: self.network.known_nodes.count().max(live_vms),
             quarantine: Arc::clone(self.quarantine.view()),
         };
         self.starts.update_view(now, &view);
--- a/crates/node/src/control/tests/limits.rs
+++ b/crates/node/src/control/tests/limits.rs
@@ -131,7 +131,7 @@
 
 fn deployment(nodes: usize) -> Deployment {
     match nodes {
-        300 => start_all(1, nodes_of_data_centres(3, 100)),
+        36 | 300 => start_all(1, nodes_of_data_centres(3, (nodes / 3) as u8)),
         _ => start_all(1, equal_nodes(nodes as u8)),
     }
 }
@@ -304,3 +304,19 @@
     let most = limited.sends.iter().filter(|(_, node)| *node == busiest).count();
     assert!(most <= limited.sends.len() / 4, "{most} of {} on node {busiest}", limited.sends.len());
 }
+
+#[test]
+fn nodes_that_lose_each_other_do_not_each_take_the_whole_reserve_of_retries() {
+    for nodes in [8, 36] {
+        let mut limited = Limited::new(deployment(nodes), nodes, 2.0);
+        limited.run_for(CONTACT_TIME);
+        limited.cut(|from, to| from != to);
+        limited.run_for(Duration::from_secs(40));
+        let share = |node: usize| {
+            1.0 / f64::from(limited.deployment.view(node).expect("it runs").known_vms)
+        };
+        let shares: f64 = (0..nodes).map(share).sum();
+        assert!(shares <= 1.01, "{nodes} nodes take {shares:.1} times the reserve");
+        limited.deployment.cut_links.clear();
+    }
+}
--- a/crates/node/src/limit_exchange.rs
+++ b/crates/node/src/limit_exchange.rs
@@ -31,23 +31,12 @@
 /// Age of the demand to which a grant replies from which the grant is dropped: it may have waited on its way while the
 /// node stood still.
 const GRANT_MAX_AGE: Duration = Duration::from_millis(1500);
-/// Time for which a node that fell silent counts as a part of the deployment: it may only be cut off, and send to the
-/// servers as a part of its own.
-const SILENT_NODE_COUNTS_FOR: Duration = Duration::from_secs(600);
 /// Age up to which a limit is new, so that no other node can have issued permits.
 const NEW_LIMIT_AGE: Duration = Duration::from_millis(500);
 
 /// Demand of a node, with the address at which the node receives permits.
 type AddressedDemand = (SocketAddr, PermitDemand);
 
-/// Another node of the deployment.
-#[derive(Clone, Copy, Debug)]
-struct Member {
-    seen_at: Instant,
-    /// The node last said that it takes no callers, so that it sends nothing once it is silent.
-    has_left: bool,
-}
-
 /// Limits, permits and demands of this node.
 #[derive(Debug)]
 pub(crate) struct LimitExchange {
@@ -57,7 +46,6 @@
     wishes: Vec<PermitWish>,
     /// Permits received so far, by server.
     received: HashMap<u32, u32>,
-    members: BTreeMap<VmId, Member>,
     /// Entries have changed since they were last sent.
     has_changed: bool,
     sent_at: Option<Instant>,
@@ -75,7 +63,6 @@
             issuer: PermitIssuer::default(),
             wishes: Vec::new(),
             received: HashMap::new(),
-            members: BTreeMap::new(),
             has_changed: false,
             sent_at: None,
             demand_sent_at: None,
@@ -228,7 +215,6 @@
         listed: impl Iterator<Item = u32>,
         network: &mut PeerNetwork,
     ) {
-        self.update_members(now, network);
         if self.table.is_empty() {
             return;
         }
@@ -303,7 +289,7 @@
         let own: BTreeMap<u32, NamedLimit> =
             limits.into_iter().filter(|(server, _)| is_own(*server)).collect();
         self.issuer.retain(|server| own.contains_key(&server));
-        let nodes = self.node_count(network);
+        let nodes = network.known_nodes.count();
         let me = network.me.peer_addr;
         for (server, limit) in own {
             self.open(now, server);
@@ -317,33 +303,6 @@
         }
     }
 
-    /// Records which nodes there are.
-    fn update_members(&mut self, now: Instant, network: &PeerNetwork) {
-        for info in network.peers.infos() {
-            let member = self
-                .members
-                .entry(info.vm.clone())
-                .or_insert(Member { seen_at: now, has_left: false });
-            member.seen_at = now;
-        }
-        for (info, heartbeat) in network.peers.live(now) {
-            if let Some(member) = self.members.get_mut(&info.vm) {
-                member.has_left = !heartbeat.serving;
-            }
-        }
-        let peers = &network.peers;
-        self.members.retain(|vm, member| {
-            let is_silent = member.has_left && !peers.is_live(now, vm);
-            !is_silent && now.saturating_duration_since(member.seen_at) < SILENT_NODE_COUNTS_FOR
-        });
-    }
-
-    /// Number of nodes of the deployment, silent ones included.
-    fn node_count(&self, network: &PeerNetwork) -> u32 {
-        let others = self.members.keys().filter(|vm| **vm != network.me.vm).count();
-        u32::try_from(others + 1).unwrap_or(u32::MAX)
-    }
-
     /// This node's time for stamps, in milliseconds.
     fn stamp_ms(&self, now: Instant) -> u32 {
         now.saturating_duration_since(self.origin).as_millis() as u32
--- a/crates/node/src/peer_network.rs
+++ b/crates/node/src/peer_network.rs
@@ -8,6 +8,7 @@
 use {
     crate::{
         control_metrics::ControlMetrics,
+        known_nodes::KnownNodes,
         mesh::{Mesh, MeshTopology},
         peer_message::{Heartbeat, PeerInfo, PeerMessage},
         peers::Peers,
@@ -85,6 +86,8 @@
     process_hash: u64,
     pub(crate) peers: Peers,
     pub(crate) mesh: Mesh,
+    /// The nodes of the deployment, silent ones included.
+    pub(crate) known_nodes: KnownNodes,
     /// True if this node has read from the store which other nodes there are.
     pub(crate) has_all_nodes: bool,
     transport: Box<dyn Transport>,
@@ -107,6 +110,7 @@
             me,
             peers: Peers::default(),
             mesh: Mesh::single_node(),
+            known_nodes: KnownNodes::default(),
             has_all_nodes: false,
             transport,
             batches: HashMap::new(),
@@ -318,6 +322,13 @@
         self.transport.send_batch(key.0, &batch.bytes);
     }
 
+    /// Records which nodes there are.
+    pub(crate) fn update_known_nodes(&mut self, now: Instant) {
+        let mut known_nodes = std::mem::take(&mut self.known_nodes);
+        known_nodes.update(now, self);
+        self.known_nodes = known_nodes;
+    }
+
     /// Computes this node's connections in the mesh anew. Returns true if this node has become a
     /// core or has ceased to be one.
     pub(crate) fn update_mesh(&mut self, now: Instant) -> bool {
