--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -101,6 +101,8 @@
     limit_text: Option<String>,
     /// Part of a prompt on which it crashes as it begins to answer, unless the part is the last.
     crash_part: Option<u64>,
+    /// Body of the requests on which it crashes as it begins to answer.
+    crash_body: Option<String>,
     /// Times that a request has crashed it.
     crashes: u64,
     /// It has crashed and hasn't started again.
@@ -168,6 +170,7 @@
             answer_bytes: 0,
             limit_text: None,
             crash_part: None,
+            crash_body: None,
             crashes: 0,
             is_down: false,
             task: None,
@@ -195,6 +198,11 @@
         self.shared.lock().limit_text = text.map(str::to_owned);
     }
 
+    /// Has the server crash on each request with `body`.
+    pub fn crash_on_body(&self, body: Option<&str>) {
+        self.shared.lock().crash_body = body.map(str::to_owned);
+    }
+
     /// Times that a request has crashed the server.
     pub fn crashes(&self) -> u64 {
         self.shared.lock().crashes
@@ -300,12 +308,14 @@
         self.lock().task = Some(task);
     }
 
-    /// True if a request with `terms` crashes the server.
-    fn crashes_on(&self, terms: &RequestMetadata) -> bool {
+    /// True if a request with `terms` and `body` crashes the server.
+    fn crashes_on(&self, terms: &RequestMetadata, body: &[u8]) -> bool {
         let shared_parts = terms.prompt_parts.iter().rev().skip(1);
-        self.lock()
-            .crash_part
-            .is_some_and(|part| shared_parts.into_iter().any(|at| at.hash == part))
+        let state = self.lock();
+        if state.crash_body.as_ref().is_some_and(|crashing| crashing.as_bytes() == body) {
+            return true;
+        }
+        state.crash_part.is_some_and(|part| shared_parts.into_iter().any(|at| at.hash == part))
     }
 
     /// Breaks all connections, and starts again after a while, with the models of its first start.
@@ -505,7 +515,7 @@
         "/report" => Ok(shared.own(whole(StatusCode::OK, encode_report(&shared.report())))),
         ORDER_PATH => Ok(shared.own(whole(encode_order_answer(shared.order(&body)), Vec::new()))),
         reservation::PATH => Ok(shared.own(shared.reserve().await)),
-        _ => run(shared, &head.headers).await,
+        _ => run(shared, &head.headers, &body).await,
     }
 }
 
@@ -520,7 +530,7 @@
 }
 
 /// Runs a caller's request.
-async fn run(shared: Arc<Shared>, headers: &HeaderMap) -> Handled {
+async fn run(shared: Arc<Shared>, headers: &HeaderMap, body: &[u8]) -> Handled {
     let terms = PlatformDialect.read_caller_terms(headers).unwrap_or_default();
     let id = terms.request_id.as_ref().map_or("", |id| id.as_str()).to_owned();
     let (expected, _time_left) = stand_in::read_server_and_time_left(headers);
@@ -563,7 +573,7 @@
         stopped: false,
         overlaps: false,
     });
-    if shared.crashes_on(&terms) {
+    if shared.crashes_on(&terms, body) {
         shared.crash();
         return Err(broken());
     }
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -430,11 +430,23 @@
         id: &str,
         parts: &[u64],
     ) -> JoinHandle<Option<Reply>> {
-        let addr = self.nodes[node].addrs.callers;
         let terms = caller_terms(id, model, EVENTS, parts);
-        let path = path.to_owned();
+        self.begin_with_body(caller, node, path, terms, "body")
+    }
+
+    /// Sends a request with `terms` and `body` to a node without waiting.
+    pub fn begin_with_body(
+        &self,
+        caller: Caller,
+        node: usize,
+        path: &str,
+        terms: RequestMetadata,
+        body: &str,
+    ) -> JoinHandle<Option<Reply>> {
+        let addr = self.nodes[node].addrs.callers;
+        let (path, body) = (path.to_owned(), body.to_owned());
         self.runtime
-            .spawn(async move { caller.send(addr, "POST", HOST, &path, &terms, "body").await })
+            .spawn(async move { caller.send(addr, "POST", HOST, &path, &terms, &body).await })
     }
 
     /// Waits for a request that was begun.
