Keep a request that crashes servers away by its contents

Cause: the quarantine knew requests by the shared parts of their prompts alone, so that a call without a prompt was never reported, and a prompt only by what sound ones hold too.

An attempt that broke is reported with a fingerprint of the request too: its route, method, path, model and body, like one more part. It is blamed, kept away, tried and trusted again by the same rules and messages. Whoever sends the request again isn't asked for. Of prompts, the combination of parts that is blamed now ends with the request itself, so requests that share its parts aren't refused. The body is read for it only at a failure, or while something is quarantined.

--- a/crates/node/src/control/tests/quarantine.rs
+++ b/crates/node/src/control/tests/quarantine.rs
@@ -117,7 +117,7 @@
     fn sending(&self, parts: &[u64]) -> Vec<usize> {
         let sends = |node: &usize| {
             let view = self.deployment.view(*node);
-            view.is_some_and(|view| view.quarantine.find(parts.iter().copied()).is_none())
+            view.is_some_and(|view| view.quarantine.find(|| parts).is_none())
         };
         (0..self.nodes).filter(sends).collect()
     }
--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -39,7 +39,8 @@
 const CRASHES_MAX: usize = 128;
 /// Largest number of broken attempts that are kept for a crash.
 const ATTEMPTS_PER_CRASH_MAX: usize = 64;
-/// Largest number of parts that are kept for an attempt: the first ones.
+/// Largest number of parts that are kept for an attempt: the first ones, and the last one, which stands for the request
+/// itself.
 const PARTS_PER_ATTEMPT_MAX: usize = 16;
 /// Largest number of suspected parts.
 const SUSPECTS_MAX: usize = 64;
@@ -52,10 +53,19 @@
     pub server: u32,
     /// Hash of the request's id.
     pub request: u64,
-    /// Hashes of the prompt's parts that other requests may share, in their order.
+    /// Hashes of the prompt's parts that other requests may share, in their order, and then the fingerprint of the
+    /// request itself. Nodes of earlier versions leave the fingerprint out.
     pub parts: Vec<u64>,
 }
 
+impl LostAttempt {
+    fn bound_parts(&mut self) {
+        if self.parts.len() > PARTS_PER_ATTEMPT_MAX {
+            self.parts.drain(PARTS_PER_ATTEMPT_MAX - 1..self.parts.len() - 1);
+        }
+    }
+}
+
 /// A combination of parts that explains crashes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Attribution {
@@ -112,7 +122,7 @@
 impl CrashLog {
     /// Records an attempt that broke.
     pub fn on_lost(&mut self, now: Instant, mut attempt: LostAttempt) {
-        attempt.parts.truncate(PARTS_PER_ATTEMPT_MAX);
+        attempt.bound_parts();
         if attempt.parts.is_empty() {
             return;
         }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -16,12 +16,14 @@
 
 mod crash_log;
 mod entry;
+mod fingerprint;
 mod quarantine;
 mod quarantine_view;
 
 pub use crate::{
     crash_log::{Attribution, CrashLog, LostAttempt},
     entry::{Entry, EntryUpdate},
+    fingerprint::Fingerprint,
     quarantine::Quarantine,
     quarantine_view::{BlockedParts, QuarantineView},
 };
--- a/crates/quarantine/src/quarantine_view.rs
+++ b/crates/quarantine/src/quarantine_view.rs
@@ -30,20 +30,21 @@
 }
 
 impl QuarantineView {
-    /// The combination for which a request with `parts` must not be sent to an engine.
-    pub fn find(&self, parts: impl Iterator<Item = u64>) -> Option<&BlockedParts> {
+    /// The combination for which a request with `parts` must not be sent to an engine. The parts are asked for only if
+    /// anything is quarantined.
+    pub fn find<'a>(&self, parts: impl FnOnce() -> &'a [u64]) -> Option<&BlockedParts> {
         if self.blocked.is_empty() {
             return None;
         }
-        let parts: Vec<u64> = parts.collect();
-        self.blocked.iter().find(|blocked| contains_all(&parts, &blocked.parts))
+        let parts = parts();
+        self.blocked.iter().find(|blocked| contains_all(parts, &blocked.parts))
     }
 
-    /// Those of `parts` that are suspected.
-    pub fn suspected_among(&self, parts: impl Iterator<Item = u64>) -> Vec<u64> {
+    /// Those of `parts` that are suspected. The parts are asked for only if any are.
+    pub fn suspected_among<'a>(&self, parts: impl FnOnce() -> &'a [u64]) -> Vec<u64> {
         if self.suspects.is_empty() {
             return Vec::new();
         }
-        parts.filter(|part| self.suspects.contains(part)).collect()
+        parts().iter().copied().filter(|part| self.suspects.contains(part)).collect()
     }
 }
--- a/crates/quarantine/tests/traffic.rs
+++ b/crates/quarantine/tests/traffic.rs
@@ -179,7 +179,7 @@
     /// Starts the trial that is due for a request with `parts`, if there is one.
     fn is_trial(&mut self, parts: &[u64]) -> bool {
         let view = self.quarantine.view(std::iter::empty());
-        let Some(blocked) = view.find(parts.iter().copied()) else { return false };
+        let Some(blocked) = view.find(|| parts) else { return false };
         let now = self.now();
         let Some(trials) = self.quarantine.due_trial(now, blocked.key).map(|due| due.trials) else {
             return false;
--- a/crates/relay/src/admitted_request.rs
+++ b/crates/relay/src/admitted_request.rs
@@ -8,9 +8,10 @@
     bytes::Bytes,
     glade_catalog::{EngineClass, RetryPolicy},
     glade_dispatch::ServerIdx,
+    glade_quarantine::Fingerprint,
     hyper::http::request::Parts,
     std::{
-        cell::{Cell, Ref, RefCell},
+        cell::{Cell, OnceCell, Ref, RefCell},
         time::{Duration, Instant},
     },
 };
@@ -40,6 +41,8 @@
     answer_began: Cell<Option<(ServerIdx, Instant)>>,
     /// The request is a trial of quarantined parts, which is sent once.
     is_trial: Cell<bool>,
+    /// See [`Self::quarantine_parts`].
+    quarantine_parts: OnceCell<Vec<u64>>,
     end_line: EndLine,
 }
 
@@ -63,6 +66,7 @@
             error_answer,
             answer_began: Cell::new(None),
             is_trial: Cell::new(false),
+            quarantine_parts: OnceCell::new(),
             end_line,
         }
     }
@@ -151,6 +155,26 @@
         spec.output_tokens_max > 0 && tokens >= u64::from(spec.output_tokens_max)
     }
 
+    /// Hashes by which the quarantine knows the request: those of the prompt's parts that other requests may share, and the
+    /// request's fingerprint. Computed when first needed, since that reads the whole body.
+    pub(crate) fn quarantine_parts(&self) -> &[u64] {
+        self.quarantine_parts
+            .get_or_init(|| self.routed.shared_parts().chain([self.fingerprint()]).collect())
+    }
+
+    /// Identifies the request by what it asks for, whoever sends it.
+    fn fingerprint(&self) -> u64 {
+        let mut fingerprint = Fingerprint::new();
+        fingerprint.add(self.routed.route.name.as_str().as_bytes());
+        fingerprint.add(self.head.method.as_str().as_bytes());
+        let target = self.head.uri.path_and_query().map_or("", |target| target.as_str());
+        fingerprint.add(target.as_bytes());
+        let model = self.routed.terms.model.as_ref().map_or("", |model| model.as_str());
+        fingerprint.add(model.as_bytes());
+        fingerprint.add(&self.body);
+        fingerprint.get()
+    }
+
     /// Makes the request a trial of quarantined parts.
     pub(crate) fn begin_trial(&self) {
         self.is_trial.set(true);
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -100,7 +100,7 @@
             return None;
         }
         let view = self.view.load();
-        view.quarantine.find(admitted.routed.shared_parts()).cloned()
+        view.quarantine.find(|| admitted.quarantine_parts()).cloned()
     }
 
     /// Makes `admitted` the trial of the quarantined combination that it holds, if a trial is due and this node is
@@ -139,7 +139,7 @@
     pub(crate) fn keep_trial(&self, admitted: &AdmittedRequest, refused: Refused) -> Refused {
         if admitted.is_trial() {
             let view = self.view.load();
-            let blocked = view.quarantine.find(admitted.routed.shared_parts());
+            let blocked = view.quarantine.find(|| admitted.quarantine_parts());
             blocked
                 .into_iter()
                 .for_each(|found| self.quarantine.grant(self.clock.now(), found.key));
@@ -180,10 +180,10 @@
             return;
         }
         let answering = admitted.answering_for(self.clock.now(), server);
-        let parts: Vec<u64> = admitted.routed.shared_parts().collect();
-        if parts.is_empty() || answering.is_some_and(|time| time >= ANSWER_SURE_AFTER) {
+        if answering.is_some_and(|time| time >= ANSWER_SURE_AFTER) {
             return;
         }
+        let parts = admitted.quarantine_parts().to_vec();
         let request = stable_hash(admitted.routed.id.as_str().as_bytes());
         let server_hash = self.dispatcher.borrow().record(server).key.short_hash();
         let lost = LostAttempt { server: server_hash, request, parts };
@@ -221,7 +221,7 @@
     /// Reports that the answer to `admitted` proves its parts to be sound, if any of them is suspected.
     pub(crate) fn report_served(&self, admitted: &AdmittedRequest) {
         let view = self.view.load();
-        let suspected = view.quarantine.suspected_among(admitted.routed.shared_parts());
+        let suspected = view.quarantine.suspected_among(|| admitted.quarantine_parts());
         if suspected.is_empty() {
             return;
         }
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -73,7 +73,7 @@
             failure = failure.name(),
             may_have_run = failure.may_have_run(),
             answering_ms = answering.map(|time| time.as_millis() as u64),
-            parts = part_list(admitted.routed.shared_parts()).as_str(),
+            parts = part_list(admitted.quarantine_parts().iter().copied()).as_str(),
             after_ms = self.after_ms(admitted);
             "attempt_failed"
         );
