Blame a request by the servers that it ended, whether or not at the same moment

In virtual time: three servers of a plain service ended within 0.14 s under copies of one request; three crashes at moments of their own had to be seen once more when they were back, and four sends reached servers later than allowed. Servers that end together for a cause of their own don't all run the same request, so for the fingerprint of a request with a body crashes count, not moments. Fingerprints of requests without a body, which many callers share, keep the rule for parts.

--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -7,7 +7,7 @@
 //! quarantined as a combination, so that requests which hold only some of them are still sent.
 
 use {
-    crate::{contains_all, quarantine::Quarantine},
+    crate::{contains_all, fingerprint::Fingerprint, quarantine::Quarantine},
     serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
@@ -252,7 +252,10 @@
         for part in parts {
             let tally = tallies.entry(part).or_default();
             tally.crashes += 1;
-            let is_new_moment = |last: Instant| crash.at.saturating_duration_since(last) >= MOMENT;
+            // Servers that end together for a cause of their own don't all run the same request.
+            let is_single = Fingerprint::is_of_single_request(part);
+            let is_new_moment =
+                |last: Instant| is_single || crash.at.saturating_duration_since(last) >= MOMENT;
             if tally.last_moment_at.is_none_or(is_new_moment) {
                 tally.moments += 1;
                 tally.last_moment_at = Some(crash.at);
@@ -300,10 +303,12 @@
 ) -> Option<Attribution> {
     let is_due = |part: &u64| suspected_since.get(part).is_some_and(|at| *at <= suspected_by);
     let sufficient = tallies.iter().filter(|(part, tally)| is_due(part) && tally.suffices());
-    let (_, best) = sufficient.max_by_key(|(_, tally)| {
+    let (_, best) = sufficient.max_by_key(|(part, tally)| {
         (
             !tally.is_widely_shared(),
             tally.crashes,
+            // Of several explanations, the one that keeps the fewest requests away.
+            Fingerprint::is_of_single_request(**part),
             tally.common_parts.len(),
             Reverse(tally.attempts),
         )
--- a/crates/quarantine/tests/crash_log.rs
+++ b/crates/quarantine/tests/crash_log.rs
@@ -227,3 +227,82 @@
     let attempts = text.matches("LostAttempt").count();
     assert!(attempts <= 128 * 64, "{attempts} attempts are kept");
 }
+
+/// Fingerprints of requests with a body of their own.
+const ONE: u64 = 0xf17e << 48 | 1;
+const OTHER: u64 = 0xf17e << 48 | 2;
+
+#[test]
+fn a_request_that_ends_three_servers_at_the_same_moment_is_blamed() {
+    let mut log = Log::new();
+    for _ in 0..3 {
+        log.crash(&[&[ONE]]);
+        log.pass_ms(20);
+    }
+    log.blame();
+    log.pass_ms(400);
+    assert_eq!(log.blame(), [[ONE]]);
+}
+
+#[test]
+fn the_attempts_of_one_send_do_not_blame_a_request() {
+    let mut log = Log::new();
+    for server in 1..=4 {
+        log.lose(server, 77, &[ONE]);
+        log.log.on_ended(log.now, server);
+        log.pass_ms(500);
+        assert!(log.blame().is_empty());
+    }
+}
+
+/// Reads without a body of their own all have one fingerprint, which isn't marked as that of a single request.
+#[test]
+fn reads_that_were_at_the_same_crashes_are_not_blamed_for_a_request() {
+    let mut log = Log::new();
+    for _ in 0..4 {
+        log.crash(&[&[5], &[ONE]]);
+        log.pass_ms(500);
+        log.blame();
+    }
+    assert!(log.quarantine.blocks(&[ONE]));
+    assert!(!log.quarantine.blocks(&[5]));
+}
+
+#[test]
+fn requests_that_share_all_parts_with_a_blamed_one_are_sent() {
+    let mut log = Log::new();
+    for _ in 0..4 {
+        log.crash(&[&[SHARED, MIDDLE, ONE]]);
+        log.pass_ms(500);
+        log.blame();
+    }
+    assert!(log.quarantine.blocks(&[SHARED, MIDDLE, ONE]));
+    assert!(!log.quarantine.blocks(&[SHARED, MIDDLE, OTHER]));
+}
+
+#[test]
+fn a_part_in_requests_of_their_own_is_blamed_and_not_each_of_these() {
+    let mut log = Log::new();
+    for request in 0..4 {
+        let own = ONE + 100 + request;
+        log.crash(&[&[SHARED, CRASHING, own]]);
+        log.log.on_served(&[SHARED]);
+        log.pass_ms(500);
+        log.blame();
+    }
+    assert!(log.quarantine.blocks(&[SHARED, CRASHING, OTHER]));
+}
+
+#[test]
+fn long_prompts_keep_the_fingerprint_of_their_request() {
+    let mut log = Log::new();
+    let prompt: Vec<u64> = (100..140).chain([ONE]).collect();
+    for _ in 0..4 {
+        log.crash(&[&prompt]);
+        log.pass_ms(500);
+        log.blame();
+    }
+    assert!(log.quarantine.blocks(&prompt));
+    let other: Vec<u64> = (100..140).chain([OTHER]).collect();
+    assert!(!log.quarantine.blocks(&other));
+}
--- a/crates/quarantine/tests/traffic.rs
+++ b/crates/quarantine/tests/traffic.rs
@@ -16,6 +16,8 @@
 const LATE_ARRIVALS_MAX: usize = 3;
 /// Crashes after which requests are counted.
 const COUNTED_CRASHES: usize = 5;
+/// The same for one request that comes again and again.
+const COUNTED_CRASHES_OF_ONE: usize = 3;
 /// Time that is left for answers to requests with suspected parts to become known.
 const ANSWER_KNOWN_WITHIN: Duration = Duration::from_millis(300);
 /// Step of the virtual time.
@@ -30,6 +32,10 @@
 /// Longest time until a crash or an answer is known where parts are blamed.
 const REPORT_MS_MAX: u64 = 120;
 const SHARED: u64 = 1;
+/// Fingerprints of requests, one for each.
+const FINGERPRINTS: u64 = 0xf17e << 48;
+/// The fingerprint of the request that crashes servers.
+const CRASHING_REQUEST: u64 = FINGERPRINTS | 1 << 40;
 
 /// The load and what goes wrong.
 #[derive(Clone, Copy, Debug)]
@@ -41,7 +47,9 @@
     crashing_share: f64,
     /// Crashing parts, each of which comes for an equal part of the time.
     crashing_parts: u64,
-    /// Middle parts that sound requests and crashing ones share.
+    /// The crashing requests are one that comes again and again: its fingerprint is the crashing part.
+    is_one_request: bool,
+    /// Middle parts that sound requests and crashing ones share; none if there are no prompts.
     middle_parts: u64,
     /// Share of the engines that end at the same moment for another cause, every second.
     other_crashes: f64,
@@ -157,12 +165,20 @@
 
     fn arrive(&mut self, seconds: u64) {
         let request = self.id();
-        let middle = 100 + self.rng.u64(0..self.scenario.middle_parts);
-        let mut parts = vec![SHARED, middle];
+        let mut parts = Vec::new();
+        if self.scenario.middle_parts > 0 {
+            parts.extend([SHARED, 100 + self.rng.u64(0..self.scenario.middle_parts)]);
+        }
         let is_crashing = self.rng.f64() < self.scenario.crashing_share;
         if is_crashing {
             let part = self.now_ms * self.scenario.crashing_parts / (seconds * 1_000 + 1);
-            parts.push(crashing_part(part));
+            parts.push(match self.scenario.is_one_request {
+                true => CRASHING_REQUEST,
+                false => crashing_part(part),
+            });
+        }
+        if !is_crashing || !self.scenario.is_one_request {
+            parts.push(FINGERPRINTS | request);
         }
         let second = self.now_ms / 1_000;
         let is_trial = self.is_trial(&parts);
@@ -256,8 +272,10 @@
 
     /// Requests with a crashing part that reached engines when they are counted.
     fn late_arrivals(&self) -> usize {
-        let Some(fifth) = self.crashes_ms.get(COUNTED_CRASHES - 1) else { return 0 };
-        self.arrivals_ms.iter().filter(|at| **at > fifth + CONTACT_MS).count()
+        let counted =
+            if self.scenario.is_one_request { COUNTED_CRASHES_OF_ONE } else { COUNTED_CRASHES };
+        let Some(last) = self.crashes_ms.get(counted - 1) else { return 0 };
+        self.arrivals_ms.iter().filter(|at| **at > last + CONTACT_MS).count()
     }
 
     /// Share of the sound requests from second `from` on that were refused.
@@ -273,7 +291,8 @@
 }
 
 fn is_crashing(parts: &[u64]) -> bool {
-    parts.iter().any(|part| *part >= 0xdead_0000)
+    let last = parts.last();
+    last == Some(&CRASHING_REQUEST) || parts.iter().any(|part| part & !0xffff == 0xdead_0000)
 }
 
 const SMALL: Scenario = Scenario {
@@ -281,6 +300,7 @@
     rate: 120.0,
     crashing_share: 0.05,
     crashing_parts: 1,
+    is_one_request: false,
     middle_parts: 60,
     other_crashes: 0.0,
 };
@@ -341,6 +361,30 @@
     assert_kept_away(Scenario { middle_parts: 1, ..SMALL });
 }
 
+const ONE_REQUEST: Scenario = Scenario { is_one_request: true, crashing_share: 0.03, ..SMALL };
+/// Calls of a plain service with a few servers.
+const CALLS: Scenario = Scenario { engines: 3, rate: 30.0, middle_parts: 0, ..ONE_REQUEST };
+
+#[test]
+fn a_request_that_crashes_servers_again_and_again_is_kept_from_them() {
+    for scenario in [ONE_REQUEST, CALLS] {
+        for crashing_share in [0.005, 0.03, 0.08] {
+            assert_kept_away(Scenario { crashing_share, ..scenario });
+        }
+    }
+}
+
+#[test]
+fn the_same_holds_if_it_shares_all_parts_with_sound_requests() {
+    assert_kept_away(Scenario { middle_parts: 1, ..ONE_REQUEST });
+}
+
+#[test]
+fn the_same_holds_while_servers_crash_for_other_causes() {
+    assert_kept_away(Scenario { other_crashes: 0.1, ..ONE_REQUEST });
+    assert_kept_away(Scenario { other_crashes: 0.1, ..CALLS });
+}
+
 #[test]
 fn sound_parts_arent_blamed_while_engines_crash_for_other_causes() {
     for scenario in [SMALL, LARGE] {
--- a/crates/relay/src/admitted_request.rs
+++ b/crates/relay/src/admitted_request.rs
@@ -172,7 +172,7 @@
         let model = self.routed.terms.model.as_ref().map_or("", |model| model.as_str());
         fingerprint.add(model.as_bytes());
         fingerprint.add(&self.body);
-        fingerprint.get()
+        fingerprint.get(!self.body.is_empty())
     }
 
     /// Makes the request a trial of quarantined parts.
