Tell a request that crashes servers from a part that crashes them in many requests

Found by callers in the traffic tests that send what has failed once more, under another id: each request with a crashing part then ends three engines by itself and is blamed alone, which explained its crashes, so the part never was; and of two requests that were at the same crashes the wrong one could be blamed.

A blamed request explains a crash for the parts of others that were there, and no more: the crash goes on to count for its own parts and for other requests. A part needs requests that differ. Crashes that had the same request count as moments of their own for its parts.

--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -18,6 +18,9 @@
 
 /// Moments of crashes after which a part is quarantined.
 const MOMENTS_MIN: usize = 3;
+/// Crashes after which a single request is blamed that was sent more than once. The next of its sends may be many: all
+/// that wait for the same server.
+const SINGLE_REQUEST_CRASHES_MIN: usize = 2;
 /// The same for a part that different requests share, several of them at each crash.
 const WIDELY_SHARED_MOMENTS_MIN: usize = 6;
 /// Requests with a part at a crash, on average, above which the part is widely shared.
@@ -110,6 +113,8 @@
 struct Tally {
     moments: usize,
     last_moment_at: Option<Instant>,
+    /// Fingerprints of the requests with the part that were at the last crash.
+    last_requests: BTreeSet<u64>,
     crashes: usize,
     requests: BTreeSet<u64>,
     attempts: usize,
@@ -201,13 +206,11 @@
             return Vec::new();
         }
         let suspected_by = now.checked_sub(answer_known_within).unwrap_or(now);
-        let is_explained = |crash: &Crash| {
-            crash.attempts.iter().any(|kept| quarantine.blocks(&kept.attempt.parts))
-        };
-        let mut open: Vec<&Crash> = self
+        let mut open: Vec<OpenCrash> = self
             .crashes
             .iter()
-            .filter(|crash| crash.is_confirmed && !is_explained(crash))
+            .filter(|crash| crash.is_confirmed)
+            .filter_map(|crash| OpenCrash::new(crash, quarantine))
             .collect();
         let tallies = tally(&open);
         let is_suspect = |(_, tally): &(&u64, &Tally)| tally.moments >= SUSPECT_MOMENTS_MIN;
@@ -218,13 +221,7 @@
         let suspected_since: BTreeMap<u64, Instant> = suspects.collect();
         let mut found = Vec::new();
         while let Some(attribution) = most_likely(&tally(&open), &suspected_since, suspected_by) {
-            let is_explained = |crash: &&Crash| {
-                crash
-                    .attempts
-                    .iter()
-                    .any(|kept| contains_all(&kept.attempt.parts, &attribution.parts))
-            };
-            open.retain(|crash| !is_explained(crash));
+            open.retain_mut(|crash| crash.remains_open(&attribution.parts));
             found.push(attribution);
         }
         let blame_at = suspected_since.values().map(|since| *since + answer_known_within);
@@ -243,33 +240,100 @@
     }
 }
 
+/// A crash for which a cause is still looked for.
+///
+/// A single request that is kept away explains a crash. The request may owe that to a part which other requests hold
+/// too, so the crash goes on to count for the parts of that request, and for no parts of others that were there. It
+/// counts for these other requests as well: several that were at the same crashes can't be told apart.
+struct OpenCrash<'a> {
+    at: Instant,
+    attempts: Vec<&'a KeptAttempt>,
+    /// Fingerprints of requests that are kept away and explain the crash.
+    explained_by: BTreeSet<u64>,
+}
+
+impl<'a> OpenCrash<'a> {
+    /// Returns `None` if parts that `quarantine` keeps away explain the crash.
+    fn new(crash: &'a Crash, quarantine: &Quarantine) -> Option<Self> {
+        let attempts = crash.attempts.iter().collect();
+        let mut open = Self { at: crash.at, attempts, explained_by: BTreeSet::new() };
+        quarantine.combinations().all(|parts| open.remains_open(parts)).then_some(open)
+    }
+
+    /// Takes into account that the combination `parts` is kept away. Returns false if it explains the crash and is
+    /// not that of a single request.
+    fn remains_open(&mut self, parts: &[u64]) -> bool {
+        if !self.attempts.iter().any(|kept| contains_all(&kept.attempt.parts, parts)) {
+            return true;
+        }
+        let Some(request) = single_request(parts) else { return false };
+        self.explained_by.insert(request);
+        true
+    }
+
+    /// The attempts for whose parts the crash counts.
+    fn blamable(&self, part: u64) -> impl Iterator<Item = &'a KeptAttempt> {
+        let is_open_for = move |kept: &&KeptAttempt| {
+            let own = single_request(&kept.attempt.parts);
+            Fingerprint::is_of_single_request(part)
+                || self.explained_by.is_empty()
+                || own.is_some_and(|request| self.explained_by.contains(&request))
+        };
+        let attempts = self.attempts.iter().copied().filter(is_open_for);
+        attempts.filter(move |kept| kept.open_parts.contains(&part))
+    }
+
+    /// The parts of which no request was answered since, and that aren't known to explain the crash.
+    fn parts(&self) -> BTreeSet<u64> {
+        let parts = self.attempts.iter().flat_map(|kept| &kept.open_parts).copied();
+        parts.filter(|part| !self.explained_by.contains(part)).collect()
+    }
+}
+
+/// The fingerprint of the single request whose parts these are.
+fn single_request(parts: &[u64]) -> Option<u64> {
+    parts.last().copied().filter(|part| Fingerprint::is_of_single_request(*part))
+}
+
 /// Adds up what `crashes`, in the order of their times, show of each part.
-fn tally(crashes: &[&Crash]) -> BTreeMap<u64, Tally> {
+fn tally(crashes: &[OpenCrash]) -> BTreeMap<u64, Tally> {
     let mut tallies: BTreeMap<u64, Tally> = BTreeMap::new();
     for crash in crashes {
-        let parts: BTreeSet<u64> =
-            crash.attempts.iter().flat_map(|kept| &kept.open_parts).copied().collect();
-        for part in parts {
+        for part in crash.parts() {
+            let attempts: Vec<&KeptAttempt> = crash.blamable(part).collect();
+            if attempts.is_empty() {
+                continue;
+            }
             let tally = tallies.entry(part).or_default();
-            tally.crashes += 1;
-            // Servers that end together for a cause of their own don't all run the same request.
             let is_single = Fingerprint::is_of_single_request(part);
-            let is_new_moment =
-                |last: Instant| is_single || crash.at.saturating_duration_since(last) >= MOMENT;
-            if tally.last_moment_at.is_none_or(is_new_moment) {
-                tally.moments += 1;
-                tally.last_moment_at = Some(crash.at);
-            }
-            for kept in crash.attempts.iter().filter(|kept| kept.open_parts.contains(&part)) {
-                tally.add(kept);
-            }
+            tally.add_crash(crash.at, &attempts);
+            attempts.iter().for_each(|kept| tally.add(kept, is_single));
         }
     }
     tallies
 }
 
 impl Tally {
-    fn add(&mut self, kept: &KeptAttempt) {
+    /// Adds a crash at which there were `attempts` with the part. It is a moment of its own if it was long after the one
+    /// before, or had one of the same requests: servers that end together for a cause of their own don't all run the
+    /// same request.
+    fn add_crash(&mut self, at: Instant, attempts: &[&KeptAttempt]) {
+        let requests: BTreeSet<u64> =
+            attempts.iter().filter_map(|kept| single_request(&kept.attempt.parts)).collect();
+        let is_new_moment = |last: Instant| {
+            at.saturating_duration_since(last) >= MOMENT
+                || !self.last_requests.is_disjoint(&requests)
+        };
+        if self.last_moment_at.is_none_or(is_new_moment) {
+            self.moments += 1;
+            self.last_moment_at = Some(at);
+        }
+        self.crashes += 1;
+        self.last_requests = requests;
+    }
+
+    /// Adds an attempt with the part, which `is_single` if it stands for a request itself.
+    fn add(&mut self, kept: &KeptAttempt, is_single: bool) {
         let KeptAttempt { attempt, open_parts } = kept;
         if self.attempts == 0 {
             self.common_parts.clone_from(&attempt.parts);
@@ -279,7 +343,10 @@
             self.open_parts.retain(|part| open_parts.contains(part));
         }
         self.attempts += 1;
-        self.requests.insert(attempt.request);
+        // A part has to be in requests that differ; a request has to be sent more than once.
+        let own = attempt.parts.last().filter(|part| Fingerprint::is_of_single_request(**part));
+        let request = own.filter(|_| !is_single).copied().unwrap_or(attempt.request);
+        self.requests.insert(request);
     }
 
     /// True if the part is in several requests at each crash that have nothing else in common, as the first part of
@@ -288,9 +355,15 @@
         self.common_parts.len() <= 1 && self.attempts > REQUESTS_PER_CRASH_MAX * self.crashes
     }
 
-    fn suffices(&self) -> bool {
-        let moments_min =
-            if self.is_widely_shared() { WIDELY_SHARED_MOMENTS_MIN } else { MOMENTS_MIN };
+    /// True if the tally of `part` suffices to blame it.
+    fn suffices(&self, part: u64) -> bool {
+        let moments_min = if Fingerprint::is_of_single_request(part) {
+            SINGLE_REQUEST_CRASHES_MIN
+        } else if self.is_widely_shared() {
+            WIDELY_SHARED_MOMENTS_MIN
+        } else {
+            MOMENTS_MIN
+        };
         self.moments >= moments_min && self.requests.len() >= REQUESTS_MIN
     }
 }
@@ -302,7 +375,7 @@
     suspected_by: Instant,
 ) -> Option<Attribution> {
     let is_due = |part: &u64| suspected_since.get(part).is_some_and(|at| *at <= suspected_by);
-    let sufficient = tallies.iter().filter(|(part, tally)| is_due(part) && tally.suffices());
+    let sufficient = tallies.iter().filter(|(part, tally)| is_due(part) && tally.suffices(**part));
     let (_, best) = sufficient.max_by_key(|(part, tally)| {
         (
             !tally.is_widely_shared(),
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -153,6 +153,11 @@
         self.active().any(|kept| contains_all(parts, &kept.entry.parts))
     }
 
+    /// The combinations that are kept away.
+    pub(crate) fn combinations(&self) -> impl Iterator<Item = &[u64]> {
+        self.active().map(|kept| kept.entry.parts.as_slice())
+    }
+
     /// All entries, as other nodes merge them.
     pub fn updates(&self, now: Instant) -> Vec<EntryUpdate> {
         self.entries.values().map(|kept| kept.update(now)).collect()
--- a/crates/quarantine/tests/crash_log.rs
+++ b/crates/quarantine/tests/crash_log.rs
@@ -306,3 +306,20 @@
     let other: Vec<u64> = (100..140).chain([OTHER]).collect();
     assert!(!log.quarantine.blocks(&other));
 }
+
+#[test]
+fn a_part_is_blamed_though_each_request_with_it_was_blamed_before() {
+    let mut log = Log::new();
+    for request in 0..2 {
+        let own = ONE + 100 + request;
+        for _ in 0..3 {
+            log.crash(&[&[SHARED, MIDDLE + request, CRASHING, own]]);
+            log.pass_ms(60);
+            log.blame();
+        }
+        log.log.on_served(&[SHARED]);
+        log.pass_ms(2_000);
+        log.blame();
+    }
+    assert!(log.quarantine.blocks(&[SHARED, MIDDLE, CRASHING, OTHER]), "{:?}", log.quarantine);
+}
--- a/crates/quarantine/tests/traffic.rs
+++ b/crates/quarantine/tests/traffic.rs
@@ -217,6 +217,15 @@
         self.running.push(Running { request, engine, parts, began_ms: self.now_ms, attempt });
     }
 
+    /// A caller whose request has failed sends it once more, under another id.
+    fn send_again(&mut self, parts: Vec<u64>) {
+        if !is_crashing(&parts) && self.quarantine.blocks(&parts) {
+            *self.sound_refused.entry(self.now_ms / 1_000).or_default() += 1;
+        }
+        let request = self.id();
+        self.send(request, parts, 3, false);
+    }
+
     fn work(&mut self) {
         let now_ms = self.now_ms;
         let age = |run: &Running| now_ms - run.began_ms;
@@ -266,6 +275,8 @@
             }
             if run.attempt < 2 {
                 self.send(run.request, run.parts, run.attempt + 1, false);
+            } else if run.attempt == 2 {
+                self.send_again(run.parts);
             }
         }
     }
