Don't leave out the lines that tell how a process starts, stops and reloads

What operators saw: in 5 of 6 planned stops the log had no line stopped though the node ended with status 0; the last line was lines_left_out, so that the end looked like an abort. Cause: refusals of callers used up the lines of the second.

Such lines, and those about the store and restarts, have a bound of their own.

--- a/crates/node/src/control/store_handlers.rs
+++ b/crates/node/src/control/store_handlers.rs
@@ -13,6 +13,7 @@
     },
     glade_adapter::config,
     glade_catalog::Catalog,
+    glade_observe::LIFECYCLE,
     glade_platform::{ChangeFeed, Era, Key, Revision, StoredRow},
     std::{
         net::SocketAddr,
@@ -67,7 +68,7 @@
         if known.is_none() {
             return;
         }
-        log::warn!(era = era.0, version = self.catalog_version(); "store_restored");
+        log::warn!( target: LIFECYCLE, era = era.0, version = self.catalog_version(); "store_restored");
         self.store_health.record_restore(now);
         self.next_heartbeat_at = now;
         if now.saturating_duration_since(self.started_at) < BACKUP_AGE_MAX {
--- a/crates/node/src/control_thread.rs
+++ b/crates/node/src/control_thread.rs
@@ -15,6 +15,7 @@
         published_state::PublishedState,
     },
     glade_clock::Clock,
+    glade_observe::LIFECYCLE,
     glade_process::RestartPause,
     glade_settings::NodeSettings,
     glade_types::Incarnation,
@@ -87,7 +88,7 @@
             Err(_) => "panicked".to_owned(),
         };
         let pause = pauses.after_panic(Instant::now());
-        log::error!(
+        log::error!( target: LIFECYCLE,
             reason = reason.as_str(),
             restarts = pauses.restarts(),
             pause_ms = pause.as_millis() as u64;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,7 +20,7 @@
     glade_clock::{BootClock, Clock},
     glade_dispatch::{PromptSent, StartReply},
     glade_limit::PermitGrant,
-    glade_observe::Metrics,
+    glade_observe::{LIFECYCLE, Metrics},
     glade_process::{EndSignals, keep_running},
     glade_relay::{Relay, RelayDependencies, RelayHandle, TrafficUpdate},
     glade_settings::{NodeSettings, NodeTiming},
@@ -115,7 +115,7 @@
     let clock: Arc<dyn Clock> = Arc::new(BootClock::new());
     let (published, peer_updates) = PublishedState::new();
     let me = own_info(&settings);
-    log::info!(
+    log::info!( target: LIFECYCLE,
         incarnation = me.incarnation.0,
         version = env!("CARGO_PKG_VERSION");
         "started"
@@ -202,15 +202,15 @@
     spawn_local(reloader.run(reload));
     end.recv().await;
     let timing = in_force.borrow().timing;
-    log::info!("leaving");
+    log::info!( target: LIFECYCLE, "leaving");
     lifecycle.begin_drain();
     control.shut_down();
     relay.drain(timing.grace_period);
     let drained = keep_running("drain", async || drain(&timing, &relay).await);
     if timeout(timing.grace_period.saturating_sub(GRACE_RESERVE), drained).await.is_err() {
-        log::info!(under_way = relay.in_flight() as u64; "grace_over");
+        log::info!( target: LIFECYCLE, under_way = relay.in_flight() as u64; "grace_over");
     }
-    log::info!("stopped");
+    log::info!( target: LIFECYCLE, "stopped");
     Ok(())
 }
 
@@ -290,7 +290,7 @@
 /// far it was and what it still had to do.
 fn log_drain_stage(stage: &str, relay: &RelayHandle<PlatformDialect>) {
     let (requests, connections) = (relay.in_flight() as u64, relay.open_connections() as u64);
-    log::info!(stage = stage, requests = requests, connections = connections; "drain_stage");
+    log::info!( target: LIFECYCLE, stage = stage, requests = requests, connections = connections; "drain_stage");
 }
 
 /// Has the relay apply each view that the control thread publishes. The node serves from the first
--- a/crates/node/src/reloader.rs
+++ b/crates/node/src/reloader.rs
@@ -6,6 +6,7 @@
     },
     glade_adapter::platform_dialect::PlatformDialect,
     glade_dispatch::RetryLimit,
+    glade_observe::LIFECYCLE,
     glade_process::keep_running,
     glade_relay::RelayHandle,
     glade_settings::NodeSettings,
@@ -35,7 +36,7 @@
                 match NodeSettings::reopen(&reload.file) {
                     Ok(settings) => self.reload(&settings),
                     Err(err) => {
-                        log::warn!(reason = err.to_string().as_str(); "reload_failed");
+                        log::warn!( target: LIFECYCLE, reason = err.to_string().as_str(); "reload_failed");
                     }
                 }
             }
@@ -46,7 +47,7 @@
     fn reload(&self, file: &NodeSettings) {
         let Reload { settings, changed, needs_restart } =
             Reload::new(&self.in_force.borrow(), file);
-        log::info!(
+        log::info!( target: LIFECYCLE,
             changed = changed.join(",").as_str(),
             needs_restart = needs_restart.join(",").as_str();
             "reload"
--- a/crates/node/src/store_health.rs
+++ b/crates/node/src/store_health.rs
@@ -2,6 +2,7 @@
 //! about it to the other nodes in its heartbeats.
 
 use {
+    glade_observe::LIFECYCLE,
     serde::{Deserialize, Serialize},
     std::time::{Duration, Instant},
 };
@@ -45,7 +46,7 @@
         if self.is_unreachable {
             self.is_unreachable = false;
             self.recovered_at = Some(now);
-            log::info!("store_regained");
+            log::info!( target: LIFECYCLE, "store_regained");
         }
     }
 
@@ -65,7 +66,7 @@
         if !self.is_unreachable {
             self.is_unreachable = true;
             let silent_ms = self.answered_at.map_or(0, |at| (now - at).as_millis() as u64);
-            log::warn!(reason = reason, silent_ms = silent_ms; "store_lost");
+            log::warn!( target: LIFECYCLE, reason = reason, silent_ms = silent_ms; "store_lost");
         }
     }
 
--- a/crates/observe/src/json_lines.rs
+++ b/crates/observe/src/json_lines.rs
@@ -1,10 +1,11 @@
 //! JSON lines on standard output, bounded, from a thread of their own.
 //!
 //! A line that doesn't fit is counted and left out; whoever logs never waits. Failures have more room
-//! than the rest, so that a flood of ordinary decisions can't hide them.
+//! than the rest, so that a flood of ordinary decisions can't hide them. Lines about the life of the
+//! process have room of their own.
 
 use {
-    crate::last_words::print_error,
+    crate::{LIFECYCLE, last_words::print_error},
     logforth::{
         Append, Diagnostic, Error,
         kv::{KeyView, ValueView, Visitor},
@@ -27,16 +28,42 @@
 const LINES_PER_S: u32 = 400;
 /// Lines in a second, failures included.
 const FAILURES_PER_S: u32 = 800;
+/// Lines about the life of the process in a second.
+const LIFECYCLE_PER_S: u32 = 100;
+/// Bytes that wait to be written before these are left out too.
+const WAITING_LIFECYCLE_MAX: usize = 128 << 10;
 /// Time for which lines are gathered before they are written together.
 const GATHER: Duration = Duration::from_millis(100);
 /// Longest wait of a flush. Nobody may be reading standard output.
 const FLUSH_WAIT_MAX: Duration = Duration::from_millis(200);
 
+/// What a line is about, which decides how much room there is for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Topic {
+    Ordinary,
+    Failure,
+    Lifecycle,
+}
+
+impl Topic {
+    fn of(record: &Record<'_>) -> Self {
+        if record.target() == LIFECYCLE {
+            Self::Lifecycle
+        } else if record.level() >= Level::Warn {
+            Self::Failure
+        } else {
+            Self::Ordinary
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Buffer {
     bytes: Vec<u8>,
-    /// Lines since `second` began.
+    /// Lines since `second` began, but for those about the life of the process.
     lines: u32,
+    /// Lines about the life of the process since `second` began.
+    lifecycle_lines: u32,
     second: u64,
     left_out: u64,
     /// Number of times that the buffer was drained.
@@ -99,9 +126,8 @@
     fn append(&self, record: &Record<'_>, _diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
         let at_ms = unix_ms(record.time());
         let line = self.format(record, at_ms)?;
-        let is_failure = record.level() >= Level::Warn;
         let mut buffer = self.shared.lock();
-        if buffer.take(&line, at_ms / 1000, is_failure) {
+        if buffer.take(&line, at_ms / 1000, Topic::of(record)) {
             drop(buffer);
             self.shared.filled.notify_one();
         }
@@ -116,21 +142,21 @@
 
 impl Buffer {
     /// Adds `line` if there is room for it.
-    fn take(&mut self, line: &[u8], second: u64, is_failure: bool) -> bool {
+    fn take(&mut self, line: &[u8], second: u64, topic: Topic) -> bool {
         if second != self.second {
             self.second = second;
-            self.lines = 0;
+            (self.lines, self.lifecycle_lines) = (0, 0);
         }
-        let (lines_max, bytes_max) = if is_failure {
-            (FAILURES_PER_S, WAITING_FAILURES_MAX)
-        } else {
-            (LINES_PER_S, WAITING_BYTES_MAX)
+        let (lines, lines_max, bytes_max) = match topic {
+            Topic::Ordinary => (&mut self.lines, LINES_PER_S, WAITING_BYTES_MAX),
+            Topic::Failure => (&mut self.lines, FAILURES_PER_S, WAITING_FAILURES_MAX),
+            Topic::Lifecycle => (&mut self.lifecycle_lines, LIFECYCLE_PER_S, WAITING_LIFECYCLE_MAX),
         };
-        if self.lines >= lines_max || self.bytes.len() + line.len() > bytes_max {
+        if *lines >= lines_max || self.bytes.len() + line.len() > bytes_max {
             self.left_out += 1;
             return false;
         }
-        self.lines += 1;
+        *lines += 1;
         self.bytes.extend_from_slice(line);
         true
     }
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -8,6 +8,10 @@
 
 pub use crate::{last_words::print_error, metrics::Metrics};
 
+/// Target of the lines that tell how a process starts, stops, reloads and fares with what it depends on. They have room
+/// that no other lines take.
+pub const LIFECYCLE: &str = "lifecycle";
+
 use {
     crate::{json_lines::JsonLines, panic_log::log_panics},
     logforth::filter::rustlog::RustLogFilterBuilder,
--- a/crates/observe/src/panic_log.rs
+++ b/crates/observe/src/panic_log.rs
@@ -1,7 +1,7 @@
 //! Logs panics, so that the log of a process tells where it or one of its threads ended.
 
 use {
-    crate::last_words::print_error,
+    crate::{LIFECYCLE, last_words::print_error},
     std::{
         backtrace::{Backtrace, BacktraceStatus},
         panic, thread,
@@ -19,7 +19,7 @@
         let text = info.payload().downcast_ref::<&str>().copied();
         let formatted = || info.payload().downcast_ref::<String>().map(String::as_str);
         let reason = text.or_else(formatted).unwrap_or("unknown");
-        log::error!(thread = thread, location = location.as_str(), reason = reason; "panicked");
+        log::error!( target: LIFECYCLE, thread = thread, location = location.as_str(), reason = reason; "panicked");
         log::logger().flush();
         let backtrace = Backtrace::capture();
         let has_backtrace = backtrace.status() == BacktraceStatus::Captured;
