--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -5,6 +5,7 @@
 //! callers and servers see rather than what the system says of itself.
 
 mod caller;
+mod cut_head;
 mod earlier_answer;
 mod endless;
 mod engine;
@@ -20,6 +21,7 @@
 
 pub use self::{
     caller::{Caller, Reply, terms_lines},
+    cut_head::{CutHead, CutHeadServer},
     earlier_answer::{EarlierAnswer, RepeatedAt},
     endless::{EndlessPart, EndlessServer, Pace, marks},
     engine::{ServerSpec, SiteServer},
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -7,8 +7,9 @@
         Route, Service, WeightedService,
     },
     glade_standins::site::{
-        Caller, EndlessPart, EndlessServer, EngineFault, Pace, RawAnswer, RawServer, Reply, RunLog,
-        ServerSpec, SiteServer, SiteStore, StoreFault, UnframedEnd, UnframedServer,
+        Caller, CutHead, CutHeadServer, EndlessPart, EndlessServer, EngineFault, Pace, RawAnswer,
+        RawServer, Reply, RunLog, ServerSpec, SiteServer, SiteStore, StoreFault, UnframedEnd,
+        UnframedServer,
     },
     glade_types::{ModelName, RequestId, RouteName, ServiceName},
     rustix::process::{Pid, Signal, kill_process},
@@ -476,6 +477,11 @@
         self.runtime.block_on(UnframedServer::spawn(pieces, end))
     }
 
+    /// Starts a server that stops in the middle of its answers' heads, and which nobody knows yet.
+    pub fn spawn_cut_head(&self, cut: CutHead) -> CutHeadServer {
+        self.runtime.block_on(CutHeadServer::spawn(cut))
+    }
+
     /// Puts a server that always sends the same in the place of an engine.
     pub fn replace_engine_by(&self, position: usize, answer: RawAnswer) -> RawServer {
         let server = self.runtime.block_on(RawServer::spawn(answer));
