Answer requests at silent servers before the process ends

The test, a real node whose servers turn silent after the signal, saw no answer on /chat/ before; now all 16 requests on four kinds of routes get one.

--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -35,6 +35,12 @@
         self.time_left(now).is_none_or(|left| longest_duration.mul_f64(ESTIMATE_MARGIN) < left)
     }
 
+    /// Time left until requests that have no answer yet are answered by this VM, because the process ends.
+    pub(crate) fn unanswered_time_left(&self, now: Instant) -> Duration {
+        let elapsed = now.saturating_duration_since(self.started_at);
+        self.grace_period.saturating_sub(FLUSH_TIME).saturating_sub(elapsed)
+    }
+
     /// Time left for answers; `None` as long as every request is served.
     fn time_left(&self, now: Instant) -> Option<Duration> {
         let elapsed = now.saturating_duration_since(self.started_at);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -355,6 +355,18 @@
         }
     }
 
+    /// Returns once this VM is about to exit, so that requests without an answer are to get one. Never
+    /// returns unless this VM is draining.
+    pub(crate) async fn drain_end(&self) {
+        loop {
+            match self.drain.get().map(|drain| drain.unanswered_time_left(self.clock.now())) {
+                None => self.drain_began.notified().await,
+                Some(Duration::ZERO) => return,
+                Some(left) => sleep(left).await,
+            }
+        }
+    }
+
     /// Reads the whole request and admits it, or returns the answer that rejects it.
     async fn admit(
         &self,
--- a/crates/relay/src/server_answer.rs
+++ b/crates/relay/src/server_answer.rs
@@ -64,8 +64,12 @@
             let send = |connected| -> PendingAnswer<'_, _> {
                 Box::pin(Self::finish_attempt(&admitted, connected))
             };
-            let HedgedAnswer { server, outcome, is_counted } =
-                self.answer_with_hedging(&admitted, server, answer, send).await;
+            let hedged = tokio::select! {
+                biased;
+                hedged = self.answer_with_hedging(&admitted, server, answer, send) => hedged,
+                () = self.drain_end() => return self.end_unanswered(&admitted),
+            };
+            let HedgedAnswer { server, outcome, is_counted } = hedged;
             let failure = match outcome {
                 Ok(ServerAnswer::Stream(mut stream)) => {
                     stream.is_counted = is_counted;
@@ -208,6 +212,13 @@
         answer.into_response()
     }
 
+    /// The final answer to a request that a server has and hasn't answered when this VM exits.
+    fn end_unanswered(&self, admitted: &AdmittedRequest) -> Response<AnswerBody> {
+        let answer = OwnAnswer::unknown(Refusal::Leaving.name());
+        self.log_own_answer(admitted, &answer);
+        answer.into_response()
+    }
+
     /// Records a failed attempt at `server`, and counts it against the request.
     pub(crate) fn add_failed_attempt(
         self: &Rc<Self>,
