Don't blame sound requests of which many ask for the same

Found by the soak, whose requests all have the same body: sound requests were blamed after two crashes, waiting ones refused and streams not resumed. Answers to a request are asked for from its first crash on. If more than two were at each crash, three moments are needed as for a part. Crashes with the same request no longer count as moments of their own for parts: a sound part was blamed by it.

--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -45,8 +45,8 @@
 /// Largest number of parts that are kept for an attempt: the first ones, and the last one, which stands for the request
 /// itself.
 const PARTS_PER_ATTEMPT_MAX: usize = 16;
-/// Largest number of suspected parts.
-const SUSPECTS_MAX: usize = 64;
+/// Largest number of suspected parts. A crash has up to some hundred requests, most of which are answered elsewhere soon.
+const SUSPECTS_MAX: usize = 256;
 
 /// An attempt that broke before its answer had begun, or just after.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -102,6 +102,8 @@
     ended: VecDeque<(u32, Instant)>,
     /// Parts that were at several crashes, and since when that is known.
     suspected_since: BTreeMap<u64, Instant>,
+    /// Single requests that were at one crash. Others may ask for the same, and be answered.
+    at_one_crash: BTreeSet<u64>,
     /// Something was recorded since the last attribution.
     has_changed: bool,
     /// When the next suspect may be blamed although nothing more is recorded.
@@ -113,8 +115,6 @@
 struct Tally {
     moments: usize,
     last_moment_at: Option<Instant>,
-    /// Fingerprints of the requests with the part that were at the last crash.
-    last_requests: BTreeSet<u64>,
     crashes: usize,
     requests: BTreeSet<u64>,
     attempts: usize,
@@ -179,11 +179,13 @@
             crash.attempts.retain(|kept| !kept.open_parts.is_empty());
         }
         self.suspected_since.retain(|part, _| !parts.contains(part));
+        self.at_one_crash.retain(|part| !parts.contains(part));
     }
 
     /// The parts of which it must be known whether requests with them are answered.
     pub fn suspects(&self) -> impl Iterator<Item = u64> + '_ {
-        self.suspected_since.keys().copied().take(SUSPECTS_MAX)
+        let suspects = self.suspected_since.keys().chain(&self.at_one_crash);
+        suspects.copied().take(SUSPECTS_MAX)
     }
 
     /// True if nothing is recorded.
@@ -213,12 +215,19 @@
             .filter_map(|crash| OpenCrash::new(crash, quarantine))
             .collect();
         let tallies = tally(&open);
-        let is_suspect = |(_, tally): &(&u64, &Tally)| tally.moments >= SUSPECT_MOMENTS_MIN;
+        let is_suspect = |(part, tally): &(&u64, &Tally)| {
+            let is_single = Fingerprint::is_of_single_request(**part);
+            tally.moments >= SUSPECT_MOMENTS_MIN
+                || is_single && tally.crashes >= SINGLE_REQUEST_CRASHES_MIN
+        };
         let suspects = tallies
             .iter()
             .filter(is_suspect)
             .map(|(part, _)| (*part, self.suspected_since.get(part).copied().unwrap_or(now)));
         let suspected_since: BTreeMap<u64, Instant> = suspects.collect();
+        let single = tallies.keys().filter(|part| Fingerprint::is_of_single_request(**part));
+        let at_one_crash = single.filter(|part| !suspected_since.contains_key(*part)).copied();
+        self.at_one_crash = at_one_crash.collect();
         let mut found = Vec::new();
         while let Some(attribution) = most_likely(&tally(&open), &suspected_since, suspected_by) {
             open.retain_mut(|crash| crash.remains_open(&attribution.parts));
@@ -306,7 +315,7 @@
             }
             let tally = tallies.entry(part).or_default();
             let is_single = Fingerprint::is_of_single_request(part);
-            tally.add_crash(crash.at, &attempts);
+            tally.add_crash(crash.at);
             attempts.iter().for_each(|kept| tally.add(kept, is_single));
         }
     }
@@ -314,22 +323,13 @@
 }
 
 impl Tally {
-    /// Adds a crash at which there were `attempts` with the part. It is a moment of its own if it was long after the one
-    /// before, or had one of the same requests: servers that end together for a cause of their own don't all run the
-    /// same request.
-    fn add_crash(&mut self, at: Instant, attempts: &[&KeptAttempt]) {
-        let requests: BTreeSet<u64> =
-            attempts.iter().filter_map(|kept| single_request(&kept.attempt.parts)).collect();
-        let is_new_moment = |last: Instant| {
-            at.saturating_duration_since(last) >= MOMENT
-                || !self.last_requests.is_disjoint(&requests)
-        };
+    fn add_crash(&mut self, at: Instant) {
+        let is_new_moment = |last: Instant| at.saturating_duration_since(last) >= MOMENT;
         if self.last_moment_at.is_none_or(is_new_moment) {
             self.moments += 1;
             self.last_moment_at = Some(at);
         }
         self.crashes += 1;
-        self.last_requests = requests;
     }
 
     /// Adds an attempt with the part, which `is_single` if it stands for a request itself.
@@ -352,19 +352,26 @@
     /// True if the part is in several requests at each crash that have nothing else in common, as the first part of
     /// most prompts is.
     fn is_widely_shared(&self) -> bool {
-        self.common_parts.len() <= 1 && self.attempts > REQUESTS_PER_CRASH_MAX * self.crashes
+        self.common_parts.len() <= 1 && self.is_crowded()
+    }
+
+    /// True if many at each crash had the part.
+    fn is_crowded(&self) -> bool {
+        self.attempts > REQUESTS_PER_CRASH_MAX * self.crashes
     }
 
     /// True if the tally of `part` suffices to blame it.
     fn suffices(&self, part: u64) -> bool {
-        let moments_min = if Fingerprint::is_of_single_request(part) {
-            SINGLE_REQUEST_CRASHES_MIN
-        } else if self.is_widely_shared() {
-            WIDELY_SHARED_MOMENTS_MIN
+        let is_single = Fingerprint::is_of_single_request(part);
+        // Servers that end together for a cause of their own don't all run the same request, unless many ask for the same.
+        let suffices = if is_single && !self.is_crowded() {
+            self.crashes >= SINGLE_REQUEST_CRASHES_MIN
+        } else if self.is_widely_shared() && !is_single {
+            self.moments >= WIDELY_SHARED_MOMENTS_MIN
         } else {
-            MOMENTS_MIN
+            self.moments >= MOMENTS_MIN
         };
-        self.moments >= moments_min && self.requests.len() >= REQUESTS_MIN
+        suffices && self.requests.len() >= REQUESTS_MIN
     }
 }
 
--- a/crates/quarantine/tests/crash_log.rs
+++ b/crates/quarantine/tests/crash_log.rs
@@ -323,3 +323,18 @@
     }
     assert!(log.quarantine.blocks(&[SHARED, MIDDLE, CRASHING, OTHER]), "{:?}", log.quarantine);
 }
+
+#[test]
+fn requests_with_the_same_body_of_which_some_are_answered_are_not_blamed() {
+    let mut log = Log::new();
+    for _ in 0..6 {
+        log.crash(&[&[SHARED, ONE], &[SHARED, ONE]]);
+        log.pass_ms(50);
+        log.blame();
+        let suspects: Vec<u64> = log.log.suspects().collect();
+        assert!(suspects.contains(&ONE), "answers are asked for from the first crash on");
+        log.log.on_served(&[ONE]);
+        log.pass_ms(150);
+        assert!(!log.blame().concat().contains(&ONE));
+    }
+}
