Soak: servers that name limits, and what they get then

Limits are named, changed and ended while nodes end, freeze and lose each other; nothing excuses a node. Counted from three seconds after an answer first named the limit: a node that had stood still sent 25 requests before it heard of one.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod crashing_part;
 mod harm;
 mod kept_callers;
+mod named_limits;
 mod odd_store;
 mod oddities;
 mod plan;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -38,6 +38,9 @@
     /// Second from which requests with a part that crashes engines come; 0 for none
     #[bpaf(argument("S"), fallback(0))]
     crashing_from_s: u64,
+    /// Second from which servers name limits on their requests; 0 for none
+    #[bpaf(argument("S"), fallback(0))]
+    limits_from_s: u64,
     /// Mean milliseconds between two requests
     #[bpaf(argument("MS"), fallback(5))]
     request_gap_ms: u64,
@@ -69,6 +72,7 @@
         request_gap: Duration::from_millis(args.request_gap_ms.max(1)),
         crashing_from: (args.crashing_from_s > 0)
             .then(|| Duration::from_secs(args.crashing_from_s)),
+        limits_from: (args.limits_from_s > 0).then(|| Duration::from_secs(args.limits_from_s)),
         series: (args.series_gap_ms > 0).then(|| Series {
             gap: Duration::from_millis(args.series_gap_ms),
             callers: args.kept_callers,
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -6,6 +6,7 @@
         crashing_part::CrashingPart,
         harm::{Harm, Harmed},
         kept_callers::KeptCallers,
+        named_limits::NamedLimits,
         odd_store,
         oddities::{plan_oddities, plan_spoiled_streams},
         plan::{Fault, Planned, Stalls, Targets, plan, plan_restores, plan_stalls},
@@ -56,6 +57,8 @@
     pub request_gap: Duration,
     /// When requests with a part that crashes engines begin to come; `None` without any.
     pub crashing_from: Option<Duration>,
+    /// When servers begin to name limits on their requests; `None` without any.
+    pub limits_from: Option<Duration>,
     /// Planned work, with callers that keep their connections; `None` without any.
     pub series: Option<Series>,
     /// Mean time between two odd rows or repeated answers; `None` without any.
@@ -105,6 +108,7 @@
     /// Crashes of each engine, and the fence that it had since the last.
     fences: Vec<(u64, u64)>,
     crashing_part: Option<CrashingPart>,
+    named_limits: Option<NamedLimits>,
     kept_callers: Option<KeptCallers>,
     restarts: Restarts,
     report: Report,
@@ -144,6 +148,7 @@
         site.configure(1);
         site.all_serve();
         let of_parts = fastrand::Rng::with_seed(!seed);
+        let of_limits = fastrand::Rng::with_seed(seed.rotate_left(16));
         let mut of_callers = fastrand::Rng::with_seed(seed.rotate_left(32));
         let kept_callers = size
             .series
@@ -152,6 +157,7 @@
             kept_callers,
             restarts: Restarts::new(size.nodes),
             crashing_part: size.crashing_from.map(|from| CrashingPart::new(of_parts, from)),
+            named_limits: size.limits_from.map(|from| NamedLimits::new(of_limits, from)),
             fences: vec![(0, 0); site.engines.len()],
             engine_faults: vec![ServerFaults::default(); site.engines.len()],
             plain_faults: vec![ServerFaults::default(); PLAIN],
@@ -377,6 +383,9 @@
         if let Some(part) = &mut self.crashing_part {
             part.watch(self.now, &self.site.engines);
         }
+        if let Some(limits) = &mut self.named_limits {
+            limits.play(self.now, self.site.engines.iter().chain(&self.site.plain));
+        }
         for (engine, (crashes, known)) in self.site.engines.iter().zip(&mut self.fences) {
             let holds = engine.holds();
             let bases = holds.iter().filter(|name| !name.contains('/')).count();
@@ -501,6 +510,9 @@
 
     /// Ends all faults, and waits until everything is served again.
     fn recover(&mut self) {
+        if let Some(limits) = &mut self.named_limits {
+            limits.stop(self.site.engines.iter().chain(&self.site.plain));
+        }
         self.end_faults(Duration::MAX);
         let settled_at = self.now + SETTLE_TIME;
         while self.now < settled_at || self.restarts.are_under_way() {
@@ -524,6 +536,11 @@
                 });
             }
         }
+        let servers = self.site.engines.iter().chain(&self.site.plain);
+        let ids: Vec<&str> = servers.map(SiteServer::id).collect();
+        let of_limits = self.named_limits.iter();
+        let over = of_limits.flat_map(|limits| limits.check(&self.site.log, &ids));
+        self.report.violations.extend(over);
         let of_part = self.crashing_part.iter();
         let late = of_part.filter_map(|part| part.check(&self.site.log, &self.harm));
         self.report.violations.extend(late);
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -15,6 +15,7 @@
     stalls: None,
     request_gap: Duration::from_millis(10),
     crashing_from: None,
+    limits_from: None,
     series: None,
     odd_gap: None,
 };
@@ -29,6 +30,9 @@
     ..SMALL
 };
 
+const LIMITED: Size =
+    Size { time: Duration::from_secs(14), limits_from: Some(Duration::from_secs(1)), ..SMALL };
+
 const SERIES: Size = Size {
     nodes: 4,
     engines: 4,
@@ -114,3 +118,8 @@
 fn odd_rows_and_repeated_refusals_neither_end_nodes_nor_repeat_requests_under_seed_1() {
     assert_eq!(violations(1, ODD), Vec::<String>::new());
 }
+
+#[test]
+fn servers_get_no_more_than_the_limits_that_they_name_under_seed_1() {
+    assert_eq!(violations(1, LIMITED), Vec::<String>::new());
+}
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -34,7 +34,7 @@
         io,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{
         net::TcpListener,
@@ -99,6 +99,8 @@
     answer_bytes: usize,
     /// What its answers state as its limit, a value a line.
     limit_text: Option<String>,
+    /// When an answer first stated that.
+    limit_stated_at: Option<Instant>,
     /// Part of a prompt on which it crashes as it begins to answer, unless the part is the last.
     crash_part: Option<u64>,
     /// Body of the requests on which it crashes as it begins to answer.
@@ -169,6 +171,7 @@
             reservations_made: 0,
             answer_bytes: 0,
             limit_text: None,
+            limit_stated_at: None,
             crash_part: None,
             crash_body: None,
             crashes: 0,
@@ -195,7 +198,14 @@
 
     /// States a limit in all answers to requests, as the lines of `text`; none if that is `None`.
     pub fn state_limit(&self, text: Option<&str>) {
-        self.shared.lock().limit_text = text.map(str::to_owned);
+        let mut state = self.shared.lock();
+        state.limit_text = text.map(str::to_owned);
+        state.limit_stated_at = None;
+    }
+
+    /// When an answer first stated the present limit.
+    pub fn limit_stated_at(&self) -> Option<Instant> {
+        self.shared.lock().limit_stated_at
     }
 
     /// Has the server crash on each request with `body`.
@@ -213,6 +223,11 @@
         self.shared.crash();
     }
 
+    /// Tells its runs apart: the time at which the present one began.
+    pub fn run(&self) -> u64 {
+        self.shared.lock().record.key.start_time_ms
+    }
+
     /// Its name.
     pub fn id(&self) -> &str {
         &self.shared.spec.id
@@ -397,9 +412,12 @@
         let mut response = Response::new(body);
         *response.status_mut() = status;
         stand_in::write_answer_metadata(response.headers_mut(), marks);
-        if let Some(text) = &self.lock().limit_text {
+        let mut state = self.lock();
+        if let Some(text) = &state.limit_text {
             stand_in::write_limit_text(response.headers_mut(), text);
+            state.limit_stated_at.get_or_insert_with(Instant::now);
         }
+        drop(state);
         response
     }
 
