--- a/crates/node/src/limit_exchange.rs
+++ b/crates/node/src/limit_exchange.rs
@@ -40,14 +40,13 @@
 /// Limits, permits and demands of this node.
 #[derive(Debug)]
 pub(crate) struct LimitExchange {
+    /// Zero of the stamps by which this node recognises late permits.
     origin: Instant,
     table: LimitTable,
     issuer: PermitIssuer,
     wishes: Vec<PermitWish>,
     /// Permits received so far, by server.
     received: HashMap<u32, u32>,
-    /// Entries have changed since they were last sent.
-    has_changed: bool,
     sent_at: Option<Instant>,
     demand_sent_at: Option<Instant>,
     counted_at: Option<Instant>,
@@ -63,7 +62,6 @@
             issuer: PermitIssuer::default(),
             wishes: Vec::new(),
             received: HashMap::new(),
-            has_changed: false,
             sent_at: None,
             demand_sent_at: None,
             counted_at: None,
@@ -141,7 +139,6 @@
         } else {
             network.send_upstream_now(now, &message);
         }
-        self.has_changed = false;
         self.sent_at = Some(now);
     }
 
@@ -223,7 +220,7 @@
         let is_after = |at: Option<Instant>, period: Duration| {
             at.is_none_or(|at| now.saturating_duration_since(at) >= period)
         };
-        if network.mesh.is_core && (self.has_changed || is_after(self.sent_at, REPEAT_PERIOD)) {
+        if network.mesh.is_core && is_after(self.sent_at, REPEAT_PERIOD) {
             self.send_entries(now, network);
         }
         let wishes = self.wishes.clone();
