Stand-in engines fix what an answer says before the log shows its run

Cause: the test waits until the log shows eight runs, then lets engine-0 say that it leaves. The stand-in logged a run first and read afterwards whether it leaves, so the head of a run from before could say it. When the first request after that went to engine-1, the node knew of the leaving before it had asked engine-0, and rightly never did.

The test is unchanged.

--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -580,6 +580,8 @@
         marks.request_id.take_if(|_| fault == EngineFault::RejectsUnnamed);
         return Ok(shared.answer(StatusCode::SERVICE_UNAVAILABLE, &marks, empty()));
     }
+    // Before the log shows the run: it doesn't say what the server begins to say afterwards.
+    let marks = shared.marks(&id, true);
     let work = shared.log.begin(Run {
         request_id: id.clone(),
         server: shared.spec.id.clone(),
@@ -636,7 +638,6 @@
         | EngineFault::RepeatsOrderAnswer(_)
         | EngineFault::RepeatsPlaceAnswer(_) => {}
     }
-    let marks = shared.marks(&id, true);
     if shared.spec.is_engine {
         let (sender, receiver) = channel(EVENTS_IN_HAND);
         tokio::spawn(stream(Arc::clone(&shared), terms, fault, work, sender));
