Share out idle connections to a server over all VMs

A server accepts so many connections from all callers together and resets what is beyond, after which a request that was sent may have run. Each node kept up to 32 idle ones by itself and didn't look at the service's connection limit: 91 nodes up to 2,912, where limits are 610 and 990.

Evidence: nodes_together_keep_no_more_idle_connections_than_a_server_accepts, two nodes and a limit of 8, failed with 32 connections at a server.

Change: a node keeps half the limit over the number of nodes, silent ones included; a remainder goes to as many of them by their draw.

Result: the test passes, and so it does for 1, 8 and 300 VMs.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -99,7 +99,7 @@
     pub(crate) waiting_by_server: HashMap<u32, u32>,
     pub(crate) models_ready_at: HashMap<ModelName, Instant>,
     /// The configuration that was last applied.
-    catalog: Option<Arc<Catalog>>,
+    pub(crate) catalog: Option<Arc<Catalog>>,
     pub(crate) kv_capacity: HashMap<ServiceName, u64>,
     /// Measured prefill speed of the engines of each service.
     pub(crate) prefill_fits: HashMap<ServiceName, PrefillFit>,
@@ -109,7 +109,7 @@
     retry_limit: RetryLimit,
     retry_budgets: HashMap<ServiceName, RetryBudget>,
     pub(crate) live_vms: u32,
-    known_vms: u32,
+    pub(crate) known_vms: u32,
     /// Random number of this VM, by which many VMs spread over the servers of plain services.
     pub(crate) vm_seed: u32,
     next_id: u64,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod choice;
 mod cluster_view;
+mod connections;
 mod coordinator;
 mod cost;
 mod demand_log;
--- a/crates/relay/src/answering_attempt.rs
+++ b/crates/relay/src/answering_attempt.rs
@@ -146,13 +146,7 @@
             self.attempt.record_success();
         }
         let relay = self.attempt.relay();
-        let now = relay.clock.now();
-        relay.idle_connections.borrow_mut().give_back(
-            now,
-            self.attempt.server,
-            self.connection,
-            self.idle_timeout,
-        );
+        relay.keep_connection(self.attempt.server, self.connection, self.idle_timeout);
         self.head
     }
 }
--- a/crates/relay/src/idle_connections.rs
+++ b/crates/relay/src/idle_connections.rs
@@ -1,6 +1,7 @@
 //! Pool of idle connections to backend servers.
 
 use {
+    crate::{dialect::Dialect, relay::Relay},
     glade_dispatch::ServerIdx,
     glade_http::Connection,
     std::{
@@ -35,6 +36,22 @@
     by_server: HashMap<ServerIdx, Vec<IdleConnection>>,
 }
 
+impl<D: Dialect> Relay<D> {
+    /// Keeps an idle connection to `server`, up to this VM's share of them. The server closes it
+    /// after `announced_timeout` of idle time, if it announced one.
+    pub(crate) fn keep_connection(
+        &self,
+        server: ServerIdx,
+        connection: Connection,
+        announced_timeout: Option<Duration>,
+    ) {
+        let idle_max = self.dispatcher.borrow().idle_connections_max(server);
+        let now = self.clock.now();
+        let mut idle = self.idle_connections.borrow_mut();
+        idle.give_back(now, server, connection, announced_timeout, idle_max);
+    }
+}
+
 impl IdleConnections {
     /// Takes the connection that was used last. `at_most_once` is set for requests that may run
     /// only once.
@@ -62,21 +79,22 @@
         None
     }
 
-    /// Keeps `connection`. The server closes it after `announced_timeout` of idle time, if it
-    /// announced one.
-    pub(crate) fn give_back(
+    /// Keeps `connection` unless there are `idle_max` already. The server closes it after
+    /// `announced_timeout` of idle time, if it announced one.
+    fn give_back(
         &mut self,
         now: Instant,
         server: ServerIdx,
         connection: Connection,
         announced_timeout: Option<Duration>,
+        idle_max: usize,
     ) {
         let reuse_time = announced_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT).mul_f64(REUSE_SHARE);
         if reuse_time.is_zero() {
             return;
         }
         let connections = self.by_server.entry(server).or_default();
-        if connections.len() < MAX_IDLE_PER_SERVER {
+        if connections.len() < idle_max.min(MAX_IDLE_PER_SERVER) {
             connections.push(IdleConnection {
                 connection,
                 idle_since: now,
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -203,8 +203,7 @@
             let addr = relay.dispatcher.borrow().record(server).addr;
             match Connection::open(addr, CONNECT_TIMEOUT).await {
                 Ok(connection) => {
-                    let now = relay.clock.now();
-                    relay.idle_connections.borrow_mut().give_back(now, server, connection, None);
+                    relay.keep_connection(server, connection, None);
                 }
                 Err(err) => {
                     let failure = AttemptFailure::from(err);
