Test: resumed and reserved streams keep to a server's limit

Real nodes, four of them; two of three engines break or pause all streams, the third names a limit of two a second.

--- a/crates/system/tests/server_limit.rs
+++ b/crates/system/tests/server_limit.rs
@@ -1,7 +1,7 @@
 //! Real nodes before servers that name in their answers how many requests a second they take from all nodes together.
 
 use {
-    glade_standins::site::{Reply, SiteServer},
+    glade_standins::site::{EngineFault, Reply, Run, SiteServer},
     glade_system::site::{BROWSE, CHAT, CLAIM, Site},
     std::time::{Duration, Instant},
     tokio::task::JoinHandle,
@@ -197,3 +197,34 @@
     let arrivals = arrivals_since(&site, &site.engines[0], since).len();
     assert!(arrivals > 10, "{arrivals} requests");
 }
+
+/// Has all engines but the first do `fault`, and checks that requests which leave them for the first one, which names a
+/// limit, keep to it. Returns how many did so as resumed streams, and for reservations.
+fn repeats_within_limit(fault: EngineFault) -> (usize, usize) {
+    let site = site(4, 3);
+    let mut traffic = Traffic::new(4, &[CHAT]);
+    site.engines[0].state_limit(Some("2.0"));
+    traffic.play_for(&site, CONTACT_TIME);
+    let since = Instant::now();
+    (1..3).for_each(|engine| site.engine_fault(engine, fault));
+    traffic.play_for(&site, WINDOW + WINDOW / 2);
+    assert_within(&site, &site.engines[0], 2.0, since);
+    traffic.finish(&site);
+    let runs = site.log.runs();
+    let count = |is_counted: fn(&Run) -> bool| {
+        runs.iter().filter(|run| run.server == site.engines[0].id() && is_counted(run)).count()
+    };
+    (count(|run| run.resumed_after.is_some()), count(|run| run.reserved))
+}
+
+#[test]
+fn streams_that_broke_elsewhere_are_resumed_at_a_server_within_its_limit() {
+    let (resumed, _) = repeats_within_limit(EngineFault::BreaksAfter(4));
+    assert!(resumed > 0);
+}
+
+#[test]
+fn requests_that_leave_silent_servers_reach_a_server_within_its_limit() {
+    let (_, reserved) = repeats_within_limit(EngineFault::PausesAfter(2));
+    assert!(reserved > 0);
+}
