Break off connections with interim answers without end

Callers saw: 504 (timed_out) after 15 s, with the request at a server that sends 1xx answers without end while another server was free.

Cause: hyper reads interim answers for as long as there are any, up to 128 reads of 64 KiB a turn, and nothing bounded them. The thread of the node's requests was held up meanwhile, so that time limits, moves to other servers and their answers came late or not at all.

Change: a connection counts the interim answers to its request and can't be read further after 100. The attempt fails like one whose connection broke, and is made elsewhere. Errors of connections name their cause.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,13 +1,16 @@
 //! One HTTP/1.1 client connection, with keepalive settings that detect a dead server within seconds.
 
 use {
-    crate::error::HttpError,
+    crate::{
+        error::HttpError,
+        interim_limit::{InterimCounter, InterimLimitedStream},
+    },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Request, Response, body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
-    std::{io, net::SocketAddr, time::Duration},
+    std::{error::Error, io, net::SocketAddr, time::Duration},
     tokio::{net::TcpStream, task::AbortHandle, time::timeout},
 };
 
@@ -31,6 +34,7 @@
     addr: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    interim_counter: InterimCounter,
     /// Whether a request was sent on it.
     is_used: bool,
 }
@@ -57,6 +61,11 @@
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
 
+/// The message of `err` with that of its cause.
+fn reason(err: &hyper::Error) -> String {
+    err.source().map_or_else(|| err.to_string(), |source| format!("{err}: {source}"))
+}
+
 impl Connection {
     /// Connects to `addr`. A separate task drives the connection until either side closes it.
     ///
@@ -75,6 +84,8 @@
             })?;
         stream.set_nodelay(true).map_err(|err| not_connected(err.to_string()))?;
         enable_dead_peer_detection(&stream).map_err(|err| not_connected(err.to_string()))?;
+        let interim_counter = InterimCounter::default();
+        let stream = InterimLimitedStream::new(stream, interim_counter.clone());
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES_MAX)
             .handshake(TokioIo::new(stream))
@@ -84,7 +95,8 @@
             // The request in flight returns the failure, so the driver task's own result isn't needed.
             let _ = driver.await;
         });
-        Ok(Self { addr, sender, driver: driver.abort_handle(), is_used: false })
+        let driver = driver.abort_handle();
+        Ok(Self { addr, sender, driver, interim_counter, is_used: false })
     }
 
     /// Address of the server.
@@ -118,21 +130,22 @@
     ///
     /// # Errors
     ///
-    /// [`HttpError::NotSent`] if no byte of the request was sent. After [`HttpError::Broken`] and
-    /// [`HttpError::TimedOut`] the request may have run.
+    /// [`HttpError::NotSent`] if no byte of the request was sent. After [`HttpError::Broken`], also of a server that
+    /// sends interim answers without end, and [`HttpError::TimedOut`] the request may have run.
     pub async fn send(
         &mut self,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
         time_limit: Duration,
     ) -> Result<Response<Incoming>, HttpError> {
         let addr = self.addr;
         self.is_used = true;
+        self.interim_counter.attach(&mut req);
         let exchange = async {
             self.ready().await?;
             let not_sent = |reason: String| HttpError::NotSent { addr, reason };
             self.sender.try_send_request(req).await.map_err(|mut err| {
                 let is_unsent = err.take_message().is_some();
-                let reason = err.into_error().to_string();
+                let reason = reason(&err.into_error());
                 if is_unsent { not_sent(reason) } else { HttpError::Broken { addr, reason } }
             })
         };
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod connection;
 mod error;
+mod interim_limit;
 mod pool;
 
 pub use {
--- a/crates/system/tests/endless.rs
+++ b/crates/system/tests/endless.rs
@@ -69,6 +69,19 @@
     assert_callers_are_served_beside(EndlessPart::Interim, Pace::Slow);
 }
 
+#[test]
+fn requests_at_a_server_that_sends_interim_answers_without_end_are_answered_elsewhere() {
+    let site = Site::start(1, &[&["m0"], &["m0"]]);
+    let endless = site.replace_engine(0, EndlessPart::Interim, Pace::Fast);
+    site.eventually("its address is known", || endless.sent_bytes() > 0);
+    let sent: Vec<_> =
+        (0..24).map(|_| site.begin(0, CHAT, Some("m0"), &site.request_id())).collect();
+    for sent in sent {
+        let reply = site.finish(sent).expect("an answer");
+        assert_eq!(reply.event_ids(), whole_stream(), "{reply:?}");
+    }
+}
+
 #[test]
 fn a_body() {
     assert_callers_are_served_beside(EndlessPart::Body, Pace::Fast);
