Tests: give each cluster a block of ports of its own

Cause, traced before: a test drew a base port at random, found its ports free and let go of them before its programs listened, so that two tests could draw overlapping runs.

Change: clusters and sites take blocks of ports, which a listener on the last port of the block marks as taken for as long as the cluster or the process runs. Programs that a cluster starts are started while no ports are checked, as those of a site are: a process that is being started holds the ports that are checked.

--- a/crates/system/src/cluster.rs
+++ b/crates/system/src/cluster.rs
@@ -1,14 +1,17 @@
 //! A small deployment of real processes.
 
 use {
-    crate::programs::{Output, program, run_program},
+    crate::{
+        ports::{self, PortBlock},
+        programs::{Output, program, run_program},
+    },
     glade_http::{Bytes, Full, Pool, Request},
     glade_standins::{Deployment, Layout},
     rustix::process::{Pid, Signal, kill_process},
     std::{
         collections::BTreeMap,
         fs::{self, File},
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         thread::sleep,
@@ -21,8 +24,6 @@
 pub const CREDENTIAL: &str = "test-credential-0123";
 /// Longest wait for a state to come about.
 const PATIENCE: Duration = Duration::from_secs(60);
-/// Ports that one cluster may use.
-const PORTS: u16 = 400;
 /// Ports below those that the system hands out for outgoing connections, and those that the nodes of
 /// a site use.
 const PORT_RANGE: std::ops::Range<u16> = 10_000..22_000;
@@ -55,6 +56,7 @@
     standins: Child,
     entries: Vec<Option<Child>>,
     planners: Vec<Option<Child>>,
+    _ports: PortBlock,
 }
 
 impl Cluster {
@@ -78,7 +80,8 @@
 
     /// Starts `vms` VMs without a table.
     pub fn start_empty(vms: u16) -> Self {
-        let base_port = free_base_port();
+        let ports = claim_ports();
+        let base_port = ports.first();
         let layout = Layout { deployment: Deployment::Kalahari, vms, base_port };
         let folder = std::env::temp_dir().join(format!("persimmonglade-test-{base_port}"));
         fs::create_dir_all(&folder).expect("the temporary folder can be made");
@@ -88,8 +91,15 @@
         let standins = spawn("persimmonglade-standins", &args, &folder.join("standins.log"));
         let runtime = Runtime::new().expect("a runtime can be started");
         let none = || (0..vms).map(|_| None).collect();
-        let mut cluster =
-            Self { layout, folder, runtime, standins, entries: none(), planners: none() };
+        let mut cluster = Self {
+            layout,
+            folder,
+            runtime,
+            standins,
+            entries: none(),
+            planners: none(),
+            _ports: ports,
+        };
         cluster.eventually("the stand-ins answer", || {
             cluster.get(layout.control(), "/writes").is_some()
         });
@@ -262,24 +272,18 @@
 
 fn spawn(name: &str, args: &[&str], log: &Path) -> Child {
     let log = File::create(log).expect("the log can be made");
-    Command::new(program(name))
-        .args(args)
-        .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(log)
-        .spawn()
-        .expect("the program can be started")
+    let mut command = Command::new(program(name));
+    command.args(args).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+    ports::spawn(&mut command).expect("the program can be started")
 }
 
-/// First of a run of ports that nobody listens on.
-fn free_base_port() -> u16 {
+/// Takes a block of ports of which nobody uses those that a cluster needs.
+fn claim_ports() -> PortBlock {
     loop {
-        let base = fastrand::u16(PORT_RANGE.start..PORT_RANGE.end - PORTS);
+        let block = PortBlock::claim(&PORT_RANGE);
         let used = [0, 1, 2, 3].into_iter().chain(100..120).chain(200..204).chain(300..350);
-        let bound: Vec<_> =
-            used.map(|offset| TcpListener::bind(("127.0.0.1", base + offset))).collect();
-        if bound.iter().all(Result::is_ok) {
-            return base;
+        if ports::are_free(used.map(|offset| block.first() + offset)) {
+            return block;
         }
     }
 }
--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -4,11 +4,13 @@
 
 mod changed_catalog;
 mod cluster;
+mod ports;
 mod programs;
 pub mod site;
 
 pub use crate::{
     changed_catalog::changed_catalog,
     cluster::{CREDENTIAL, Cluster, Reply},
+    ports::PortBlock,
     programs::{Output, program, run_program},
 };
--- a/crates/system/src/programs.rs
+++ b/crates/system/src/programs.rs
@@ -1,8 +1,11 @@
 //! Finds and runs the workspace's programs.
 
-use std::{
-    path::PathBuf,
-    process::{Command, Stdio},
+use {
+    crate::ports,
+    std::{
+        path::PathBuf,
+        process::{Command, Stdio},
+    },
 };
 
 /// What a program that has ended printed.
@@ -30,12 +33,11 @@
 
 /// Runs a program to its end.
 pub fn run_program(name: &str, args: &[&str], variables: &[(&str, &str)]) -> Output {
-    let output = Command::new(program(name))
-        .args(args)
-        .envs(variables.iter().copied())
-        .stdin(Stdio::null())
-        .output()
-        .expect("the program can be started");
+    let mut command = Command::new(program(name));
+    command.args(args).envs(variables.iter().copied()).stdin(Stdio::null());
+    command.stdout(Stdio::piped()).stderr(Stdio::piped());
+    let child = ports::spawn(&mut command).expect("the program can be started");
+    let output = child.wait_with_output().expect("an own child can be waited for");
     Output {
         code: output.status.code().unwrap_or(-1),
         stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -1,7 +1,10 @@
 //! Real nodes against a stand-in of the users' platform.
 
 use {
-    crate::programs::program,
+    crate::{
+        ports::{self, PortBlock},
+        programs::program,
+    },
     glade_catalog::{
         CallerLimits, Catalog, EngineClass, ModelSpec, PromptPart, RequestMetadata, RetryPolicy,
         Route, Service, WeightedService,
@@ -16,13 +19,13 @@
     std::{
         fs::{self, File},
         io::PipeWriter,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         ops::Range,
         os::unix::process::ExitStatusExt,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         sync::{
-            Mutex, MutexGuard, OnceLock, PoisonError,
+            OnceLock,
             atomic::{AtomicU32, Ordering},
         },
         thread,
@@ -37,8 +40,6 @@
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// Ports that nodes listen on; a cluster of this crate uses those below.
 const NODE_PORTS: Range<u16> = 22_000..32_000;
-/// Ports of one test process; several times those of the largest site.
-const PORTS_A_PROCESS: u32 = 400;
 /// Lines of each node's log that are shown if something doesn't come about.
 const LAST_LINES: usize = 40;
 /// Events of a stream.
@@ -211,8 +212,7 @@
                 command.stdout(out.try_clone().expect("a log file")).stderr(out);
             }
         }
-        let _lock = lock_port_checks();
-        node.child = Some(command.spawn().expect("the node can be started"));
+        node.child = Some(ports::spawn(&mut command).expect("the node can be started"));
     }
 
     /// Names the program of another version of the node, for [`Site::change_version`].
@@ -668,20 +668,17 @@
     )
 }
 
-/// Ports for a node. They lie below those that the system gives to outgoing connections: one of those
-/// may take a port between the moment it was found free and the moment the node listens on it.
+/// Ports for a node, of a block of this process. The ports of a node that was killed must be free when it starts again.
 fn free_addrs() -> NodeAddrs {
+    static BLOCK: OnceLock<PortBlock> = OnceLock::new();
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    let first = own_ports();
+    let block = BLOCK.get_or_init(|| PortBlock::claim(&NODE_PORTS));
     let mut free = std::iter::repeat_with(|| {
-        // The first port of the block is the mark.
-        let offset = 1 + NEXT.fetch_add(1, Ordering::Relaxed) % (PORTS_A_PROCESS - 1);
-        loopback(first + offset as u16)
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed) % u32::from(PortBlock::PORTS);
+        block.first() + offset as u16
     })
-    .filter(|addr| {
-        let _lock = lock_port_checks();
-        TcpListener::bind(addr).is_ok()
-    });
+    .filter(|port| ports::are_free(std::iter::once(*port)))
+    .map(ports::loopback);
     let mut take = || free.next().expect("the sequence has no end");
     NodeAddrs {
         callers: take(),
@@ -692,31 +689,6 @@
     }
 }
 
-/// Keeps checks of ports and starts of processes apart: a process that is being started holds the
-/// sockets of this one until it runs its program, and with them a port that is being checked.
-fn lock_port_checks() -> MutexGuard<'static, ()> {
-    static LOCK: Mutex<()> = Mutex::new(());
-    LOCK.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// First of a block of ports that is this process's own for as long as it runs. Other tests may run
-/// beside this one, and the ports of a node that was killed must be free when it starts again.
-fn own_ports() -> u16 {
-    static MARK: OnceLock<(u16, TcpListener)> = OnceLock::new();
-    let blocks = (NODE_PORTS.end - NODE_PORTS.start) / PORTS_A_PROCESS as u16;
-    let mark = MARK.get_or_init(|| {
-        (0..blocks)
-            .map(|block| NODE_PORTS.start + block * PORTS_A_PROCESS as u16)
-            .find_map(|first| Some((first, TcpListener::bind(loopback(first)).ok()?)))
-            .expect("fewer test processes than blocks of ports")
-    });
-    mark.0
-}
-
-fn loopback(port: u16) -> SocketAddr {
-    ([127, 0, 0, 1], port).into()
-}
-
 /// Writes a settings file and runs a node with it to its end.
 pub fn run_node_with(text: &str, folder: &Path) -> crate::Output {
     fs::create_dir_all(folder).expect("the temporary folder can be made");
