Limits: refused callers of different VMs return one after the other

Callers saw: a Retry-After that didn't hold.

Cause: each VM spaced its own callers by its share of the limit, but all VMs counted from the moment of their own refusals, so that up to one caller of each VM came back at the same moment, to a server that takes them one by one. The same class as the limit itself: a bound over all VMs, kept by each.

Change: VMs count turns from the moment at which the server began to name limits, which entries now carry, and each VM's turns lie between those of the others, by its place among the VMs that take requests.

--- a/crates/dispatch/benches/decide.rs
+++ b/crates/dispatch/benches/decide.rs
@@ -49,6 +49,7 @@
         models_ready_at: HashMap::new(),
         has_coordinator: false,
         live_vms: 300,
+        vm_position: 0,
         known_vms: 300,
         quarantine: Arc::default(),
     };
--- a/crates/dispatch/src/cluster_view.rs
+++ b/crates/dispatch/src/cluster_view.rs
@@ -46,6 +46,8 @@
     pub has_coordinator: bool,
     /// Number of VMs that take requests, including this one; at least 1.
     pub live_vms: u32,
+    /// Position of this VM among these, from 0: another one on each.
+    pub vm_position: u32,
     /// Number of VMs of the deployment, those that have fallen silent included. Bounds that hold over
     /// all VMs are shared out among these.
     pub known_vms: u32,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -109,6 +109,7 @@
     retry_limit: RetryLimit,
     retry_budgets: HashMap<ServiceName, RetryBudget>,
     pub(crate) live_vms: u32,
+    pub(crate) vm_position: u32,
     pub(crate) known_vms: u32,
     /// Random number of this VM, by which many VMs spread over the servers of plain services.
     pub(crate) vm_seed: u32,
@@ -141,6 +142,7 @@
             retry_limit,
             retry_budgets: HashMap::new(),
             live_vms: 1,
+            vm_position: 0,
             known_vms: 1,
             next_id: 0,
         }
@@ -180,6 +182,7 @@
             self.index_holders();
         }
         self.live_vms = view.live_vms.max(1);
+        self.vm_position = view.vm_position % self.live_vms;
         self.known_vms = view.known_vms.max(self.live_vms);
         self.models_ready_at.clone_from(&view.models_ready_at);
         let Some(catalog) = &view.catalog else { return };
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -27,6 +27,7 @@
 mod remote_prompts;
 mod request_spec;
 mod retry_budget;
+mod return_turns;
 mod server;
 mod server_queues;
 mod speed;
--- a/crates/dispatch/src/limits.rs
+++ b/crates/dispatch/src/limits.rs
@@ -6,6 +6,7 @@
         cost::unit_fraction,
         dispatcher::Dispatcher,
         request_spec::RequestSpec,
+        return_turns::ReturnTurns,
         server::{Server, ServerIdx},
         server_queues::QueuePriority,
     },
@@ -205,8 +206,8 @@
         }
     }
 
-    /// When the caller of `request`, which is refused because limits are used up, is to return.
-    /// Each gets a turn of its own: the VMs' turns together are as frequent as the limit allows.
+    /// When the caller of `request`, which is refused because limits are used up, is to return:
+    /// in the next turn that no other caller has.
     pub fn next_return(
         &mut self,
         now: Instant,
@@ -214,22 +215,19 @@
         retry_after: Duration,
     ) -> Duration {
         let priority = QueuePriority::of(now, request);
-        let rate = |idx: &ServerIdx| {
-            self.servers[idx.get()].limit.get().map_or(0.0, |limit| limit.per_second)
-        };
-        let limited = self.limited_servers(now, request, &[]);
-        let Some(idx) = limited.filter(|idx| rate(idx) > 0.0).min_by(|a, b| {
-            let wait_s = |idx| self.permit_wait_s(now, idx, &priority).unwrap_or(0.0);
-            wait_s(*a).total_cmp(&wait_s(*b))
-        }) else {
+        let wait_s = |idx| self.permit_wait_s(now, idx, &priority).unwrap_or(0.0);
+        let limit = |idx: ServerIdx| Some((idx, self.servers[idx.get()].limit.get()?));
+        let limited = self.limited_servers(now, request, &[]).filter_map(limit);
+        let Some((idx, limit)) = limited
+            .filter(|(_, limit)| limit.per_second > 0.0)
+            .min_by(|(a, _), (b, _)| wait_s(*a).total_cmp(&wait_s(*b)))
+        else {
             return limited_retry_after(retry_after.as_secs_f64());
         };
-        let turn_s = f64::from(self.live_vms) / rate(&idx);
-        let offset = Duration::from_secs_f64(turn_s.min(RETRY_AFTER_MAX.as_secs_f64()));
+        let turns = ReturnTurns::new(&limit, self.live_vms, self.vm_position);
         let server = &mut self.servers[idx.get()];
-        let first = now + retry_after.min(RETRY_AFTER_MAX);
-        let at = server.return_at.map_or(first, |last| first.max(last + offset));
-        let at = at.min(now + RETRY_AFTER_MAX);
+        let earliest = now + retry_after.min(RETRY_AFTER_MAX);
+        let at = turns.next(earliest, server.return_at).min(now + RETRY_AFTER_MAX);
         server.return_at = Some(at);
         at.saturating_duration_since(now).max(RETRY_AFTER_MIN)
     }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -49,6 +49,7 @@
             models_ready_at: HashMap::new(),
             has_coordinator: false,
             live_vms: 8,
+            vm_position: 0,
             known_vms: 8,
             quarantine: Arc::default(),
         };
--- a/crates/fuzz/tests/outside_data.rs
+++ b/crates/fuzz/tests/outside_data.rs
@@ -172,6 +172,7 @@
         catalog: Some(Arc::clone(catalog)),
         servers,
         live_vms: odd_number(rng) as u32,
+        vm_position: odd_number(rng) as u32,
         ..ClusterView::default()
     };
     dispatcher.update_view(now, &view);
--- a/crates/limit/src/known_limit.rs
+++ b/crates/limit/src/known_limit.rs
@@ -74,7 +74,8 @@
     ) -> Option<LimitChange> {
         match (stated, self.limit) {
             (StatedLimit::PerSecond(per_second), known) => {
-                self.limit = Some(NamedLimit { per_second, named_at: now });
+                let began_at = known.map_or(now, |known| known.began_at);
+                self.limit = Some(NamedLimit { per_second, named_at: now, began_at });
                 self.own_named_at = Some(now);
                 match known {
                     None => Some(LimitChange::Named),
@@ -123,11 +124,10 @@
     pub fn apply_view(&mut self, now: Instant, view: Option<NamedLimit>) {
         match view {
             Some(view) if self.end_sent_at.is_some_and(|at| at > view.named_at) => {}
-            Some(view) => {
-                if self.limit.is_none_or(|known| view.named_at >= known.named_at) {
-                    self.limit = Some(view);
-                }
-            }
+            Some(view) => match &mut self.limit {
+                Some(known) if known.named_at > view.named_at => known.began_at = view.began_at,
+                known => *known = Some(view),
+            },
             None => {
                 let is_pending = |at: Instant| now.saturating_duration_since(at) < VIEW_DELAY_MAX;
                 if !self.own_named_at.is_some_and(is_pending) {
--- a/crates/limit/src/limit_table.rs
+++ b/crates/limit/src/limit_table.rs
@@ -28,6 +28,8 @@
     pub per_second: f64,
     /// When an answer named it last, as far as this VM knows.
     pub named_at: Instant,
+    /// When the server began to name limits: the same moment on all VMs, up to the delay of messages.
+    pub began_at: Instant,
 }
 
 /// An entry as one node sends it to another.
@@ -42,6 +44,8 @@
     pub generation: u32,
     /// Time since the limit was named last, in milliseconds.
     pub named_before_ms: u32,
+    /// Time since the server began to name limits, in milliseconds.
+    pub began_before_ms: u32,
     /// Time since the request was sent whose answer ended the limit, in milliseconds; `None` while
     /// the limit is in force.
     pub ended_before_ms: Option<u32>,
@@ -52,6 +56,7 @@
     per_second: f64,
     generation: u32,
     named_at: Instant,
+    began_at: Instant,
     /// When an answer to this node last named the limit.
     own_named_at: Option<Instant>,
     /// When the request was sent whose answer ended the limit.
@@ -86,6 +91,7 @@
                 per_second,
                 generation,
                 named_at: now,
+                began_at: now,
                 own_named_at: Some(now),
                 end_sent_at: None,
                 ended_at: None,
@@ -116,6 +122,7 @@
         }
         let before = |ms: u32| now.checked_sub(Duration::from_millis(u64::from(ms))).unwrap_or(now);
         let named_at = before(update.named_before_ms);
+        let began_at = before(update.began_before_ms);
         let end_sent_at = update.ended_before_ms.map(before);
         let known = self.entries.get_mut(&update.server);
         let Some(entry) = known.filter(|entry| entry.generation >= update.generation) else {
@@ -126,6 +133,7 @@
                     per_second: update.per_second,
                     generation: update.generation,
                     named_at,
+                    began_at,
                     own_named_at,
                     end_sent_at,
                     ended_at: end_sent_at.map(|_| now),
@@ -138,6 +146,8 @@
         if entry.generation > update.generation || entry.end_sent_at.is_some() {
             return false;
         }
+        // Delays of messages make the moment later, so the earliest is the closest.
+        entry.began_at = entry.began_at.min(began_at);
         if let Some(sent_at) = end_sent_at {
             if entry.own_named_at.is_some_and(|at| at >= sent_at) {
                 // The node that ended the limit hadn't heard of an answer that names it.
@@ -187,6 +197,7 @@
             per_second: entry.per_second,
             generation: entry.generation,
             named_before_ms: ms(entry.named_at),
+            began_before_ms: ms(entry.began_at),
             ended_before_ms: entry.end_sent_at.map(ms),
         };
         self.entries.iter().map(update).collect()
@@ -220,7 +231,8 @@
 
 impl Entry {
     fn in_force(&self) -> Option<NamedLimit> {
-        let limit = NamedLimit { per_second: self.per_second, named_at: self.named_at };
+        let Self { per_second, named_at, began_at, .. } = *self;
+        let limit = NamedLimit { per_second, named_at, began_at };
         self.end_sent_at.is_none().then_some(limit)
     }
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -601,12 +601,18 @@
         self.endpoints.current(now, self.own_endpoint(), &self.network)
     }
 
+    /// Number of the nodes at `endpoints`, at least 1, and this node's position among them.
+    fn place_among(&self, endpoints: &CallerEndpoints) -> (u32, u32) {
+        let own = self.network.me.caller_addr;
+        let addrs = || endpoints.same_data_centre.iter().chain(&endpoints.other_data_centres);
+        (addrs().count().max(1) as u32, addrs().filter(|addr| **addr < own).count() as u32)
+    }
+
     /// Publishes the current state to the relay and the directory.
     fn publish_view(&mut self, now: Instant) {
         self.control_metrics.on_view_published();
         let endpoints = self.caller_endpoints(now);
-        let live_vms =
-            (endpoints.same_data_centre.len() + endpoints.other_data_centres.len()).max(1) as u32;
+        let (live_vms, vm_position) = self.place_among(&endpoints);
         let other_vms_loads = self.loads.others(now, &self.network);
         let view = ClusterView {
             catalog: self.catalog.clone(),
@@ -615,6 +621,7 @@
             models_ready_at: self.registry.models_ready_at(),
             has_coordinator: self.has_coordinator(now),
             live_vms,
+            vm_position,
             known_vms: self.network.known_nodes.count().max(live_vms),
             quarantine: Arc::clone(self.quarantine.view()),
         };
