Limits: forget how many permits came from servers that are gone

Cause: a node counted the permits that it received of each limited server, and kept the count for ever: some bytes for each run of a server that ever named a limit. The counts go with the entries of the limits, a minute after a limit has ended; an issuer begins anew by then. Found by reading; no growth was measured.

--- a/crates/limit/src/limit_table.rs
+++ b/crates/limit/src/limit_table.rs
@@ -182,6 +182,11 @@
         self.entries.iter().filter_map(|(server, entry)| Some((*server, entry.in_force()?)))
     }
 
+    /// True if anything is recorded of a server, also that its limit has ended.
+    pub fn contains(&self, server: u32) -> bool {
+        self.entries.contains_key(&server)
+    }
+
     /// True if nothing is recorded.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
--- a/crates/limit/tests/limits.rs
+++ b/crates/limit/tests/limits.rs
@@ -128,6 +128,18 @@
     assert_eq!((rate(one.get(SERVER)), rate(other.get(SERVER))), (Some(2.0), Some(2.0)));
 }
 
+#[test]
+fn an_ended_limit_is_recorded_until_no_node_can_bring_it_back() {
+    let begin = Instant::now();
+    let mut table = LimitTable::default();
+    table.on_named(begin, SERVER, 2.0);
+    table.on_unnamed(begin + ms(20), SERVER, begin + ms(10));
+    table.sweep(begin + ms(1000), |_| true);
+    assert!(table.contains(SERVER) && table.get(SERVER).is_none());
+    table.sweep(begin + ms(61_000), |_| true);
+    assert!(!table.contains(SERVER));
+}
+
 #[test]
 fn nodes_agree_on_when_a_server_began_to_name_limits() {
     let begin = Instant::now();
--- a/crates/node/src/limit_exchange.rs
+++ b/crates/node/src/limit_exchange.rs
@@ -217,6 +217,7 @@
         }
         let listed: BTreeSet<u32> = listed.collect();
         self.table.sweep(now, |server| listed.contains(&server));
+        self.received.retain(|server, _| self.table.contains(*server));
         let is_after = |at: Option<Instant>, period: Duration| {
             at.is_none_or(|at| now.saturating_duration_since(at) >= period)
         };
