Don't blame a sound part shortly before the part that was at more crashes

Callers saw: requests with a sound part refused, and more servers ended.

Cause: of the parts that explain enough, only those that had been suspected for 0.3 s were compared.

Change: all that explain enough are compared, and nothing is blamed until the best of them has been suspected for that long.

Result: the new test fails before and passes with the change. The other tests of the crate pass.

--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -375,15 +375,16 @@
     }
 }
 
-/// The combination that explains most crashes, of those that explain enough and were suspected at `suspected_by`.
+/// The combination that explains most crashes, of those that explain enough, if it was suspected at `suspected_by`. Until
+/// then no other is blamed that explains fewer: it would hide the crashes that both were at.
 fn most_likely(
     tallies: &BTreeMap<u64, Tally>,
     suspected_since: &BTreeMap<u64, Instant>,
     suspected_by: Instant,
 ) -> Option<Attribution> {
     let is_due = |part: &u64| suspected_since.get(part).is_some_and(|at| *at <= suspected_by);
-    let sufficient = tallies.iter().filter(|(part, tally)| is_due(part) && tally.suffices(**part));
-    let (_, best) = sufficient.max_by_key(|(part, tally)| {
+    let sufficient = tallies.iter().filter(|(part, tally)| tally.suffices(**part));
+    let best = sufficient.max_by_key(|(part, tally)| {
         (
             !tally.is_widely_shared(),
             tally.crashes,
@@ -392,7 +393,8 @@
             tally.common_parts.len(),
             Reverse(tally.attempts),
         )
-    })?;
+    });
+    let (_, best) = best.filter(|(part, _)| is_due(part))?;
     let crashes = u32::try_from(best.crashes).unwrap_or(u32::MAX);
     Some(Attribution { parts: best.open_parts.clone(), crashes })
 }
--- a/crates/quarantine/tests/crash_log.rs
+++ b/crates/quarantine/tests/crash_log.rs
@@ -338,3 +338,22 @@
         assert!(!log.blame().concat().contains(&ONE));
     }
 }
+
+#[test]
+fn a_sound_part_is_not_blamed_shortly_before_the_part_that_was_at_more_crashes() {
+    let mut log = Log::new();
+    log.crash(&[&[SHARED, MIDDLE, 0x61]]);
+    for request in 0..2 {
+        log.pass_ms(150);
+        log.crash(&[&[SHARED, MIDDLE, 0x71 + request], &[SHARED, CRASHING, 0x81 + request]]);
+        log.blame();
+    }
+    for request in 0..4 {
+        log.pass_ms(70);
+        log.crash(&[&[SHARED, CRASHING, 0x91 + request]]);
+        log.log.on_served(&[SHARED]);
+        assert!(log.blame().is_empty());
+    }
+    log.pass_ms(300);
+    assert_eq!(log.blame(), [[CRASHING]]);
+}
