Blame a part of requests that each ended several servers after two moments

With few such requests, two that each ended three servers didn't suffice: the third came minutes later and ended three more.

Cause: crashes within 0.12 s count as one moment, and a part needs three, since servers that end together have a cause of their own. That cause doesn't explain that the same requests were at several of these crashes.

Change: two moments suffice for a part that two requests or more with another part in common hold which were each at two crashes or more, none of them at more than half of the part's crashes.

--- a/crates/quarantine/src/crash_log.rs
+++ b/crates/quarantine/src/crash_log.rs
@@ -28,6 +28,9 @@
 /// Requests with a part, different ones, that must have been at crashes. The attempts of one unlucky request prove
 /// little.
 const REQUESTS_MIN: usize = 2;
+/// Requests with a part that were each at several crashes, from which on two moments suffice to blame the part. Servers that
+/// end together for a cause of their own don't all run the same requests.
+const REPEATED_REQUESTS_MIN: usize = 2;
 /// Moments of crashes after which it is asked whether requests with a part are answered.
 const SUSPECT_MOMENTS_MIN: usize = 2;
 /// Crashes within this time count as one moment: engines that end together have a cause of their own, and nodes notice
@@ -116,7 +119,8 @@
     moments: usize,
     last_moment_at: Option<Instant>,
     crashes: usize,
-    requests: BTreeSet<u64>,
+    /// Requests with the part, and the number of crashes that each was at.
+    requests: BTreeMap<u64, usize>,
     attempts: usize,
     /// The parts that all attempts with this one hold, in the order of the prompt.
     common_parts: Vec<u64>,
@@ -346,7 +350,7 @@
         // A part has to be in requests that differ; a request has to be sent more than once.
         let own = attempt.parts.last().filter(|part| Fingerprint::is_of_single_request(**part));
         let request = own.filter(|_| !is_single).copied().unwrap_or(attempt.request);
-        self.requests.insert(request);
+        *self.requests.entry(request).or_default() += 1;
     }
 
     /// True if the part is in several requests at each crash that have nothing else in common, as the first part of
@@ -355,6 +359,17 @@
         self.common_parts.len() <= 1 && self.is_crowded()
     }
 
+    /// True if several requests with the part, and with another one in common, were each at several crashes, and none of
+    /// them was at most.
+    fn is_in_repeated_requests(&self) -> bool {
+        let is_repeated = |crashes: &&usize| **crashes >= SINGLE_REQUEST_CRASHES_MIN;
+        let repeated = self.requests.values().filter(is_repeated).count();
+        let most_of_one = self.requests.values().max().copied().unwrap_or(0);
+        self.common_parts.len() > 1
+            && repeated >= REPEATED_REQUESTS_MIN
+            && 2 * most_of_one <= self.crashes
+    }
+
     /// True if many at each crash had the part.
     fn is_crowded(&self) -> bool {
         self.attempts > REQUESTS_PER_CRASH_MAX * self.crashes
@@ -368,6 +383,8 @@
             self.crashes >= SINGLE_REQUEST_CRASHES_MIN
         } else if self.is_widely_shared() && !is_single {
             self.moments >= WIDELY_SHARED_MOMENTS_MIN
+        } else if !is_single && self.is_in_repeated_requests() {
+            self.moments >= SUSPECT_MOMENTS_MIN
         } else {
             self.moments >= MOMENTS_MIN
         };
--- a/crates/quarantine/tests/crash_log.rs
+++ b/crates/quarantine/tests/crash_log.rs
@@ -357,3 +357,20 @@
     log.pass_ms(300);
     assert_eq!(log.blame(), [[CRASHING]]);
 }
+
+#[test]
+fn a_part_of_several_requests_that_each_ended_two_servers_in_a_moment_is_blamed() {
+    let mut log = Log::new();
+    for _ in 0..2 {
+        for request in 0..3 {
+            log.crash(&[&[SHARED, CRASHING, ONE + request]]);
+        }
+        log.log.on_served(&[SHARED]);
+        log.blame();
+        log.pass_ms(130);
+    }
+    log.pass_ms(300);
+    log.blame();
+    assert!(log.quarantine.blocks(&[SHARED, CRASHING, OTHER + 100]), "{:?}", log.quarantine);
+    assert!(!log.quarantine.blocks(&[SHARED, ONE]), "the part explains all crashes");
+}
