Don't try a sound part with a request that holds a crashing one

Cause: of the combinations that a request holds, the one with the lowest hash was looked at.

Change: the one whose trial is last.

--- a/crates/quarantine/src/quarantine_view.rs
+++ b/crates/quarantine/src/quarantine_view.rs
@@ -30,14 +30,16 @@
 }
 
 impl QuarantineView {
-    /// The combination for which a request with `parts` must not be sent to an engine. The parts are asked for only if
-    /// anything is quarantined.
+    /// The combination for which a request with `parts` must not be sent to an engine; of several, the one whose trial is
+    /// last, because the request can be a trial of no other before. The parts are asked for only if anything is
+    /// quarantined.
     pub fn find<'a>(&self, parts: impl FnOnce() -> &'a [u64]) -> Option<&BlockedParts> {
         if self.blocked.is_empty() {
             return None;
         }
         let parts = parts();
-        self.blocked.iter().find(|blocked| contains_all(parts, &blocked.parts))
+        let blocking = self.blocked.iter().filter(|blocked| contains_all(parts, &blocked.parts));
+        blocking.max_by_key(|blocked| blocked.trial_at)
     }
 
     /// Those of `parts` that are suspected. The parts are asked for only if any are.
--- a/crates/quarantine/tests/quarantine.rs
+++ b/crates/quarantine/tests/quarantine.rs
@@ -118,6 +118,18 @@
     assert_eq!(started, [15, 75, 315]);
 }
 
+#[test]
+fn a_request_that_crashes_servers_is_no_trial_of_a_sound_part_that_it_has_too() {
+    let began = Instant::now();
+    let mut quarantine = with(began, &[1]);
+    quarantine.add(began + Duration::from_secs(3), &attribution(&[KEY]));
+    let view = quarantine.view(std::iter::empty());
+    let key = |parts: &[u64]| view.find(|| parts).map(|blocked| blocked.key);
+    assert_eq!(key(&[1, KEY]), Some(KEY));
+    assert_eq!(key(&[KEY, 1]), Some(KEY));
+    assert_eq!(key(&[1]), Some(1));
+}
+
 #[test]
 fn a_trial_that_another_node_has_started_isnt_started_again() {
     let began = Instant::now();
