--- a/crates/node/src/control/tests/limits.rs
+++ b/crates/node/src/control/tests/limits.rs
@@ -214,6 +214,24 @@
     }
 }
 
+#[test]
+fn halves_keep_to_the_limit_together_though_nodes_start_that_never_met_the_other_half() {
+    let mut limited = Limited::new(deployment(8), 8, 40.0);
+    limited.run_for(CONTACT_TIME);
+    let since = limited.deployment.now();
+    limited.cut(|from, to| from / 4 != to / 4);
+    for node in [0, 4, 1, 5, 2, 6, 3, 7] {
+        limited.deployment.kill(node);
+        limited.run_for(Duration::from_secs(2));
+        limited.deployment.start(node);
+        limited.run_for(Duration::from_millis(500));
+        limited.show_registry(node);
+        limited.run_for(Duration::from_secs(8));
+        limited.assert_within_limit(since);
+    }
+    assert!(limited.sends_since(since) as f64 > 40.0 * 30.0);
+}
+
 #[test]
 fn nodes_that_all_lose_each_other_keep_to_the_limit_together() {
     let mut limited = Limited::new(deployment(8), 8, 4.0);
