--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,9 +6,10 @@
 //! couldn't run. With `TROUBLE=0` the disruption is left out.
 
 mod base;
-mod case_1;
+
 mod client;
 mod node;
+mod odd_entry;
 mod server;
 mod store;
 
@@ -22,7 +23,7 @@
     };
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let broken = match case.as_str() {
-        "1" => case_1::run(folder, trouble),
+        "2" => odd_entry::run(folder, trouble),
         _ => Err(format!("no case {case}")),
     };
     match broken {
