--- a/review/standins/odd_entry.rs
+++ b/review/standins/odd_entry.rs
@@ -22,7 +22,7 @@
 /// Time between two requests.
 const GAP_MS: u64 = 30;
 /// Work of a request.
-const WORK_MS: u64 = 60;
+const WORK_MS: u64 = 400;
 /// When the server's entry is removed, when the other writer writes, and when the server ends.
 const REMOVED_AT_MS: u64 = 3000;
 const ODD_AT_MS: u64 = 6000;
