--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,6 +8,8 @@
 mod base;
 
 mod client;
+mod engine;
+mod left_engine;
 mod node;
 mod odd_entry;
 mod server;
@@ -23,7 +25,8 @@
     };
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let broken = match case.as_str() {
-        "2" => odd_entry::run(folder, trouble),
+        "3" => odd_entry::run(folder, trouble),
+        "2" => left_engine::run(folder, trouble),
         _ => Err(format!("no case {case}")),
     };
     match broken {
