--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -17,8 +17,7 @@
 };
 
 pub const MODEL: &str = "m0";
-/// Events of each stream, and the time between two.
-pub const EVENTS: u64 = 12;
+/// Time between two events of a stream.
 const EVENT_MS: u64 = 60;
 /// Time after which a request fails.
 const FAILS_AFTER_MS: u64 = 400;
@@ -28,19 +27,33 @@
 /// What an engine does with requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Habits {
+    /// Events of each stream.
+    pub events: u64,
     /// Pause after the fourth event of a new stream: the request is preempted and read anew.
     pub pause_ms: u64,
     /// Of the requests that go on in the middle of a stream, each that this divides by its number is
     /// answered by a 500; 0 for none.
     pub fails_each: u64,
+    /// Goes on with a request whose connection was closed, as some engines do.
+    pub works_on: bool,
 }
 
-/// Ids of the requests that engines were sent, and of those that they ran until their connection
-/// was closed on the way.
+/// Work of an engine on a request, in milliseconds since the start.
+#[derive(Clone, Debug)]
+pub struct Work {
+    pub request: String,
+    pub engine: String,
+    pub began_ms: u64,
+    pub ended_ms: u64,
+}
+
+/// Ids of the requests that engines were sent, and of those whose connection was closed on the way,
+/// and the engines' work.
 #[derive(Debug, Default)]
 pub struct Log {
     pub sent: Vec<String>,
     pub left: Vec<String>,
+    pub work: Vec<Work>,
 }
 
 #[derive(Clone)]
@@ -144,6 +157,7 @@
             self.record.write(&format!("answers 500 to {text}"));
             return write_response(writer, "500 Internal Server Error", &echo, b"failed");
         }
+        let began_ms = self.record.now_ms();
         let head = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: stamp\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -151,20 +165,27 @@
         writer.write_all(head.as_bytes())?;
         let mut made = 0;
         let mut left = false;
-        for event in after.unwrap_or(0) + 1..=EVENTS {
+        for event in after.unwrap_or(0) + 1..=self.habits.events {
             if event == 5 && after.is_none() && self.habits.pause_ms > 0 {
                 sleep_ms(self.habits.pause_ms);
             }
             sleep_ms(EVENT_MS);
             let text = format!("id: {event}\ndata: token-{event}\n\n");
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-            left = writer.write_all(chunk.as_bytes()).is_err();
-            if left {
+            left = left || writer.write_all(chunk.as_bytes()).is_err();
+            if left && !self.habits.works_on {
                 break;
             }
             made = event;
         }
         let end = if left { "left by its caller" } else { "run to its end" };
+        let work = Work {
+            request: id.to_owned(),
+            engine: self.id.clone(),
+            began_ms,
+            ended_ms: self.record.now_ms(),
+        };
+        self.log.lock().unwrap().work.push(work);
         self.record.write(&format!("{text}: {end}, last event {made}"));
         if left {
             self.log.lock().unwrap().left.push(id.to_owned());
--- a/review/standins/left_engine.rs
+++ b/review/standins/left_engine.rs
@@ -4,7 +4,7 @@
     crate::{
         base::Record,
         client,
-        engine::{EVENTS, Engine, Habits, Log, MODEL},
+        engine::{Engine, Habits, Log, MODEL},
         node::{Folder, Node, ip, keep_logs, sleep_ms},
         store::Store,
     },
@@ -16,8 +16,9 @@
     },
 };
 
-const CONFIG: &str = r#"{"Version":7,"Routes":[{"Name":"r-chat","Host":"shop.example","Prefix":"/chat/","Kind":"streaming","TimeoutMs":15000,"SloMs":400,"Priority":0,"Service":"pool","Attempts":2,"Sticky":true,"Resumable":true,"GapTargetMs":300}],"Services":[{"Name":"pool","HealthPath":"/health","MaxConns":360,"Protocol":"h1","Tls":false,"Engine":{"Slots":64,"KvCapacity":149031,"KvTokenBytes":163840,"LinkMbps":1500000.0,"Moves":true,"Backups":true,"Stride":5,"AtMost":12,"HostMb":150000.0,"DiskMb":440000.0,"PinMs":4000.0,"HoldMs":2000.0,"handle_s":5.0,"WeightsMb":230000.0,"AdapterSlots":8,"LoadsPerS":2.0,"Models":[{"Name":"m0","WeightsMb":72700.0,"LoadS":3.2,"Adapters":0,"AdapterMb":66.0,"WarmS":0.47,"DiskS":0.64}]}}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
-const NODES: u32 = 3;
+pub const CONFIG: &str = r#"{"Version":7,"Routes":[{"Name":"r-chat","Host":"shop.example","Prefix":"/chat/","Kind":"streaming","TimeoutMs":15000,"SloMs":400,"Priority":0,"Service":"pool","Attempts":2,"Sticky":true,"Resumable":true,"GapTargetMs":300}],"Services":[{"Name":"pool","HealthPath":"/health","MaxConns":360,"Protocol":"h1","Tls":false,"Engine":{"Slots":64,"KvCapacity":149031,"KvTokenBytes":163840,"LinkMbps":1500000.0,"Moves":true,"Backups":true,"Stride":5,"AtMost":12,"HostMb":150000.0,"DiskMb":440000.0,"PinMs":4000.0,"HoldMs":2000.0,"handle_s":5.0,"WeightsMb":230000.0,"AdapterSlots":8,"LoadsPerS":2.0,"Models":[{"Name":"m0","WeightsMb":72700.0,"LoadS":3.2,"Adapters":0,"AdapterMb":66.0,"WarmS":0.47,"DiskS":0.64}]}}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
+pub const NODES: u32 = 3;
+const EVENTS: u64 = 12;
 /// Pause of a stream: below the 2.4 s after which clients abandon one on this route.
 const PAUSE_MS: u64 = 1600;
 /// One in so many of the requests that are moved fails at its new engine.
@@ -34,8 +35,10 @@
     let store = Store::open(&ip(0, 1))?;
     let log: Arc<Mutex<Log>> = Arc::default();
     let habits = Habits {
+        events: EVENTS,
         pause_ms: if trouble { PAUSE_MS } else { 0 },
         fails_each: FAILS_EACH,
+        works_on: false,
     };
     for (number, zone) in ["khomas-a", "khomas-b"].iter().enumerate() {
         let id = format!("i-{number}");
@@ -47,17 +50,7 @@
     for number in 0..NODES {
         nodes.push(Node::start(&temporary, &store, number, NODES)?);
     }
-    for node in &nodes {
-        let mut tries = 0;
-        while send(node, &format!("w-{}-{tries}", node.name)).is_none_or(|(status, ..)| status != 200)
-        {
-            tries += 1;
-            if tries > 100 {
-                return Err(format!("{} serves nothing", node.name));
-            }
-            sleep_ms(100);
-        }
-    }
+    wait_until_all_serve(&nodes)?;
     // More than ContactMs without anything.
     sleep_ms(4000);
     let leaving = &nodes[0];
@@ -97,12 +90,28 @@
     Ok(lost > 0)
 }
 
+/// Waits until each node has answered a request.
+pub fn wait_until_all_serve(nodes: &[Node]) -> Result<(), String> {
+    for node in nodes {
+        let mut tries = 0;
+        while send(node, &format!("w-{}-{tries}", node.name)).is_none_or(|(status, ..)| status != 200)
+        {
+            tries += 1;
+            if tries > 100 {
+                return Err(format!("{} serves nothing", node.name));
+            }
+            sleep_ms(100);
+        }
+    }
+    Ok(())
+}
+
 /// Sends a request for a stream: status, whether the answer is complete, and its events.
-fn send(node: &Node, id: &str) -> Option<(u16, bool, u64)> {
+pub fn send(node: &Node, id: &str) -> Option<(u16, bool, u64)> {
     let headers = [
         ("Request-Id", id),
         ("Model", MODEL),
-        ("Token-Counts", "100,60"),
+        ("Token-Counts", "100,200"),
         ("Prompt-Prefix", "5c1e07a2:60,91bd3f06:40"),
         ("Deadline-Ms", "15000"),
     ];
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -14,6 +14,7 @@
 mod odd_entry;
 mod server;
 mod store;
+mod two_engines;
 
 use std::{env, process::exit};
 
@@ -25,8 +26,9 @@
     };
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let broken = match case.as_str() {
-        "3" => odd_entry::run(folder, trouble),
         "2" => left_engine::run(folder, trouble),
+        "3" => odd_entry::run(folder, trouble),
+        "4" => two_engines::run(folder, trouble),
         _ => Err(format!("no case {case}")),
     };
     match broken {
