--- a/review/standins/base.rs
+++ b/review/standins/base.rs
@@ -68,7 +68,8 @@
             if reader.read_line(&mut line)? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
-            let size = usize::from_str_radix(line.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
+            let size =
+                usize::from_str_radix(line.trim(), 16).map_err(|_| io::ErrorKind::InvalidData)?;
             let mut chunk = vec![0; size + 2];
             reader.read_exact(&mut chunk)?;
             message.body.extend_from_slice(&chunk[..size]);
@@ -297,7 +298,9 @@
     for letter in text.chars() {
         match letter {
             '"' | '\\' => quoted.extend(['\\', letter]),
-            letter if (letter as u32) < 0x20 => quoted.push_str(&format!("\\u{:04x}", letter as u32)),
+            letter if (letter as u32) < 0x20 => {
+                quoted.push_str(&format!("\\u{:04x}", letter as u32))
+            }
             letter => quoted.push(letter),
         }
     }
--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -121,7 +121,12 @@
         let own = ("Instance-Id", self.id.as_str());
         let id = request.header("request-id").unwrap_or("").to_owned();
         if request.header("expect-instance").is_some_and(|other| other != self.id) {
-            return write_response(writer, "421 Misdirected Request", &[own, ("Not-Run", "1")], b"");
+            return write_response(
+                writer,
+                "421 Misdirected Request",
+                &[own, ("Not-Run", "1")],
+                b"",
+            );
         }
         match request.target() {
             "/health" => write_response(writer, "200 OK", &[own], b""),
@@ -144,8 +149,7 @@
     }
 
     fn stream(&self, request: &Message, id: &str, writer: &mut TcpStream) -> std::io::Result<()> {
-        let after: Option<u64> =
-            request.header("last-event-id").and_then(|text| text.parse().ok());
+        let after: Option<u64> = request.header("last-event-id").and_then(|text| text.parse().ok());
         let text = format!("{id} at {}, after event {}", self.id, after.unwrap_or(0));
         self.record.write(&format!("request {text}"));
         let echo = [("Request-Id", id), ("Response-Stamp", "stamp")];
--- a/review/standins/left_engine.rs
+++ b/review/standins/left_engine.rs
@@ -94,7 +94,8 @@
 pub fn wait_until_all_serve(nodes: &[Node]) -> Result<(), String> {
     for node in nodes {
         let mut tries = 0;
-        while send(node, &format!("w-{}-{tries}", node.name)).is_none_or(|(status, ..)| status != 200)
+        while send(node, &format!("w-{}-{tries}", node.name))
+            .is_none_or(|(status, ..)| status != 200)
         {
             tries += 1;
             if tries > 100 {
--- a/review/standins/node.rs
+++ b/review/standins/node.rs
@@ -6,9 +6,10 @@
     std::{
         env, fs,
         fs::File,
-        net::SocketAddr,
+        net::{SocketAddr, TcpListener},
         path::PathBuf,
         process::{Child, Command, Stdio},
+        sync::OnceLock,
         thread,
         time::Duration,
     },
@@ -18,11 +19,35 @@
 pub const GRACE_S: u64 = 8;
 pub const HEARTBEAT_MS: u64 = 1200;
 
-/// Ports of each node, at an address of its own.
-const FRONT: u16 = 18149;
-const READY: u16 = 18141;
-const DIRECTORY: u16 = 18143;
-const CONTROL: u16 = 18144;
+/// Ports that are free on the first node's address. They are the same on all nodes, each of which has
+/// an address of its own.
+struct Ports {
+    front: u16,
+    ready: u16,
+    directory: u16,
+    control: u16,
+    metrics: u16,
+}
+
+fn ports() -> &'static Ports {
+    static PORTS: OnceLock<Ports> = OnceLock::new();
+    PORTS.get_or_init(|| {
+        let own = ip(1, 1);
+        let bound: Vec<TcpListener> =
+            (0..5).filter_map(|_| TcpListener::bind((own.as_str(), 0)).ok()).collect();
+        let port = |number: usize| {
+            let addr = bound.get(number).and_then(|listener| listener.local_addr().ok());
+            addr.map_or(0, |addr| addr.port())
+        };
+        Ports {
+            front: port(0),
+            ready: port(1),
+            directory: port(2),
+            control: port(3),
+            metrics: port(4),
+        }
+    })
+}
 
 /// A temporary folder that is removed at the end.
 pub struct Folder(PathBuf);
@@ -65,14 +90,15 @@
         let zone = ["khomas-a", "khomas-b", "khomas-c"][number as usize % 3];
         let name = format!("front-{zone}-{}", number / 3 + 1);
         let own = ip_of(number);
+        let Ports { front, ready, directory, control, metrics } = ports();
         let seeds: Vec<String> =
-            (0..count.min(3)).map(|number| format!("\"{}:{CONTROL}\"", ip_of(number))).collect();
+            (0..count.min(3)).map(|number| format!("\"{}:{control}\"", ip_of(number))).collect();
         let (seeds, store) = (seeds.join(","), store.addr);
         let settings = format!(
             "vm:\n  name: \"{name}\"\n  data_centre: \"{zone}\"\n  region: \"khomas\"\n  \
-             cpu_share: 0.25\n  first_start: true\nlisten:\n  callers: \"{own}:{FRONT}\"\n  \
-             readiness: \"{own}:{READY}\"\n  directory: \"{own}:{DIRECTORY}\"\n  \
-             peers: \"{own}:{CONTROL}\"\n  metrics_port: 9464\nplatform:\n  store: \"{store}\"\n\
+             cpu_share: 0.25\n  first_start: true\nlisten:\n  callers: \"{own}:{front}\"\n  \
+             readiness: \"{own}:{ready}\"\n  directory: \"{own}:{directory}\"\n  \
+             peers: \"{own}:{control}\"\n  metrics_port: {metrics}\nplatform:\n  store: \"{store}\"\n\
              seeds: [{seeds}]\ntiming:\n  lease_ms: 3000\n  grace_s: {GRACE_S}\n  \
              directory_ttl_s: 2\n  leaving_server_ms: {DRAIN_MS}\n  \
              registry_beat_ms: {HEARTBEAT_MS}\nengines:\n  check_fences: true\nrepeats:\n  \
@@ -80,7 +106,8 @@
         );
         let file = folder.0.join(format!("{name}.yaml"));
         fs::write(&file, settings).map_err(|err| err.to_string())?;
-        let log = File::create(folder.0.join(format!("{name}.log"))).map_err(|err| err.to_string())?;
+        let log =
+            File::create(folder.0.join(format!("{name}.log"))).map_err(|err| err.to_string())?;
         let errors = log.try_clone().map_err(|err| err.to_string())?;
         let mut command = Command::new("target/release/persimmonglade-node");
         command.env_clear().env("PERSIMMONGLADE_BOOT", &file);
@@ -89,7 +116,7 @@
         }
         let command = command.stdin(Stdio::null()).stdout(log).stderr(errors);
         let child = command.spawn().map_err(|err| format!("persimmonglade-node: {err}"))?;
-        let front = format!("{own}:{FRONT}").parse().map_err(|_| "address".to_owned())?;
+        let front = format!("{own}:{front}").parse().map_err(|_| "address".to_owned())?;
         Ok(Self { name, child, front })
     }
 
--- a/review/standins/odd_entry.rs
+++ b/review/standins/odd_entry.rs
@@ -113,7 +113,8 @@
     let mut late = 0;
     let mut lost = 0;
     for (id, (sent_ms, answer)) in sent.iter() {
-        let at_leaving = runs.get(id).into_iter().flatten().any(|(server, _)| *server == leaving.id);
+        let at_leaving =
+            runs.get(id).into_iter().flatten().any(|(server, _)| *server == leaving.id);
         if at_leaving && *sent_ms > bound_ms {
             late += 1;
             lost += usize::from(!matches!(answer, Some((200, true))));
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -185,7 +185,8 @@
             known == row.get("Ver").number()
         });
         if !holds {
-            let rows: Vec<String> = expected.iter().filter_map(|row| state.row(&key(row))).collect();
+            let rows: Vec<String> =
+                expected.iter().filter_map(|row| state.row(&key(row))).collect();
             return ("412 Precondition Failed", self.rows_body(&rows, false, state.version));
         }
         let writes = call.get("Put").list().iter().chain(call.get("Delete").list());
--- a/review/standins/two_engines.rs
+++ b/review/standins/two_engines.rs
@@ -86,7 +86,9 @@
             ));
         }
     }
-    record.write(&format!("{STREAMS} streams; two engines worked on {twice} of them for over 400 ms"));
+    record.write(&format!(
+        "{STREAMS} streams; two engines worked on {twice} of them for over 400 ms"
+    ));
     println!("streams {STREAMS} at two engines {twice}");
     Ok(twice > 0)
 }
