Don't act on a renewal that is confirmed after resigning

What callers saw: nothing yet; engines that don't check fencing tokens could get orders of two nodes at once.

Cause: a holder that can't renew resigns and tells the others, who take over at once. If its last renewal was written all the same, the answer or the next read made it the holder again until the lease's end, while its successor acted.

Change: a candidate remembers the latest epoch that it has resigned. A write of that epoch that is confirmed later only shows the row's revision; the candidate may take over again, with a new epoch, by compare-and-set as others do.

--- a/crates/lease/src/lease_candidate.rs
+++ b/crates/lease/src/lease_candidate.rs
@@ -85,6 +85,9 @@
     restored_at: Option<Instant>,
     /// Set when this candidate has given up the lease for good.
     is_releasing: bool,
+    /// Latest epoch that this candidate has resigned. Others may have taken over since, even if a
+    /// renewal of that epoch turns out to have been written.
+    own_resigned_epoch: u64,
 }
 
 impl LeaseCandidate {
@@ -105,6 +108,7 @@
             lost_term_until: None,
             restored_at: None,
             is_releasing: false,
+            own_resigned_epoch: 0,
         }
     }
 
@@ -157,6 +161,7 @@
     pub fn resign(&mut self, now: Instant) -> Option<u64> {
         let State::Held(held) = &self.state else { return None };
         let epoch = held.row.epoch;
+        self.own_resigned_epoch = self.own_resigned_epoch.max(epoch);
         let lost = held.clone().lost(held.revision, Some(held.row.clone()), now);
         self.state = State::Watching(lost);
         self.read_required = true;
@@ -428,7 +433,7 @@
     fn confirm(&mut self, now: Instant, revision: Revision, attempt: Attempt) {
         self.attempts.clear();
         self.latest_epoch = self.latest_epoch.max(attempt.row.epoch);
-        if self.is_releasing {
+        if self.is_releasing || attempt.row.epoch <= self.own_resigned_epoch {
             let row = Some(attempt.row);
             self.state = State::Watching(Watching { revision, row, seen_at: now });
             return;
--- a/crates/lease/tests/handover.rs
+++ b/crates/lease/tests/handover.rs
@@ -202,3 +202,28 @@
     let waited = time_until_held(&mut b, later + STEP, &mut ids, &mut store);
     assert!(waited <= STEP * 2, "{waited:?}");
 }
+
+/// A renewal whose answer was lost turns out to be written after its sender has resigned. Another
+/// candidate may have taken over since, so the sender doesn't act on that renewal.
+#[test]
+fn a_holder_that_resigned_does_not_act_on_a_renewal_that_was_written_late() {
+    let (start, mut store, mut ids) = (Instant::now(), MemoryTable::default(), 0);
+    let mut a = candidate("a", 1, start);
+    time_until_held(&mut a, start, &mut ids, &mut store);
+    let later = start + Duration::from_secs(1);
+    let renewal = transaction(a.tick(later, 900).expect("a renewal is due"));
+    let epoch = a.resign(later).expect("the candidate holds the lease");
+    let answer = store.transact(&renewal);
+    a.on_write(later + STEP, Ok(&answer));
+    assert_eq!(a.epoch(later + STEP), None);
+    let mut b = candidate("b", 1, later);
+    b.on_resigned(later, epoch);
+    time_until_held(&mut b, later + STEP, &mut ids, &mut store);
+    let mut a_acts = false;
+    for steps in 2..10 {
+        let now = later + STEP * steps;
+        step(&mut a, now, 1000 + u64::from(steps), &mut store);
+        a_acts |= a.epoch(now).is_some();
+    }
+    assert!(!a_acts, "two candidates act at once");
+}
