Wait out the holder of a lease whose row was removed

What callers saw: nothing yet; engines that don't check fencing tokens could get orders of two nodes at once.

Cause: a row that is absent counted as a lease that nobody has held, also after a row had been read or a holder heard. A row that another writer replaces was waited out, one that it removes was not.

Evidence: the new test, which fails without the change.

Change: an absent row is waited out once any epoch is known.

Measured: tests of the lease pass.

--- a/crates/lease/src/lease_candidate.rs
+++ b/crates/lease/src/lease_candidate.rs
@@ -348,10 +348,10 @@
         let Some(row) = &watching.row else {
             return match self.restored_at {
                 Some(at) => self.restored_takeover_at(at),
-                None if watching.revision == Revision::ABSENT => {
+                None if watching.revision == Revision::ABSENT && self.latest_epoch == 0 => {
                     watching.seen_at + self.config.takeover_delay
                 }
-                // Another writer has overwritten the row of a holder who may still act.
+                // Another writer has replaced the row of a holder who may still act.
                 None => self.restored_takeover_at(watching.seen_at),
             };
         };
--- a/crates/lease/tests/handover.rs
+++ b/crates/lease/tests/handover.rs
@@ -2,7 +2,7 @@
 
 use {
     glade_lease::{LeaseAction, LeaseCandidate, LeaseConfig},
-    glade_platform::{Key, MemoryTable, StoreError, Txn},
+    glade_platform::{Key, MemoryTable, StoreError, Txn, Write},
     glade_types::{Incarnation, VmId},
     std::time::{Duration, Instant},
 };
@@ -227,3 +227,17 @@
     }
     assert!(!a_acts, "two candidates act at once");
 }
+
+/// A row that another writer has removed says nothing of its holder, who may still act.
+#[test]
+fn a_lease_whose_row_was_removed_is_taken_over_only_after_it_expires() {
+    let (start, mut store, mut ids) = (Instant::now(), MemoryTable::default(), 0);
+    let mut a = candidate("a", 1, start);
+    time_until_held(&mut a, start, &mut ids, &mut store);
+    let mut b = candidate("b", 1, start);
+    step(&mut b, start + STEP, 700, &mut store);
+    let key = Key::new("lease/orders");
+    store.transact(&Txn { conditions: Vec::new(), writes: vec![Write::Delete { key }] });
+    let waited = time_until_held(&mut b, start + STEP * 2, &mut ids, &mut store);
+    assert!(waited > LEASE, "{waited:?}");
+}
