Keep a VM that gets the lease back from giving orders in turns

Cause: the lease passes on at once when its holder resigns or is told to end, and a takeover looked only at the row's holder. Nothing knew which VMs had held the lease lately, so one that had was mostly first in the order of succession and ordered at once. A process that had just started knew nothing of the orders of the process before it.

Change: the lease's row names the VMs that held it before its holder and may have acted within the limit; the holder drops them once it has held the lease for that long. Recent holders come last in the order of succession. One that takes the lease all the same sends an engine nothing until the limit has passed since its own last order to it; others get their orders at once. A process that the row shows to have a predecessor on its VM waits from its start. A late order of an earlier term is waited for before the first one of the next term to that engine.

--- a/crates/control/src/engine_group.rs
+++ b/crates/control/src/engine_group.rs
@@ -58,6 +58,8 @@
             renew_every: config.lease_renew_interval,
             watch_every: config.lease_renew_interval,
             takeover_delay: Duration::ZERO,
+            // These engines may get orders from holders in any turn.
+            alternation_limit: Duration::ZERO,
         };
         Self {
             id,
--- a/crates/fuzz/tests/outside_data.rs
+++ b/crates/fuzz/tests/outside_data.rs
@@ -9,7 +9,7 @@
     },
     glade_dispatch::{ClusterView, Dispatcher, Load, RequestSpec, RetryLimit, ServerView, Verdict},
     glade_relay::Dialect,
-    glade_residency::{Action, LeaseTerm, PlacementController},
+    glade_residency::{Action, LeaseTerm, OrderWaits, PlacementController},
     glade_types::{ModelName, ServiceName, VmId},
     hyper::{HeaderMap, header::HeaderValue},
     quickcheck::{Gen, QuickCheck},
@@ -198,7 +198,12 @@
 
 fn place(rng: &mut Rng, mut now: Instant, catalog: &Catalog, records: &[Arc<ServerRecord>]) {
     let valid_until = now + Duration::from_secs(3600);
-    let term = LeaseTerm { holder: VmId::new("vm-1"), fence: odd_number(rng), valid_until };
+    let term = LeaseTerm {
+        holder: VmId::new("vm-1"),
+        fence: odd_number(rng),
+        valid_until,
+        waits: OrderWaits::default(),
+    };
     let mut controller = PlacementController::begin(now, term);
     for step in 0..40 {
         now += Duration::from_millis(250);
--- a/crates/lease/src/lease_candidate.rs
+++ b/crates/lease/src/lease_candidate.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        earlier_process::EarlierProcess,
         lease_row::LeaseRow,
         state::{Held, Watching},
     },
@@ -29,6 +30,8 @@
     pub watch_every: Duration,
     /// Extra wait before a takeover, longer for less preferred candidates.
     pub takeover_delay: Duration,
+    /// Time within which a VM must not act, another one act after it, and then the first one again.
+    pub alternation_limit: Duration,
 }
 
 /// Operation on the lease's row that the caller has to perform.
@@ -88,6 +91,10 @@
     /// Latest epoch that this candidate has resigned. Others may have taken over since, even if a
     /// renewal of that epoch turns out to have been written.
     own_resigned_epoch: u64,
+    started_at: Instant,
+    /// Number of acquisitions before which another VM may have held the lease.
+    returns: u32,
+    earlier_process: EarlierProcess,
 }
 
 impl LeaseCandidate {
@@ -109,6 +116,9 @@
             restored_at: None,
             is_releasing: false,
             own_resigned_epoch: 0,
+            started_at: now,
+            returns: 0,
+            earlier_process: EarlierProcess::NoTerm,
         }
     }
 
@@ -226,6 +236,32 @@
         }
     }
 
+    /// Number of acquisitions before which another VM may have held the lease. Whatever this
+    /// candidate did before the latest of them counts towards the alternation limit.
+    pub fn returns(&self) -> u32 {
+        self.returns
+    }
+
+    /// What earlier processes of this VM may have done with the lease before the present term.
+    pub fn earlier_process(&self) -> EarlierProcess {
+        self.earlier_process
+    }
+
+    /// When this candidate began. Earlier processes of this VM had ended by then.
+    pub fn started_at(&self) -> Instant {
+        self.started_at
+    }
+
+    /// VMs that the row names as recent holders. Others should precede them in the order of
+    /// succession, because they need not wait before they act.
+    pub fn recent_holders(&self) -> impl Iterator<Item = &VmId> {
+        let row = match &self.state {
+            State::Held(held) => Some(&held.row),
+            State::Watching(watching) => watching.row.as_ref(),
+        };
+        row.into_iter().flat_map(|row| row.predecessors.iter().flatten().chain([&row.holder]))
+    }
+
     /// Returns the next operation if one is due. `write_id` must be unique.
     pub fn tick(&mut self, now: Instant, write_id: u64) -> Option<LeaseAction> {
         self.expire_if_due(now);
@@ -243,7 +279,12 @@
         match &self.state {
             State::Held(held) => {
                 let (expected, epoch) = (held.revision, held.row.epoch);
-                Some(self.write(now, expected, epoch, write_id))
+                let predecessors = if now >= held.acquired_at + self.alternation_time() {
+                    Some(Vec::new())
+                } else {
+                    held.row.predecessors.clone()
+                };
+                Some(self.write(now, expected, epoch, write_id, predecessors))
             }
             State::Watching(Watching { revision, row: Some(row), .. }) if self.is_releasing => {
                 let (expected, row) = (*revision, row.clone());
@@ -253,7 +294,8 @@
                 let expected = watching.revision;
                 let epoch = LeaseRow::next_epoch(watching.row.as_ref(), self.era());
                 let epoch = epoch.max(self.latest_epoch.saturating_add(1));
-                Some(self.write(now, expected, epoch, write_id))
+                let predecessors = self.predecessors(watching);
+                Some(self.write(now, expected, epoch, write_id, predecessors))
             }
             State::Watching(_) => Some(LeaseAction::Read),
         }
@@ -322,7 +364,60 @@
         }
     }
 
-    fn write(&mut self, now: Instant, expected: Revision, epoch: u64, id: u64) -> LeaseAction {
+    /// The alternation limit by this VM's clock.
+    fn alternation_time(&self) -> Duration {
+        let limit = self.config.alternation_limit;
+        limit + limit / DRIFT_MARGIN_DIVISOR
+    }
+
+    /// True if no row has been seen, and no candidate has reported one.
+    fn is_first_term(&self, watching: &Watching) -> bool {
+        watching.revision == Revision::ABSENT
+            && self.latest_epoch == 0
+            && self.restored_at.is_none()
+    }
+
+    /// The row of the latest holder, unless another writer or a restore of the store has replaced
+    /// it.
+    fn latest_row(watching: &Watching) -> Option<&LeaseRow> {
+        watching.row.as_ref().filter(|row| row.era == watching.revision.era)
+    }
+
+    /// The predecessors of this candidate if it takes over.
+    fn predecessors(&self, watching: &Watching) -> Option<Vec<VmId>> {
+        match Self::latest_row(watching) {
+            Some(row) => row.predecessors_of(&self.config.holder),
+            None => self.is_first_term(watching).then(Vec::new),
+        }
+    }
+
+    /// Records whose terms precede the one that begins with `row` on top of `watching`.
+    fn record_term_start(&mut self, watching: &Watching, row: &LeaseRow) {
+        let LeaseConfig { holder, incarnation, .. } = &self.config;
+        let (follows_other, earlier_process) = match Self::latest_row(watching) {
+            Some(row) if row.may_follow_term_of(holder) => {
+                (row.holder != *holder, EarlierProcess::HeldBeforeOther)
+            }
+            Some(row) if row.holder == *holder && row.incarnation != *incarnation => {
+                (false, EarlierProcess::HeldLast)
+            }
+            Some(row) => (row.holder != *holder, EarlierProcess::NoTerm),
+            // The first term of all.
+            None if row.predecessors.is_some() => (false, EarlierProcess::NoTerm),
+            None => (true, EarlierProcess::HeldBeforeOther),
+        };
+        self.returns += u32::from(follows_other);
+        self.earlier_process = self.earlier_process.max(earlier_process);
+    }
+
+    fn write(
+        &mut self,
+        now: Instant,
+        expected: Revision,
+        epoch: u64,
+        id: u64,
+        predecessors: Option<Vec<VmId>>,
+    ) -> LeaseAction {
         let row = LeaseRow {
             holder: self.config.holder.clone(),
             incarnation: self.config.incarnation,
@@ -330,6 +425,7 @@
             write_id: id,
             released: false,
             era: self.era(),
+            predecessors,
         };
         self.attempt(now, expected, row)
     }
@@ -348,7 +444,7 @@
         let Some(row) = &watching.row else {
             return match self.restored_at {
                 Some(at) => self.restored_takeover_at(at),
-                None if watching.revision == Revision::ABSENT && self.latest_epoch == 0 => {
+                None if self.is_first_term(watching) => {
                     watching.seen_at + self.config.takeover_delay
                 }
                 // Another writer has replaced the row of a holder who may still act.
@@ -441,7 +537,10 @@
         let valid_until = attempt.sent_at + self.config.duration;
         let state = match self.state.clone() {
             State::Held(held) => held.renewed(revision, attempt.row, valid_until),
-            State::Watching(watching) => watching.acquired(revision, attempt.row, valid_until),
+            State::Watching(watching) => {
+                self.record_term_start(&watching, &attempt.row);
+                watching.acquired(now, revision, attempt.row, valid_until)
+            }
         };
         self.state = State::Held(state);
     }
@@ -464,6 +563,7 @@
             renew_every: Duration::from_secs(1),
             watch_every: Duration::from_secs(1),
             takeover_delay: Duration::ZERO,
+            alternation_limit: LEASE,
         };
         LeaseCandidate::new(config, now)
     }
--- a/crates/lease/src/lease_row.rs
+++ b/crates/lease/src/lease_row.rs
@@ -26,6 +26,10 @@
     /// a copy of the store.
     #[serde(default)]
     pub era: Era,
+    /// VMs that held the lease before `holder` and may have acted on it within the alternation
+    /// limit, the latest last; `None` if unknown, as in rows of earlier versions.
+    #[serde(default)]
+    pub predecessors: Option<Vec<VmId>>,
 }
 
 /// Low bits of an epoch that count the acquisitions in an era. The bits above them are the era.
@@ -43,6 +47,22 @@
         row
     }
 
+    /// The predecessors of `holder` if it takes over from this row.
+    pub(crate) fn predecessors_of(&self, holder: &VmId) -> Option<Vec<VmId>> {
+        let mut predecessors = self.predecessors.clone()?;
+        if self.holder != *holder {
+            predecessors.retain(|vm| *vm != self.holder);
+            predecessors.push(self.holder.clone());
+        }
+        Some(predecessors)
+    }
+
+    /// False if `vm` certainly had no term before that of the row's holder within the alternation
+    /// limit.
+    pub(crate) fn may_follow_term_of(&self, vm: &VmId) -> bool {
+        self.predecessors.as_ref().is_none_or(|predecessors| predecessors.contains(vm))
+    }
+
     /// The epoch of an acquisition on top of `row` in `era`. A restored store may lack the latest
     /// epochs, so the epochs of an era are higher than those of all earlier eras.
     pub fn next_epoch(row: Option<&Self>, era: Era) -> u64 {
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -16,11 +16,13 @@
 //! The lease is advisory: it keeps two holders from interfering with each other. That memory is
 //! never overcommitted depends on the ledger's compare-and-set alone.
 
+mod earlier_process;
 mod lease_candidate;
 mod lease_row;
 mod state;
 
 pub use crate::{
+    earlier_process::EarlierProcess,
     lease_candidate::{LeaseAction, LeaseCandidate, LeaseConfig},
     lease_row::LeaseRow,
     state::{Held, Watching},
--- a/crates/lease/src/state.rs
+++ b/crates/lease/src/state.rs
@@ -22,19 +22,27 @@
     pub row: LeaseRow,
     /// Time after which the candidate must not act on the lease.
     pub valid_until: Instant,
+    /// When the candidate learnt that it had acquired the lease.
+    pub acquired_at: Instant,
 }
 
 impl Watching {
     /// The state after this candidate's write was confirmed.
-    pub fn acquired(self, revision: Revision, row: LeaseRow, valid_until: Instant) -> Held {
-        Held { revision, row, valid_until }
+    pub fn acquired(
+        self,
+        now: Instant,
+        revision: Revision,
+        row: LeaseRow,
+        valid_until: Instant,
+    ) -> Held {
+        Held { revision, row, valid_until, acquired_at: now }
     }
 }
 
 impl Held {
     /// The state after a renewal was confirmed.
     pub fn renewed(self, revision: Revision, row: LeaseRow, valid_until: Instant) -> Self {
-        Self { revision, row, valid_until }
+        Self { revision, row, valid_until, ..self }
     }
 
     /// The state after another candidate's row was seen, or the lease expired.
--- a/crates/lease/tests/handover.rs
+++ b/crates/lease/tests/handover.rs
@@ -1,7 +1,7 @@
 //! How a lease passes to another candidate when its holder releases it, resigns or fails.
 
 use {
-    glade_lease::{LeaseAction, LeaseCandidate, LeaseConfig},
+    glade_lease::{EarlierProcess, LeaseAction, LeaseCandidate, LeaseConfig},
     glade_platform::{Key, MemoryTable, StoreError, Txn, Write},
     glade_types::{Incarnation, VmId},
     std::time::{Duration, Instant},
@@ -18,6 +18,7 @@
         renew_every: LEASE / 5,
         watch_every: LEASE / 5,
         takeover_delay: Duration::ZERO,
+        alternation_limit: LEASE,
     };
     LeaseCandidate::new(config, now)
 }
@@ -241,3 +242,46 @@
     let waited = time_until_held(&mut b, start + STEP * 2, &mut ids, &mut store);
     assert!(waited > LEASE, "{waited:?}");
 }
+
+/// A process that started a moment ago learns from the row that its VM had the lease before another
+/// one, although its own memory holds nothing of it.
+#[test]
+fn a_process_that_has_just_started_knows_that_its_vm_had_the_lease_before_another() {
+    let (start, mut store, mut ids) = (Instant::now(), MemoryTable::default(), 0);
+    let mut now = start;
+    let mut held = |name: &str, incarnation, store: &mut MemoryTable| {
+        let mut candidate = candidate(name, incarnation, now);
+        now += time_until_held(&mut candidate, now, &mut ids, store);
+        if let Some(action) = candidate.release(now, 900 + incarnation) {
+            perform(&mut candidate, now, store, action);
+        }
+        (candidate.returns(), candidate.earlier_process())
+    };
+    assert_eq!(held("a", 1, &mut store), (0, EarlierProcess::NoTerm));
+    assert_eq!(held("a", 2, &mut store), (0, EarlierProcess::HeldLast));
+    assert_eq!(held("b", 3, &mut store), (1, EarlierProcess::NoTerm));
+    assert_eq!(held("a", 4, &mut store), (1, EarlierProcess::HeldBeforeOther));
+    assert_eq!(held("a", 5, &mut store), (0, EarlierProcess::HeldBeforeOther));
+    assert_eq!(held("c", 6, &mut store), (1, EarlierProcess::NoTerm));
+}
+
+/// Predecessors no longer count once the alternation limit has passed since their terms.
+#[test]
+fn a_row_forgets_predecessors_after_the_alternation_limit() {
+    let (start, mut store, mut ids) = (Instant::now(), MemoryTable::default(), 0);
+    let mut a = candidate("a", 1, start);
+    time_until_held(&mut a, start, &mut ids, &mut store);
+    let action = a.release(start, 900).expect("the candidate holds the lease");
+    perform(&mut a, start, &mut store, action);
+    let mut b = candidate("b", 1, start);
+    time_until_held(&mut b, start, &mut ids, &mut store);
+    let names = |candidate: &LeaseCandidate| -> Vec<String> {
+        candidate.recent_holders().map(|vm| vm.as_str().to_owned()).collect()
+    };
+    assert_eq!(names(&b), ["a", "b"]);
+    for steps in 1..80 {
+        ids += 1;
+        step(&mut b, start + STEP * steps, 1000 + ids, &mut store);
+    }
+    assert_eq!(names(&b), ["b"]);
+}
--- a/crates/lease/tests/odd_rows.rs
+++ b/crates/lease/tests/odd_rows.rs
@@ -43,6 +43,7 @@
                 renew_every: LEASE / 5,
                 watch_every: LEASE / 8,
                 takeover_delay: Duration::ZERO,
+                alternation_limit: LEASE,
             };
             LeaseCandidate::new(config, now)
         };
--- a/crates/lease/tests/restore.rs
+++ b/crates/lease/tests/restore.rs
@@ -69,6 +69,7 @@
         renew_every: LEASE / 5,
         watch_every: LEASE / 5,
         takeover_delay,
+        alternation_limit: LEASE,
     };
     LeaseCandidate::new(config, now)
 }
@@ -209,6 +210,7 @@
         write_id: 1,
         released: false,
         era: Era(1),
+        predecessors: None,
     };
     let latest = LeaseRow::next_epoch(Some(&row((1 << 32) + 900)), Era(1));
     let restored = LeaseRow::next_epoch(Some(&row((1 << 32) + 3)), Era(2));
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -6,6 +6,7 @@
         engine_client::EngineClient,
         event::Event,
         lease,
+        order_right::OrderRight,
         peer_message::{Heartbeat, HolderClaim},
         peers::Peers,
         registry::Registry,
@@ -13,9 +14,9 @@
     },
     glade_adapter::platform_store::PlatformStore,
     glade_catalog::{Catalog, DemandReport, EngineOrder, EngineReport, OrderAnswer, ServerKey},
-    glade_lease::{LeaseCandidate, LeaseConfig},
+    glade_lease::LeaseConfig,
     glade_platform::{Era, StoreError, StoredRow, TxnAnswer},
-    glade_residency::{Action, EngineDigest, LeaseTerm, PlacementController},
+    glade_residency::{Action, EngineDigest, PlacementController},
     glade_types::{Incarnation, ModelName, VmId, rendezvous_order},
     std::{
         rc::Rc,
@@ -77,10 +78,8 @@
     store: Rc<PlatformStore>,
     engines: Rc<EngineClient>,
     events: Sender<Event>,
-    lease: LeaseCandidate,
+    right: OrderRight,
     controller: Option<PlacementController>,
-    /// Latest epoch whose lease this node has resigned without recording that in the store.
-    resigned_epoch: u64,
     /// Latest epoch whose lease another node reports to have resigned without recording that in
     /// the store.
     peer_resigned_epoch: u64,
@@ -92,7 +91,6 @@
     probe: bool,
     probed_at: Option<Instant>,
     repeat_at: Instant,
-    shutting_down: bool,
     rng: fastrand::Rng,
 }
 
@@ -112,22 +110,21 @@
             renew_every: duration / RENEWALS_PER_LEASE,
             watch_every: duration / RENEWALS_PER_LEASE,
             takeover_delay: Duration::ZERO,
+            alternation_limit: config.alternation_limit,
         };
         Self {
-            lease: LeaseCandidate::new(lease_config, now),
+            right: OrderRight::new(now, lease_config),
             engines: EngineClient::new(events.clone()),
             config,
             store,
             events,
             controller: None,
-            resigned_epoch: 0,
             peer_resigned_epoch: 0,
             cut_off_since: None,
             holder_seen_at: now,
             probe: false,
             probed_at: None,
             repeat_at: now,
-            shutting_down: false,
             rng,
         }
     }
@@ -140,17 +137,17 @@
     /// The claim for this node's heartbeats.
     pub(crate) fn claim(&self) -> Option<HolderClaim> {
         let epoch = self.controller.as_ref()?.lease_term().fence;
-        Some(HolderClaim { epoch, revision: self.lease.revision()? })
+        Some(HolderClaim { epoch, revision: self.right.lease().revision()? })
     }
 
     /// Latest epoch whose lease this node has resigned without recording that in the store.
     pub(crate) fn resigned_epoch(&self) -> u64 {
-        self.resigned_epoch
+        self.right.resigned_epoch()
     }
 
     /// Records that the store is in `era`; a lease term of an earlier era is over.
     pub(crate) fn on_era(&mut self, now: Instant, era: Era) {
-        self.lease.on_era(now, era);
+        self.right.lease_mut().on_era(now, era);
     }
 
     /// True if this node holds the lease and asks other nodes to check the store.
@@ -158,27 +155,30 @@
         self.is_holder() && health.time_since_answer(now) > STORE_CHECK_AFTER
     }
 
-    /// Releases the lease if this node holds it, and never takes it again. Called when the process
-    /// is told to end.
+    /// Stops sending orders, releases the lease once those that were sent have arrived, and never
+    /// takes it again. Called when the process is told to end.
     pub(crate) fn shut_down(&mut self, now: Instant) {
-        self.shutting_down = true;
-        if self.lease.valid_until().is_some() {
-            log::info!("lease_released");
-        }
-        if let Some(action) = self.lease.release(now, self.rng.u64(..)) {
-            lease::perform(now, &self.store, &self.events, action);
-        }
+        self.end_term();
+        self.right.give_up();
+        self.perform_next(now);
+    }
+
+    /// Performs the next operation on the lease, if one is due.
+    fn perform_next(&mut self, now: Instant) -> bool {
+        let Some(action) = self.right.tick(now, self.rng.u64(..)) else { return false };
+        lease::perform(now, &self.store, &self.events, action);
+        true
     }
 
     /// Records what a heartbeat of another node reports of the lease and the store.
     pub(crate) fn on_heartbeat(&mut self, now: Instant, heartbeat: &Heartbeat) {
         if let Some(claim) = heartbeat.holder {
-            self.lease.on_renewal_reported(now, claim.revision);
-            self.lease.on_epoch_reported(claim.epoch);
+            self.right.lease_mut().on_renewal_reported(now, claim.revision);
+            self.right.lease_mut().on_epoch_reported(claim.epoch);
         }
         if heartbeat.resigned_epoch > self.peer_resigned_epoch {
             self.peer_resigned_epoch = heartbeat.resigned_epoch;
-            self.lease.on_resigned(now, heartbeat.resigned_epoch);
+            self.right.lease_mut().on_resigned(now, heartbeat.resigned_epoch);
             self.probe = true;
         }
         let probed_recently =
@@ -191,11 +191,11 @@
         now: Instant,
         answer: Result<Option<StoredRow>, StoreError>,
     ) {
-        self.lease.on_read(now, answer.as_ref().map(Option::as_ref));
+        self.right.lease_mut().on_read(now, answer.as_ref().map(Option::as_ref));
     }
 
     pub(crate) fn on_lease_written(&mut self, now: Instant, answer: Result<TxnAnswer, StoreError>) {
-        self.lease.on_write(now, answer.as_ref());
+        self.right.lease_mut().on_write(now, answer.as_ref());
     }
 
     /// Passes demand seen by a node to the placement controller, if this node gives orders.
@@ -219,6 +219,7 @@
         order: &EngineOrder,
         answer: OrderAnswer,
     ) {
+        self.right.on_answer(now, order, answer);
         if let Some(controller) = &mut self.controller {
             controller.on_answer(now, order, answer);
         }
@@ -262,29 +263,29 @@
         peers: &Peers,
         health: &StoreHealth,
     ) {
+        if self.right.is_given_up() {
+            self.perform_next(now);
+            return;
+        }
         if peers.holder(now).is_some() {
             self.holder_seen_at = now;
         }
-        if self.lease.valid_until().is_some() {
+        if self.right.lease().valid_until().is_some() {
             self.extend_in_outage(now, peers, health);
             self.resign_if_cut_off(now, peers, health);
         }
-        let holds = self.lease.valid_until().is_some();
+        let holds = self.right.lease().valid_until().is_some();
         let holder_timed_out = now.saturating_duration_since(self.holder_seen_at) >= HOLDER_TIMEOUT;
-        // A node that shuts down may still have to write that it has released the lease.
-        if !holds && !self.shutting_down && !(is_core && (holder_timed_out || self.probe)) {
+        if !holds && !(is_core && (holder_timed_out || self.probe)) {
             return;
         }
-        self.lease.set_takeover_delay(RANK_DELAY * self.rank(now, peers));
+        let delay = RANK_DELAY * self.rank(now, peers);
+        self.right.lease_mut().set_takeover_delay(delay);
         if self.probe {
-            self.lease.read_now(now);
+            self.right.lease_mut().read_now(now);
         }
-        if let Some(action) = self.lease.tick(now, self.rng.u64(..)) {
-            if self.probe {
-                self.probe = false;
-                self.probed_at = Some(now);
-            }
-            lease::perform(now, &self.store, &self.events, action);
+        if self.perform_next(now) && std::mem::take(&mut self.probe) {
+            self.probed_at = Some(now);
         }
     }
 
@@ -292,7 +293,7 @@
     /// a node without a connection to this one takes over the lease all the same, engines refuse
     /// the holder with the earlier fencing token, and any order that doesn't fit what they hold.
     fn extend_in_outage(&mut self, now: Instant, peers: &Peers, health: &StoreHealth) {
-        let Some(valid_until) = self.lease.valid_until() else { return };
+        let Some(valid_until) = self.right.lease().valid_until() else { return };
         if !self.config.engines_check_fences
             || !health.is_unreachable()
             || valid_until.saturating_duration_since(now) >= OUTAGE_EXTENSION
@@ -303,13 +304,13 @@
         let store_answers_nobody = others.peek().is_some()
             && others.all(|(_, heartbeat)| heartbeat.store.is_unreachable());
         if store_answers_nobody {
-            self.lease.extend(now + OUTAGE_EXTENSION);
+            self.right.lease_mut().extend(now + OUTAGE_EXTENSION);
         }
     }
 
     /// Resigns the lease if it can't be renewed while other nodes reach the store.
     fn resign_if_cut_off(&mut self, now: Instant, peers: &Peers, health: &StoreHealth) {
-        let Some(valid_until) = self.lease.valid_until() else { return };
+        let Some(valid_until) = self.right.lease().valid_until() else { return };
         let own_time_since_answer = health.time_since_answer(now);
         let others_reach_store = own_time_since_answer > STORE_CHECK_AFTER
             && peers
@@ -322,7 +323,7 @@
         }
         let since = *self.cut_off_since.get_or_insert_with(|| {
             // The store may just have come back; a renewal shows whether it has.
-            self.lease.retry_now(now);
+            self.right.lease_mut().retry_now(now);
             now
         });
         let left = valid_until.saturating_duration_since(now);
@@ -332,19 +333,21 @@
         {
             return;
         }
-        if let Some(epoch) = self.lease.resign(now) {
+        if let Some(epoch) = self.right.resign(now) {
             log::warn!(fence = epoch, left_ms = left.as_millis() as u64; "lease_resigned");
-            self.resigned_epoch = epoch;
             self.cut_off_since = None;
         }
     }
 
-    /// Number of cores that precede this node in the order of succession.
+    /// Number of cores that precede this node in the order of succession: nodes that have held the
+    /// lease lately come last, because they may have to wait before they send orders.
     fn rank(&self, now: Instant, peers: &Peers) -> u32 {
         let me = self.config.vm.as_str();
         let cores = peers.live(now).filter(|(_, heartbeat)| heartbeat.core);
         let others = cores.map(|(info, _)| info.vm.as_str());
-        let order = rendezvous_order("orders", others.chain([me]));
+        let mut order = rendezvous_order("orders", others.chain([me]));
+        let recent: Vec<&str> = self.right.lease().recent_holders().map(VmId::as_str).collect();
+        order.sort_by_key(|vm| recent.contains(vm));
         order.iter().take_while(|vm| **vm != me).count() as u32
     }
 
@@ -356,8 +359,7 @@
         catalog: Option<&Catalog>,
         registry: &Registry,
     ) -> bool {
-        let held = self.lease.epoch(now).zip(self.lease.valid_until());
-        match (held, &mut self.controller) {
+        match (self.right.held(now), &mut self.controller) {
             (Some((epoch, valid_until)), Some(controller))
                 if controller.lease_term().fence == epoch =>
             {
@@ -366,11 +368,11 @@
                     return false;
                 }
                 // Another holder has given orders; the store shows which node it is.
-                self.lease.resign(now);
+                self.right.lease_mut().resign(now);
                 self.end_term()
             }
             (Some((fence, valid_until)), _) => {
-                let term = LeaseTerm { holder: self.config.vm.clone(), fence, valid_until };
+                let term = self.right.begin_term(fence, valid_until);
                 self.controller = Some(PlacementController::begin(now, term));
                 self.on_records(now, catalog, registry);
                 true
@@ -400,7 +402,10 @@
         };
         for action in controller.tick(now, catalog) {
             match action {
-                Action::Order(order) => self.engines.send_order(order),
+                Action::Order(order) => {
+                    self.right.on_sent(now, &order);
+                    self.engines.send_order(order);
+                }
                 Action::RequestReport { server, addr } => self.engines.request_report(server, addr),
             }
         }
--- a/crates/node/src/leadership/tests.rs
+++ b/crates/node/src/leadership/tests.rs
@@ -2,8 +2,9 @@
 
 use {
     super::*,
-    glade_lease::LeaseAction,
+    glade_lease::{LeaseAction, LeaseCandidate},
     glade_platform::{Key, MemoryTable, Txn},
+    glade_residency::{LeaseTerm, OrderWaits},
     std::time::Instant,
 };
 
@@ -29,6 +30,7 @@
             renew_every: duration / RENEWALS_PER_LEASE,
             watch_every: duration / RENEWALS_PER_LEASE,
             takeover_delay: Duration::ZERO,
+            alternation_limit: ALTERNATION_LIMIT,
         };
         let lease = LeaseCandidate::new(config, now);
         Self { lease, name: VmId::new(name), is_cut_off: false }
@@ -58,7 +60,8 @@
     fn may_send(&self, now: Instant) -> bool {
         let held = self.lease.epoch(now).zip(self.lease.valid_until());
         held.is_some_and(|(fence, valid_until)| {
-            LeaseTerm { holder: self.name.clone(), fence, valid_until }.may_send(now)
+            let waits = OrderWaits::default();
+            LeaseTerm { holder: self.name.clone(), fence, valid_until, waits }.may_send(now)
         })
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,8 @@
 mod mesh;
 mod node;
 mod node_discovery;
+mod order_log;
+mod order_right;
 mod peer_message;
 mod peer_network;
 mod peer_prompt;
--- a/crates/residency/src/lib.rs
+++ b/crates/residency/src/lib.rs
@@ -15,6 +15,7 @@
 mod engine_digest;
 mod lease_term;
 mod managed_engine;
+mod order_waits;
 mod placement_controller;
 mod plan;
 mod rate_limiter;
@@ -22,7 +23,8 @@
 pub use crate::{
     demand_table::DemandTable,
     engine_digest::{EngineDigest, PendingLoad},
-    lease_term::LeaseTerm,
+    lease_term::{LeaseTerm, ORDER_ARRIVAL_MAX},
+    order_waits::OrderWaits,
     placement_controller::{Action, PlacementController},
     plan::{EngineInput, ModelInput, Move, PlanInput, plan},
     rate_limiter::RateLimiter,
--- a/crates/residency/src/placement_controller.rs
+++ b/crates/residency/src/placement_controller.rs
@@ -204,9 +204,10 @@
                 self.plan_at = now + PLAN_PERIOD;
             }
         }
-        let LeaseTerm { holder, fence, .. } = &self.lease_term;
+        let LeaseTerm { holder, fence, waits, .. } = &self.lease_term;
         let mut actions = Vec::new();
         for engine in self.engines.values_mut() {
+            let may_send = may_send && !waits.must_wait(now, &engine.key().id);
             match engine.next_action(now, may_send, holder, *fence) {
                 Some(EngineAction::Order(order)) => actions.push(Action::Order(order)),
                 Some(EngineAction::RequestReport) => actions.push(Action::RequestReport {
@@ -291,7 +292,9 @@
                     .take_while(|data_centre| **data_centre < &record.data_centre)
                     .count(),
                 capacity_mb: class.weights_capacity_mb - adapters_mb,
-                accepts_orders: engine.is_idle() && !engine.is_backing_off(now),
+                accepts_orders: engine.is_idle()
+                    && !engine.is_backing_off(now)
+                    && !self.lease_term.waits.must_wait(now, &key.id),
                 recently_loaded: engine
                     .recently_loaded_bases(now)
                     .into_iter()
--- a/crates/residency/src/placement_controller/adapters.rs
+++ b/crates/residency/src/placement_controller/adapters.rs
@@ -76,7 +76,7 @@
     ) -> bool {
         let adapter_slots = class.adapter_slots as usize;
         let base = base_model_of(adapter);
-        let demand = &self.demand;
+        let (demand, waits) = (&self.demand, &self.lease_term.waits);
         let cost = |name: &ModelName| {
             if demand.in_flight(now, name) <= 0.0 {
                 EvictionCost::Unused
@@ -91,6 +91,7 @@
             .values_mut()
             .filter(|engine| engine.record.service == service.name)
             .filter(|engine| engine.can_load_adapters() && engine.has_ready_base(base))
+            .filter(|engine| !waits.must_wait(now, &engine.key().id))
             .min_by_key(|engine| {
                 let count = engine.adapter_count();
                 let evictable = engine
@@ -124,8 +125,12 @@
     ) {
         let mut demand_by_base = self.adapter_demand(now, service);
         let adapter_slots = class.adapter_slots as usize;
-        let engines =
-            self.engines.values_mut().filter(|engine| engine.record.service == service.name);
+        let waits = &self.lease_term.waits;
+        let engines = self
+            .engines
+            .values_mut()
+            .filter(|engine| engine.record.service == service.name)
+            .filter(|engine| !waits.must_wait(now, &engine.key().id));
         for engine in engines {
             if !engine.is_idle() || engine.adapter_count() + RESERVED_ADAPTER_SLOTS >= adapter_slots
             {
--- a/crates/residency/tests/placement_controller.rs
+++ b/crates/residency/tests/placement_controller.rs
@@ -5,7 +5,7 @@
 use {
     common::{ADAPTER_SLOTS, FakeEngine, catalog, demand, model, spec},
     glade_catalog::{Catalog, OrderAnswer},
-    glade_residency::{Action, LeaseTerm, PlacementController},
+    glade_residency::{Action, LeaseTerm, OrderWaits, PlacementController},
     glade_types::VmId,
     quickcheck::{Gen, QuickCheck},
     std::time::{Duration, Instant},
@@ -125,7 +125,7 @@
 
 fn lease_term(holder: &str, fence: u64, now: Instant) -> LeaseTerm {
     let valid_until = now + Duration::from_secs(3600);
-    LeaseTerm { holder: VmId::new(holder), fence, valid_until }
+    LeaseTerm { holder: VmId::new(holder), fence, valid_until, waits: OrderWaits::default() }
 }
 
 fn small_simulation(faults: Faults, seed: u64) -> Simulation {
@@ -340,3 +340,21 @@
     });
     assert!(used_again, "the engine is used again after the backoff");
 }
+
+/// The lease came back to a VM that had sent one of the engines orders a moment ago.
+#[test]
+fn an_engine_that_must_wait_gets_no_orders_and_another_loads_what_is_asked_for() {
+    let engines = vec![FakeEngine::new(0, &["m0"]), FakeEngine::new(1, &["m0"])];
+    let catalog = catalog(vec![spec("m0", 1), spec("m1", 1)]);
+    let mut simulation = Simulation::new(catalog, engines, Faults::default(), 1);
+    let until = simulation.now + Duration::from_secs(3);
+    let waiting = simulation.engines[0].key.id.clone();
+    let waits = OrderWaits { any_engine: None, by_engine: [(waiting, until)].into() };
+    let term = LeaseTerm { waits, ..lease_term("vm-1", 2, simulation.now) };
+    simulation.controller = PlacementController::begin(simulation.now, term);
+    simulation.run_with_demand(until - simulation.now - STEP, "m1", 8);
+    assert_eq!(simulation.engines[0].accepted, 0);
+    assert!(simulation.engines[1].accepted > 0);
+    simulation.run_with_demand(Duration::from_secs(8), "m1", 8);
+    assert!(simulation.engines[0].accepted > 0);
+}
