Bound the bodies that the entry and the planner read

What callers saw: on deployments with an entry and a planner, an engine or service whose body never ends could fill the memory of the process that had called it, and with it the requests of others would end.

Cause: whole answers, answers of services and an engine's metrics were read to their end with no limit, and the parser of server-sent events kept an event without end. Only the bodies that a pool reads itself were bounded.

Evidence: bodies_without_end_dont_fill_the_memory_of_entry_and_planner fails before: a service call gets no answer in 30 s while its body is read on.

Change: bodies of over 4 MiB, and events of over 256 KiB, are failures; the connection is closed. An engine's metrics are read within the time of a report. Heads were bounded already: 64 KiB, and 100 interim answers. The node's exchanges with engines, store, other nodes and callers were bounded already and are played in endless.rs: heads, lines of a head, interim answers, bodies, lines that are no event, events beyond what was asked for, garbage.

--- a/crates/engine/src/http_engine.rs
+++ b/crates/engine/src/http_engine.rs
@@ -7,16 +7,19 @@
         engine_report::{EngineReport, ResidentModel},
         order::{Order, OrderKind, OrderOutcome, Refusal},
     },
-    glade_http::{Answer, Bytes, Connection, Full, HttpError, Method, Pool, Request},
+    glade_http::{Answer, Bytes, Connection, Full, HttpError, Method, Pool, Request, read_body},
     glade_types::{CallOutcome, Incarnation, ModelName},
     percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode},
     prometheus_parse::{Scrape, Value},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
+    tokio::time::timeout,
 };
 
 /// Time-out for each request of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest answer that is read: metrics, or an index of a few thousand models.
+const ANSWER_BYTES_MAX: usize = 4 << 20;
 /// Milliseconds per second. Incarnations are start times in milliseconds.
 const MS_PER_S: f64 = 1000.0;
 
@@ -65,13 +68,16 @@
 impl HttpEngine {
     /// Creates a client. If an order isn't answered within `order_timeout`, its outcome is unknown.
     pub fn new(addr: SocketAddr, order_timeout: Duration) -> Self {
-        Self { addr, order_timeout, pool: Pool::new() }
+        Self { addr, order_timeout, pool: Pool::with_max_answer_bytes(ANSWER_BYTES_MAX) }
     }
 
     /// Reads the incarnation (the start time) of the process at the other end of `connection`.
     async fn incarnation(&self, connection: &mut Connection) -> Result<Incarnation, HttpError> {
         let head = connection.send(self.get("/metrics"), REPORT_TIMEOUT).await?;
-        let answer = read_body(self.addr, head).await?;
+        let reading = read_body(self.addr, head, ANSWER_BYTES_MAX);
+        let answer = timeout(REPORT_TIMEOUT, reading)
+            .await
+            .unwrap_or(Err(HttpError::TimedOut { addr: self.addr }))?;
         Ok(parse_metrics(self.addr, &answer)?.incarnation())
     }
 
@@ -154,20 +160,6 @@
     }
 }
 
-async fn read_body(
-    addr: SocketAddr,
-    head: glade_http::Response<glade_http::Incoming>,
-) -> Result<Answer, HttpError> {
-    use glade_http::BodyExt;
-    let (parts, body) = head.into_parts();
-    let body = body
-        .collect()
-        .await
-        .map_err(|err| HttpError::Broken { addr, reason: err.to_string() })?
-        .to_bytes();
-    Ok(Answer { status: parts.status, headers: parts.headers, body })
-}
-
 /// Parsed metrics of an engine.
 #[derive(Debug)]
 struct Metrics {
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -5,12 +5,12 @@
         api_error::ApiError,
         burn::Sample,
         events::EntryEvent,
-        proxy::{Head, Upstream, is_crossed},
+        proxy::{ANSWER_BYTES_MAX, Head, Upstream, is_crossed},
         relay::{Holding, Relay},
         request::{ModelRequest, read_body},
         shared::{Counts, Serving, Shared},
     },
-    glade_http::{BodyExt, Method},
+    glade_http::Method,
     glade_routing::{Decision, EngineEntry, Permit, Refusal, RequestSpec, decide},
     glade_types::Priority,
     poem::{
@@ -251,10 +251,9 @@
     head: Head,
     started_at: Instant,
 ) -> Result<Response, ApiError> {
-    let (parts, body) = head.response.into_parts();
-    let gathered = timeout(WHOLE_BODY_TIMEOUT, body.collect()).await;
-    let body = match gathered {
-        Ok(Ok(body)) => body.to_bytes(),
+    let reading = glade_http::read_body(engine.addr, head.response, ANSWER_BYTES_MAX);
+    let answer = match timeout(WHOLE_BODY_TIMEOUT, reading).await {
+        Ok(Ok(answer)) => answer,
         Ok(Err(_)) | Err(_) => {
             engine.counters.record_failure(shared.uptime());
             shared.pool.remove_idle(engine.addr);
@@ -266,10 +265,10 @@
     let met = shared.now() - started_at <= request.first_token_within;
     let sample = Sample { first_token_met: met, gaps_met: true, refused: false };
     shared.burn.record(shared.now(), &request.model, sample);
-    let content_type = parts.headers.get("content-type").and_then(|value| value.to_str().ok());
+    let content_type = answer.headers.get("content-type").and_then(|value| value.to_str().ok());
     Ok(Response::builder()
-        .status(parts.status)
+        .status(answer.status)
         .content_type(content_type.unwrap_or("application/json"))
         .header("x-request-id", request.id.as_str())
-        .body(body))
+        .body(answer.body))
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod control;
 mod daemon;
 mod directory;
+mod event_limit;
 mod events;
 mod operator;
 mod port;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -10,6 +10,8 @@
     std::{net::SocketAddr, time::Duration},
 };
 
+/// Largest answer that is read in full before it is passed on.
+pub(crate) const ANSWER_BYTES_MAX: usize = 4 << 20;
 /// Header that carries the request's identifier to the backend server and back.
 pub(crate) const ID_HEADER: &str = "x-request-id";
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -10,6 +10,7 @@
     crate::{
         api_error::ApiError,
         burn::Sample,
+        event_limit::EventLimit,
         proxy::{Head, Upstream, is_crossed},
         request::ModelRequest,
         shared::{Counts, Serving, Shared},
@@ -283,6 +284,9 @@
 }
 
 fn events(body: Incoming) -> Events {
+    let mut limit = EventLimit::default();
     let frames = body.into_data_stream().map_err(io::Error::other);
+    let frames =
+        frames.map(move |frame| frame.and_then(|bytes| limit.record(&bytes).map(|()| bytes)));
     frames.boxed().eventsource()
 }
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -8,7 +8,7 @@
     crate::{
         api_error::ApiError,
         burn::Sample,
-        proxy::{Head, Upstream, is_crossed, passed_on},
+        proxy::{ANSWER_BYTES_MAX, Head, Upstream, is_crossed, passed_on},
         request::{call_key, read_body, request_id},
         shared::{Counts, Serving, Shared},
     },
@@ -300,15 +300,15 @@
 }
 
 async fn gather(shared: &Shared, server: &ServiceEntry, head: Head) -> Dispatched {
-    let (parts, body) = head.response.into_parts();
-    let content_type = parts.headers.get("content-type").and_then(|value| value.to_str().ok());
-    match timeout(HEAD_TIMEOUT, body.collect()).await {
-        Ok(Ok(body)) => {
+    let reading = glade_http::read_body(server.addr, head.response, ANSWER_BYTES_MAX);
+    match timeout(HEAD_TIMEOUT, reading).await {
+        Ok(Ok(answer)) => {
+            let content_type = answer.headers.get("content-type");
             server.counters.record_success();
             Dispatched::Answered(StoredAnswer {
-                status: parts.status.as_u16(),
-                content_type: content_type.map(str::to_owned),
-                body: body.to_bytes().to_vec(),
+                status: answer.status.as_u16(),
+                content_type: content_type.and_then(|value| value.to_str().ok()).map(str::to_owned),
+                body: answer.body.to_vec(),
             })
         }
         Ok(Err(_)) | Err(_) => {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,7 +15,7 @@
     crate::{
         connection::Connection,
         error::HttpError,
-        pool::{Answer, Pool},
+        pool::{Answer, Pool, read_body},
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -172,8 +172,13 @@
     }
 }
 
-/// Reads the body that follows `head` to its end.
-async fn read_body(
+/// Reads the body that follows `head` to its end. A body of more than `bytes_max` isn't read on,
+/// however much the server would still send.
+///
+/// # Errors
+///
+/// [`HttpError::Broken`] if the body ends early or is too large.
+pub async fn read_body(
     addr: SocketAddr,
     head: Response<Incoming>,
     bytes_max: usize,
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{
-        faults::{FaultSwitch, Faults},
+        faults::{FaultSwitch, Faults, with_endless_body},
         layout::ENGINE_MEMORY_BYTES,
         reply::json,
         weights::WeightStore,
@@ -453,6 +453,9 @@
         if engine.faults.take(|faults: &mut Faults| &mut faults.lost_answers) {
             std::future::pending::<()>().await;
         }
+        if engine.faults.get().endless_bodies {
+            return Ok(with_endless_body(answer));
+        }
         Ok(answer)
     }
 }
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -1,7 +1,7 @@
 //! A stand-in server of a plain service: records every execution, so that doubles show.
 
 use {
-    crate::faults::FaultSwitch,
+    crate::faults::{FaultSwitch, with_endless_body},
     poem::{Endpoint, IntoResponse, Request, Response, http::StatusCode},
     std::{
         collections::BTreeMap,
@@ -60,6 +60,10 @@
             Some(id) => response.header("x-request-id", id),
             None => response,
         };
-        Ok(response.status(StatusCode::OK).body(padding + &answer).into_response())
+        let response = response.status(StatusCode::OK).body(padding + &answer).into_response();
+        if self.faults.get().endless_bodies {
+            return Ok(with_endless_body(response));
+        }
+        Ok(response)
     }
 }
--- a/crates/system/src/cluster.rs
+++ b/crates/system/src/cluster.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         ports::{self, PortBlock},
-        programs::{Output, program, run_program},
+        programs::{Output, peak_memory_kb, program, run_program},
     },
     glade_http::{Bytes, Full, Pool, Request},
     glade_standins::{Deployment, Layout},
@@ -156,6 +156,12 @@
         }
     }
 
+    /// Most memory that the daemons of a VM have had so far, in kB: the entry's and the planner's.
+    pub fn peak_memory_kb(&self, vm: u16) -> (u64, u64) {
+        let peak = |child: &Option<Child>| child.as_ref().map_or(0, peak_memory_kb);
+        (peak(&self.entries[usize::from(vm)]), peak(&self.planners[usize::from(vm)]))
+    }
+
     /// Waits until the entry of a VM has ended by itself, and returns its exit code.
     pub fn wait_entry(&mut self, vm: u16) -> Option<i32> {
         let mut child = self.entries[usize::from(vm)].take()?;
--- a/crates/system/src/programs.rs
+++ b/crates/system/src/programs.rs
@@ -3,8 +3,9 @@
 use {
     crate::ports,
     std::{
+        fs,
         path::PathBuf,
-        process::{Command, Stdio},
+        process::{Child, Command, Stdio},
     },
 };
 
@@ -44,3 +45,10 @@
         stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
     }
 }
+
+/// Most memory that a process has had so far, in kB; 0 if it has ended.
+pub(crate) fn peak_memory_kb(child: &Child) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    peak.and_then(|text| text.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         ports::{self, PortBlock},
-        programs::program,
+        programs::{peak_memory_kb, program},
     },
     glade_catalog::{
         CallerLimits, Catalog, EngineClass, ModelSpec, PromptPart, RequestMetadata, RetryPolicy,
@@ -307,10 +307,7 @@
 
     /// Most memory that a node has had, in kilobytes.
     pub fn peak_memory_kb(&self, position: usize) -> u64 {
-        let Some(child) = &self.nodes[position].child else { return 0 };
-        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        peak.and_then(|text| text.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+        self.nodes[position].child.as_ref().map_or(0, peak_memory_kb)
     }
 
     /// Starts something that sends without end.
