Resign the lease of a holder that is a leaf

Cause: nodes that have just started take themselves for cores until they know the others, and the first to reach the store takes the lease. If it then becomes a leaf it keeps the lease, but only the cores of its own data centre hear it. The other data centres' cores know no live holder, and what they have to report to one, demand and wanted models, is dropped.

Change: a holder that has been a leaf for 0.5 s, and hears a core that reaches the store, resigns, and the core takes over at once.

Measured: a_holder_that_becomes_a_leaf_resigns_in_favour_of_a_core fails without the change.

--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -2,6 +2,7 @@
 //! connections, in virtual time.
 
 mod deployment;
+mod lease;
 mod limits;
 mod quarantine;
 mod restarts;
--- a/crates/node/src/control/tests/deployment.rs
+++ b/crates/node/src/control/tests/deployment.rs
@@ -181,6 +181,11 @@
         std::iter::from_fn(|| node.updates.permits.try_recv().ok()).flatten().collect()
     }
 
+    /// Latest epoch whose lease a running node has resigned.
+    pub(super) fn resigned_epoch(&self, position: usize) -> u64 {
+        self.nodes[position].as_ref().map_or(0, |node| node.control.leadership.resigned_epoch())
+    }
+
     /// The present time.
     pub(super) fn now(&self) -> Instant {
         self.clock.now()
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -43,6 +43,9 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// Validity of the lease after each extension while the store answers no node.
 const OUTAGE_EXTENSION: Duration = Duration::from_millis(900);
+/// Time after which a holder that is a leaf resigns. Only the cores of its own data centre hear a leaf,
+/// so that the other data centres' demand doesn't reach it.
+const LEAF_TERM_MAX: Duration = Duration::from_millis(500);
 /// Time without a heartbeat of a holder after which a core reads the lease's row.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Extra delay before a takeover for each node that precedes this one in the order of succession.
@@ -85,6 +88,8 @@
     peer_resigned_epoch: u64,
     /// Since when other nodes have reached the store and this one hasn't.
     cut_off_since: Option<Instant>,
+    /// Since when this node has held the lease as a leaf with a live core.
+    leaf_since: Option<Instant>,
     holder_seen_at: Instant,
     /// This node is to read the lease's row at once: the holder has asked for a check of the store,
     /// or has resigned.
@@ -121,6 +126,7 @@
             controller: None,
             peer_resigned_epoch: 0,
             cut_off_since: None,
+            leaf_since: None,
             holder_seen_at: now,
             probe: false,
             probed_at: None,
@@ -273,6 +279,7 @@
         if self.right.lease().valid_until().is_some() {
             self.extend_in_outage(now, peers, health);
             self.resign_if_cut_off(now, peers, health);
+            self.resign_if_leaf(now, is_core, peers);
         }
         let holds = self.right.lease().valid_until().is_some();
         let holder_timed_out = now.saturating_duration_since(self.holder_seen_at) >= HOLDER_TIMEOUT;
@@ -340,6 +347,23 @@
         }
     }
 
+    /// Resigns the lease of a node that isn't a core, in favour of one that is.
+    fn resign_if_leaf(&mut self, now: Instant, is_core: bool, peers: &Peers) {
+        let mut cores = peers.live(now).filter(|(_, heartbeat)| heartbeat.core);
+        if is_core || !cores.any(|(_, heartbeat)| !heartbeat.store.is_unreachable()) {
+            self.leaf_since = None;
+            return;
+        }
+        let since = *self.leaf_since.get_or_insert(now);
+        if now.saturating_duration_since(since) < LEAF_TERM_MAX {
+            return;
+        }
+        if let Some(epoch) = self.right.resign(now) {
+            log::info!(fence = epoch; "lease_resigned_by_leaf");
+            self.leaf_since = None;
+        }
+    }
+
     /// Number of cores that precede this node in the order of succession: nodes that have held the
     /// lease lately come last, because they may have to wait before they send orders.
     fn rank(&self, now: Instant, peers: &Peers) -> u32 {
