Evict adapters in use for a wanted adapter once a request

Change: once its load is queued, a wanted adapter is remembered, and evicts others in use only if another request asks for it.

--- a/crates/residency/src/placement_controller/adapters.rs
+++ b/crates/residency/src/placement_controller/adapters.rs
@@ -6,7 +6,7 @@
 //! copy of a model would serve no requests for the adapters that only the first copy has.
 
 use {
-    super::{PlacementController, is_awaited},
+    super::{PlacementController, WANTED_TTL, is_awaited},
     crate::managed_engine::EvictionCost,
     glade_catalog::{EngineClass, Service, base_model_of, is_adapter},
     glade_types::ModelName,
@@ -71,13 +71,17 @@
                 self.wanted_models.remove(&adapter);
             } else if !is_ordered {
                 let is_awaited = is_awaited(now, at);
-                self.order_wanted_adapter(now, service, class, &copies, &adapter, is_awaited);
+                if self.order_wanted_adapter(now, service, class, &copies, &adapter, is_awaited) {
+                    // Should the order come to nothing, only another request makes it worth the
+                    // eviction of an adapter in use.
+                    self.wanted_models.insert(adapter, at.min(now - WANTED_TTL));
+                }
             }
         }
     }
 
-    /// Orders an adapter on the engine where the least has to be evicted for it, if any can take it.
-    /// Adapters in use are evicted only for one that a request waits for.
+    /// Orders an adapter on the engine where the least has to be evicted for it. Adapters in use are
+    /// evicted only for one that a request waits for. Returns false if no engine can take it.
     fn order_wanted_adapter(
         &mut self,
         now: Instant,
@@ -86,7 +90,7 @@
         copies: &BTreeMap<ModelName, usize>,
         adapter: &ModelName,
         is_awaited: bool,
-    ) {
+    ) -> bool {
         let adapter_slots = class.adapter_slots as usize;
         let base = base_model_of(adapter);
         let (demand, waits) = (&self.demand, &self.lease_term.waits);
@@ -116,18 +120,19 @@
                     count,
                 )
             });
-        let Some(engine) = best else { return };
+        let Some(engine) = best else { return false };
         let evict = if engine.adapter_count() >= adapter_slots {
             match engine.cheapest_adapter_to_evict(cost) {
                 Some((evict, cost, _)) if is_awaited || cost == EvictionCost::Unused => {
                     Some(evict.clone())
                 }
-                _ => return,
+                _ => return false,
             }
         } else {
             None
         };
         engine.queue_adapter_load(now, adapter.clone(), evict);
+        true
     }
 
     /// Orders one more copy of an adapter for each idle engine.
