Tests: entries that are whole but for the fault that they test

Since entries without Version or Seq name no server, entries of tests that lacked both failed for that instead of for their own fault, and the fuzz test of outside data decoded none. One test failed: entries_of_other_nodes_that_name_no_usable_server_are_removals. They have both fields now.

--- a/crates/fuzz/tests/outside_data.rs
+++ b/crates/fuzz/tests/outside_data.rs
@@ -36,7 +36,7 @@
       "WeightsMb":230000.0,"AdapterSlots":8,"LoadsPerS":2.0}}],
    "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,
     "IdleTimeoutMs":15000}}"#;
-const ENTRY: &str = r#"{"Service":"pool","Address":"10.1.0.9:8080","Zone":"dc-1","Slots":64,
+const ENTRY: &str = r#"{"Service":"pool","Address":"10.1.0.9:8080","Zone":"dc-1","Version":"v1","Slots":64,
     "State":"ready","ColdLeftMs":0,"RemainingMs":1500,"born":17,"Seq":4,
     "Models":[{"Name":"m","Version":1,"Adapters":["a1"]}],"AtHand":{"InMemory":["m"],"OnDisk":["n"]}}"#;
 const REPORT: &str = r#"{"born":17,"Stage":"both","Models":[{"Name":"m","Version":1,"Adapters":["a1"]}],
--- a/crates/node/src/registry_update/tests.rs
+++ b/crates/node/src/registry_update/tests.rs
@@ -45,7 +45,8 @@
 /// sends it on.
 #[test]
 fn entries_of_other_nodes_that_name_no_usable_server_are_removals() {
-    let sound = r#"{"Service":"p","Address":"10.1.0.9:1","Zone":"z","Slots":1,"State":"ready","ColdLeftMs":0}"#;
+    let sound = r#"{"Service":"p","Address":"10.1.0.9:1","Zone":"z","Version":"v1","Slots":1,
+        "State":"ready","ColdLeftMs":0,"Seq":1}"#;
     let record = registry::decode("e1", sound.as_bytes()).expect("an entry");
     let entry = |record: ServerRecord| ServerEntry { revision: Revision::new(1), record };
     let mut odd = record.clone();
