--- a/crates/residency/src/placement_controller.rs
+++ b/crates/residency/src/placement_controller.rs
@@ -33,11 +33,8 @@
 /// a start the engines' registry records arrive over more than a second, so a copy may show up
 /// late.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
-/// Time for which a request for a model that no engine holds may be waiting.
+/// Time for which a request for a model that no engine holds is remembered.
 const WANTED_TTL: Duration = Duration::from_secs(3);
-/// Time for which a request for an adapter that no engine holds is remembered. Engines that load base
-/// models take no adapters meanwhile, and the callers come back.
-const WANTED_ADAPTER_TTL: Duration = Duration::from_secs(20);
 
 /// What the caller has to send to an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -191,10 +188,7 @@
 
     /// Makes the decisions that are due and returns what is to be sent now.
     pub fn tick(&mut self, now: Instant, catalog: &Catalog) -> Vec<Action> {
-        self.wanted_models.retain(|model, at| {
-            let ttl = if is_adapter(model) { WANTED_ADAPTER_TTL } else { WANTED_TTL };
-            now.saturating_duration_since(*at) < ttl
-        });
+        self.wanted_models.retain(|_, at| now.saturating_duration_since(*at) < WANTED_TTL);
         let may_send = !self.is_fenced && self.lease_term.may_send(now);
         if may_send {
             for service in catalog.services() {
@@ -336,8 +330,7 @@
             base.load += self.demand.projected_load(now, name, PREFILL_TOKENS_PER_S, batch_slots);
             base.in_flight += self.demand.in_flight(now, name);
         }
-        let awaited = self.wanted_models.iter().filter(|(_, at)| is_awaited(now, **at));
-        for model in awaited.map(|(model, _)| model).filter(|model| is_adapter(model)) {
+        for model in self.wanted_models.keys().filter(|model| is_adapter(model)) {
             by_base.entry(base_model_of(model)).or_default();
         }
         by_base
@@ -397,11 +390,6 @@
     }
 }
 
-/// True if a request that came at `at` may still wait for its model.
-fn is_awaited(now: Instant, at: Instant) -> bool {
-    now.saturating_duration_since(at) < WANTED_TTL
-}
-
 fn answer_name(answer: OrderAnswer) -> &'static str {
     match answer {
         OrderAnswer::Accepted => "accepted",
--- a/crates/residency/src/placement_controller/adapters.rs
+++ b/crates/residency/src/placement_controller/adapters.rs
@@ -6,11 +6,11 @@
 //! copy of a model would serve no requests for the adapters that only the first copy has.
 
 use {
-    super::{PlacementController, WANTED_TTL, is_awaited},
+    super::PlacementController,
     crate::managed_engine::EvictionCost,
     glade_catalog::{EngineClass, Service, base_model_of, is_adapter},
     glade_types::ModelName,
-    std::{cmp::Reverse, collections::BTreeMap, time::Instant},
+    std::{collections::BTreeMap, time::Instant},
 };
 
 /// Running and waiting requests per copy from which another copy is worth an order: about what the
@@ -49,39 +49,23 @@
             return;
         }
         let copies = self.adapter_copies(service);
-        let is_planning = now >= self.plan_at;
-        let mut wanted: Vec<(Instant, ModelName)> = self
-            .wanted_models
-            .iter()
-            .filter(|(_, at)| is_planning || is_awaited(now, **at))
-            .map(|(model, at)| (*at, model.clone()))
-            .collect();
-        // Requests that wait now go first.
-        wanted.sort_by_key(|(at, _)| Reverse(*at));
-        for (at, adapter) in wanted {
+        let wanted: Vec<ModelName> = self.wanted_models.keys().cloned().collect();
+        for adapter in wanted {
             let base = base_model_of(&adapter);
             if !is_adapter(&adapter) || class.model(base).is_none() {
                 continue;
             }
-            let mut with_base =
-                self.engines.values().filter(|engine| engine.usable && engine.has_ready_base(base));
-            let is_ordered = with_base.clone().any(|engine| engine.has_adapter(&adapter));
-            // An order that is queued or under way may come to nothing.
-            if with_base.any(|engine| engine.adapters().any(|held| *held == adapter)) {
+            let is_held = self.engines.values().any(|engine| {
+                engine.usable && engine.has_adapter(&adapter) && engine.has_ready_base(base)
+            });
+            if is_held || self.order_wanted_adapter(now, service, class, &copies, &adapter) {
                 self.wanted_models.remove(&adapter);
-            } else if !is_ordered {
-                let is_awaited = is_awaited(now, at);
-                if self.order_wanted_adapter(now, service, class, &copies, &adapter, is_awaited) {
-                    // Should the order come to nothing, only another request makes it worth the
-                    // eviction of an adapter in use.
-                    self.wanted_models.insert(adapter, at.min(now - WANTED_TTL));
-                }
             }
         }
     }
 
-    /// Orders an adapter on the engine where the least has to be evicted for it. Adapters in use are
-    /// evicted only for one that a request waits for. Returns false if no engine can take it.
+    /// Orders an adapter on the engine where the least has to be evicted for it. Returns false if
+    /// no engine can take it.
     fn order_wanted_adapter(
         &mut self,
         now: Instant,
@@ -89,7 +73,6 @@
         class: &EngineClass,
         copies: &BTreeMap<ModelName, usize>,
         adapter: &ModelName,
-        is_awaited: bool,
     ) -> bool {
         let adapter_slots = class.adapter_slots as usize;
         let base = base_model_of(adapter);
@@ -123,10 +106,8 @@
         let Some(engine) = best else { return false };
         let evict = if engine.adapter_count() >= adapter_slots {
             match engine.cheapest_adapter_to_evict(cost) {
-                Some((evict, cost, _)) if is_awaited || cost == EvictionCost::Unused => {
-                    Some(evict.clone())
-                }
-                _ => return false,
+                Some((evict, ..)) => Some(evict.clone()),
+                None => return false,
             }
         } else {
             None
