--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -43,8 +43,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// Validity of the lease after each extension while the store answers no node.
 const OUTAGE_EXTENSION: Duration = Duration::from_millis(900);
-/// Time after which a holder that is a leaf resigns. Only the cores of its own data centre hear a leaf,
-/// so that the other data centres' demand doesn't reach it.
+/// Time after which a holder that is a leaf resigns. Only the cores of its own data centre hear a
+/// leaf, so that the other data centres' demand doesn't reach it.
 const LEAF_TERM_MAX: Duration = Duration::from_millis(500);
 /// Time without a heartbeat of a holder after which a core reads the lease's row.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/node/src/order_right.rs
+++ b/crates/node/src/order_right.rs
@@ -110,8 +110,7 @@
         Some(epoch)
     }
 
-    /// Stops acting on the lease for good. [`Self::tick`] then returns the write that records
-    /// it.
+    /// Stops acting on the lease for good. [`Self::tick`] then returns the write that records it.
     pub(crate) fn give_up(&mut self) {
         if self.release == Release::NotDue {
             self.release = Release::Due;
