--- a/crates/node/src/registry_update/tests.rs
+++ b/crates/node/src/registry_update/tests.rs
@@ -1,6 +1,11 @@
 //! Several changes of the same row in one read.
 
-use {super::*, glade_catalog::RecordError, glade_platform::Key};
+use {
+    super::*,
+    glade_catalog::{RecordError, ServerKey, ServerState},
+    glade_platform::Key,
+    glade_types::{DataCentre, ServiceName},
+};
 
 fn written(name: &str, revision: u64) -> Change {
     let key = Key::new(&format!("servers/{name}"));
@@ -41,13 +46,26 @@
     assert_eq!(last_changes(&changes), expected);
 }
 
+fn sound_record() -> ServerRecord {
+    ServerRecord {
+        key: ServerKey { id: BackendId::new("e1"), start_time_ms: 0 },
+        service: ServiceName::new("p"),
+        addr: ([10, 1, 0, 9], 1).into(),
+        data_centre: DataCentre::new("z"),
+        slots: 1,
+        state: ServerState::Ready,
+        warm_up_remaining: Duration::ZERO,
+        residents: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
 /// Guards against a node that ends because a node of an earlier version has accepted an entry and
 /// sends it on.
 #[test]
 fn entries_of_other_nodes_that_name_no_usable_server_are_removals() {
-    let sound = r#"{"Service":"p","Address":"10.1.0.9:1","Zone":"z","Version":"v1","Slots":1,
-        "State":"ready","ColdLeftMs":0,"Seq":1}"#;
-    let record = registry::decode("e1", sound.as_bytes()).expect("an entry");
+    let record = sound_record();
     let entry = |record: ServerRecord| ServerEntry { revision: Revision::new(1), record };
     let mut odd = record.clone();
     odd.key.id = BackendId::new("line\nbreak");
