Wait for orders of a control that was started again in the same process

What callers saw: nothing yet; an engine could get an order of the earlier control after one of the next, with a lower fencing token.

Cause: an earlier run on the same VM was told by its incarnation. Control that starts again after a panic keeps the incarnation, and forgets its orders.

Change: a candidate that hasn't held the lease takes its VM's row for that of an earlier run. Also, from reading the change anew: `returns` is `takeovers`, the line orders_wait names only waits that lie ahead, and the time as a leaf counts only while the lease is held.

--- a/crates/control/src/engine_group.rs
+++ b/crates/control/src/engine_group.rs
@@ -58,7 +58,7 @@
             renew_every: config.lease_renew_interval,
             watch_every: config.lease_renew_interval,
             takeover_delay: Duration::ZERO,
-            // These engines may get orders from holders in any turn.
+            // These engines allow orders of alternating holders.
             alternation_limit: Duration::ZERO,
         };
         Self {
--- a/crates/lease/src/earlier_process.rs
+++ b/crates/lease/src/earlier_process.rs
@@ -1,7 +1,7 @@
-//! What earlier processes of a candidate's VM may have done with the lease.
+//! What earlier processes of a candidate's VM may have done with the lease. The earlier run of a
+//! candidate that was started again in the same process counts as one of them.
 
-/// Terms of earlier processes of the same VM that precede the present term, the least restrictive
-/// first.
+/// Terms of earlier processes of the same VM, the least restrictive first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EarlierProcess {
     /// None within the alternation limit.
--- a/crates/lease/src/lease_candidate.rs
+++ b/crates/lease/src/lease_candidate.rs
@@ -93,7 +93,9 @@
     own_resigned_epoch: u64,
     started_at: Instant,
     /// Number of acquisitions before which another VM may have held the lease.
-    returns: u32,
+    takeovers: u32,
+    /// This candidate has held the lease.
+    has_held: bool,
     earlier_process: EarlierProcess,
 }
 
@@ -117,7 +119,8 @@
             is_releasing: false,
             own_resigned_epoch: 0,
             started_at: now,
-            returns: 0,
+            takeovers: 0,
+            has_held: false,
             earlier_process: EarlierProcess::NoTerm,
         }
     }
@@ -238,11 +241,11 @@
 
     /// Number of acquisitions before which another VM may have held the lease. Whatever this
     /// candidate did before the latest of them counts towards the alternation limit.
-    pub fn returns(&self) -> u32 {
-        self.returns
+    pub fn takeovers(&self) -> u32 {
+        self.takeovers
     }
 
-    /// What earlier processes of this VM may have done with the lease before the present term.
+    /// What earlier processes of this VM may have done with the lease before the terms of this one.
     pub fn earlier_process(&self) -> EarlierProcess {
         self.earlier_process
     }
@@ -393,12 +396,12 @@
 
     /// Records whose terms precede the one that begins with `row` on top of `watching`.
     fn record_term_start(&mut self, watching: &Watching, row: &LeaseRow) {
-        let LeaseConfig { holder, incarnation, .. } = &self.config;
+        let holder = &self.config.holder;
         let (follows_other, earlier_process) = match Self::latest_row(watching) {
             Some(row) if row.may_follow_term_of(holder) => {
                 (row.holder != *holder, EarlierProcess::HeldBeforeOther)
             }
-            Some(row) if row.holder == *holder && row.incarnation != *incarnation => {
+            Some(row) if row.holder == *holder && !self.has_held => {
                 (false, EarlierProcess::HeldLast)
             }
             Some(row) => (row.holder != *holder, EarlierProcess::NoTerm),
@@ -406,7 +409,8 @@
             None if row.predecessors.is_some() => (false, EarlierProcess::NoTerm),
             None => (true, EarlierProcess::HeldBeforeOther),
         };
-        self.returns += u32::from(follows_other);
+        self.has_held = true;
+        self.takeovers += u32::from(follows_other);
         self.earlier_process = self.earlier_process.max(earlier_process);
     }
 
--- a/crates/lease/tests/handover.rs
+++ b/crates/lease/tests/handover.rs
@@ -255,10 +255,12 @@
         if let Some(action) = candidate.release(now, 900 + incarnation) {
             perform(&mut candidate, now, store, action);
         }
-        (candidate.returns(), candidate.earlier_process())
+        (candidate.takeovers(), candidate.earlier_process())
     };
     assert_eq!(held("a", 1, &mut store), (0, EarlierProcess::NoTerm));
     assert_eq!(held("a", 2, &mut store), (0, EarlierProcess::HeldLast));
+    // Started again in the same process.
+    assert_eq!(held("a", 2, &mut store), (0, EarlierProcess::HeldLast));
     assert_eq!(held("b", 3, &mut store), (1, EarlierProcess::NoTerm));
     assert_eq!(held("a", 4, &mut store), (1, EarlierProcess::HeldBeforeOther));
     assert_eq!(held("a", 5, &mut store), (0, EarlierProcess::HeldBeforeOther));
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -283,6 +283,9 @@
         }
         let holds = self.right.lease().valid_until().is_some();
         let holder_timed_out = now.saturating_duration_since(self.holder_seen_at) >= HOLDER_TIMEOUT;
+        if !holds {
+            self.leaf_since = None;
+        }
         if !holds && !(is_core && (holder_timed_out || self.probe)) {
             self.right.announce_if_settled(now);
             return;
@@ -360,7 +363,6 @@
         }
         if let Some(epoch) = self.right.resign(now) {
             log::info!(fence = epoch; "lease_resigned_by_leaf");
-            self.leaf_since = None;
         }
     }
 
@@ -397,7 +399,7 @@
                 self.end_term()
             }
             (Some((fence, valid_until)), _) => {
-                let term = self.right.begin_term(fence, valid_until);
+                let term = self.right.begin_term(now, fence, valid_until);
                 self.controller = Some(PlacementController::begin(now, term));
                 self.on_records(now, catalog, registry);
                 true
--- a/crates/node/src/order_log.rs
+++ b/crates/node/src/order_log.rs
@@ -31,14 +31,13 @@
     /// Fencing token of the latest term that may have followed another VM's. Orders with lower
     /// tokens are one turn earlier.
     turn_fence: u64,
-    /// Number of [`LeaseCandidate::returns`](glade_lease::LeaseCandidate::returns) at the start of
-    /// that term.
-    returns: u32,
+    /// Value of [`LeaseCandidate::takeovers`](glade_lease::LeaseCandidate::takeovers) in that term.
+    takeovers: u32,
 }
 
 impl OrderLog {
     pub(crate) fn new(alternation_limit: Duration) -> Self {
-        Self { alternation_limit, arrivals: BTreeMap::new(), turn_fence: 0, returns: 0 }
+        Self { alternation_limit, arrivals: BTreeMap::new(), turn_fence: 0, takeovers: 0 }
     }
 
     /// Records that `order` is being sent.
@@ -69,18 +68,18 @@
         self.arrivals.values().all(|arrival| arrival.latest <= now)
     }
 
-    /// Records the start of a term with `fence`, after `returns` acquisitions before which another
-    /// VM may have held the lease.
-    pub(crate) fn on_term_start(&mut self, fence: u64, returns: u32) {
-        if returns != self.returns {
-            self.returns = returns;
+    /// Records the start of a term with `fence`. `takeovers` is the number of acquisitions so far
+    /// before which another VM may have held the lease.
+    pub(crate) fn on_term_start(&mut self, fence: u64, takeovers: u32) {
+        if takeovers != self.takeovers {
+            self.takeovers = takeovers;
             self.turn_fence = fence;
         }
     }
 
-    /// Earliest times for orders with `fence` to engines. Orders of an earlier term must not arrive
-    /// after them.
-    pub(crate) fn waits(&self, fence: u64) -> BTreeMap<BackendId, Instant> {
+    /// Earliest times for orders with `fence` to engines, as far as they lie ahead. Orders of an
+    /// earlier term must not arrive after them.
+    pub(crate) fn waits(&self, now: Instant, fence: u64) -> BTreeMap<BackendId, Instant> {
         let mut waits = BTreeMap::new();
         for ((engine, earlier), arrival) in &self.arrivals {
             if *earlier < fence {
@@ -91,6 +90,7 @@
                 *known = until.max(*known);
             }
         }
+        waits.retain(|_, until| *until > now);
         waits
     }
 
--- a/crates/node/src/order_right.rs
+++ b/crates/node/src/order_right.rs
@@ -70,10 +70,17 @@
     }
 
     /// Begins the term with `fence`.
-    pub(crate) fn begin_term(&mut self, fence: u64, valid_until: Instant) -> LeaseTerm {
-        self.orders.on_term_start(fence, self.lease.returns());
-        let waits =
-            OrderWaits { any_engine: self.wait_of_process(), by_engine: self.orders.waits(fence) };
+    pub(crate) fn begin_term(
+        &mut self,
+        now: Instant,
+        fence: u64,
+        valid_until: Instant,
+    ) -> LeaseTerm {
+        self.orders.on_term_start(fence, self.lease.takeovers());
+        let waits = OrderWaits {
+            any_engine: self.earlier_process_wait().filter(|until| *until > now),
+            by_engine: self.orders.waits(now, fence),
+        };
         if waits != OrderWaits::default() {
             let engines = waits.by_engine.len();
             log::info!(fence, engines, any_engine = waits.any_engine.is_some(); "orders_wait");
@@ -82,7 +89,7 @@
     }
 
     /// Earliest time for orders, on account of those of earlier processes of this VM.
-    fn wait_of_process(&self) -> Option<Instant> {
+    fn earlier_process_wait(&self) -> Option<Instant> {
         let time = match self.lease.earlier_process() {
             EarlierProcess::NoTerm => return None,
             EarlierProcess::HeldLast => ORDER_ARRIVAL_MAX,
--- a/crates/node/src/order_right/tests.rs
+++ b/crates/node/src/order_right/tests.rs
@@ -227,7 +227,7 @@
             }
             (Some((fence, valid_until)), _) => {
                 self.turns += 1;
-                Some(node.right.begin_term(fence, valid_until))
+                Some(node.right.begin_term(self.now, fence, valid_until))
             }
             (None, _) => None,
         };
@@ -403,7 +403,7 @@
     right.lease_mut().on_write(start + STEP, Ok(&store.transact(&txn)));
     let now = start + STEP;
     let (fence, valid_until) = right.held(now).expect("holds the lease");
-    right.begin_term(fence, valid_until);
+    right.begin_term(now, fence, valid_until);
     right.on_sent(now, &order(0, 0, fence));
     assert_eq!(right.resign(now), Some(fence));
     assert_eq!(right.resigned_epoch(), 0);
