--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -6,7 +6,8 @@
 
 use {
     crate::{
-        faults::{FaultSwitch, Faults, with_endless_body},
+        endless_body::with_endless_body,
+        faults::{FaultSwitch, Faults},
         layout::ENGINE_MEMORY_BYTES,
         reply::json,
         weights::WeightStore,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! Faults are switched on by a request to the control port; see [`Faults`].
 
 mod control;
+mod endless_body;
 mod engine;
 mod faults;
 mod layout;
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -1,7 +1,7 @@
 //! A stand-in server of a plain service: records every execution, so that doubles show.
 
 use {
-    crate::faults::{FaultSwitch, with_endless_body},
+    crate::{endless_body::with_endless_body, faults::FaultSwitch},
     poem::{Endpoint, IntoResponse, Request, Response, http::StatusCode},
     std::{
         collections::BTreeMap,
--- a/crates/system/tests/endless_cluster.rs
+++ b/crates/system/tests/endless_cluster.rs
@@ -4,7 +4,7 @@
     glade_http::Pool,
     glade_load::{Outcome, call_chat},
     glade_system::Cluster,
-    std::time::Duration,
+    std::{thread::sleep, time::Duration},
 };
 
 /// Memory that a daemon may have beyond what it has before: what is read of a few answers.
@@ -37,7 +37,7 @@
     let reply = cluster.call(0, "/services/market/claims", &[], "load-1").expect("an answer");
     assert_eq!(reply.status, 502, "{reply:?}");
     // The planner asks for reports every second.
-    std::thread::sleep(Duration::from_secs(3));
+    sleep(Duration::from_secs(3));
     let after = cluster.peak_memory_kb(0);
     let grown = (after.0 - before.0, after.1 - before.1);
     assert!(grown.0.max(grown.1) < GROWTH_MAX_KB, "{grown:?} kB more");
