--- a/crates/wire/tests/ending_peers.rs
+++ b/crates/wire/tests/ending_peers.rs
@@ -157,6 +157,26 @@
     eventually("the message of a sound peer arrives", || count.load(Ordering::Relaxed) == 1);
 }
 
+/// A peer's bytes without end must not be kept.
+#[test]
+fn an_inbox_closes_connections_on_which_a_frame_or_a_handshake_has_no_end() {
+    const SENT_BYTES_MAX: usize = 32 << 20;
+    let runtime = Runtime::new().expect("a runtime");
+    let (_inbox, addr, _count) = counting_inbox(&runtime, b'!');
+    let frame = [&PUSH_HANDSHAKE[..], &u64::MAX.to_be_bytes()].concat();
+    for opening in [&frame[..], b"GET / HTTP/1.1\r\nname: ", &[]] {
+        let mut stream = TcpStream::connect(addr).expect("the inbox accepts connections");
+        let piece = [b'x'; 64 << 10];
+        let mut sent = 0;
+        let mut is_open = stream.write_all(opening).is_ok();
+        while is_open && sent <= SENT_BYTES_MAX {
+            is_open = stream.write_all(&piece).is_ok();
+            sent += piece.len();
+        }
+        assert!(!is_open, "{sent} bytes after {opening:?}");
+    }
+}
+
 /// Connections that have announced a frame of `frame_bytes` and sent a part of it.
 fn stall_in_frames(addr: SocketAddr, connections: usize, frame_bytes: u64) -> Vec<TcpStream> {
     let open = |_| {
