Log when a node hears of a later configuration than its own

Cause: the logs couldn't tell a node that hears of a version and doesn't get it from one that doesn't hear of it.

Change: configuration_behind names the version and the node that has it; configuration_in_force says how long the node was behind.

--- a/crates/node/src/control/store_handlers.rs
+++ b/crates/node/src/control/store_handlers.rs
@@ -114,8 +114,14 @@
         if is_known {
             return;
         }
-        log::info!(version = catalog.version(), source = source; "configuration_in_force");
-        self.catalog_behind_since = None;
+        let behind = self.catalog_behind_since.take();
+        let behind_ms = behind.map(|since| now.saturating_duration_since(since).as_millis() as u64);
+        log::info!(
+            version = catalog.version(),
+            source = source,
+            behind_ms = behind_ms;
+            "configuration_in_force"
+        );
         self.name_table = NameTable::new(&catalog);
         self.catalog = Some(catalog);
         self.on_records_changed(now);
@@ -194,6 +200,14 @@
     /// unreachable or doesn't have it. Leaves request it from that node, because otherwise they
     /// would all call the store at once.
     pub(super) fn fetch_catalog(&mut self, now: Instant, addr: SocketAddr) {
+        if self.catalog_behind_since.is_none() {
+            log::info!(
+                version = self.latest_catalog_version,
+                in_force = self.catalog_version(),
+                named_by = addr.to_string().as_str();
+                "configuration_behind"
+            );
+        }
         // A restored store has an earlier configuration until the operators write the later one
         // again.
         let behind_since = *self.catalog_behind_since.get_or_insert(now);
