Quotas: credit that lapses while a request waits isn't counted on

What callers saw: a request below its team's quota refused as over quota (429).

Cause: a node that waits for credit told the issuer what it held, and was granted the rest. Credit holds for 500 ms: where the held part lapsed before the grant came, the request waited again and was refused after 150 ms.

Change: while requests wait, a node tells the issuer only of credit that lasts for the 150 ms that they may wait. What it holds beyond that is returned as before when it lapses.

--- a/crates/limit/src/quota_pool.rs
+++ b/crates/limit/src/quota_pool.rs
@@ -209,7 +209,7 @@
             team,
             stamp_ms,
             received: self.received,
-            held: u32::try_from(self.held()).unwrap_or(u32::MAX),
+            held: u32::try_from(self.lasting(now)).unwrap_or(u32::MAX),
             use_per_s: if is_frequent { use_per_s as u32 } else { 0 },
             waiting: self.waiting.iter().take(WAITING_LISTED_MAX).map(|wait| wait.tokens).collect(),
             returned: std::mem::take(&mut self.returned).into_iter().map(returned).collect(),
@@ -250,6 +250,16 @@
         self.leases.iter().map(|lease| u64::from(lease.tokens)).sum()
     }
 
+    /// Credit that the issuer is told of: what lasts for as long as waiting requests may wait.
+    fn lasting(&self, now: Instant) -> u64 {
+        if self.waiting.is_empty() {
+            return self.held();
+        }
+        let needed_until = now + Duration::from_secs_f64(GRANT_WAIT_S);
+        let lasting = self.leases.iter().filter(|lease| lease.lapses_at >= needed_until);
+        lasting.map(|lease| u64::from(lease.tokens)).sum()
+    }
+
     /// Takes `tokens` out of the leases, the oldest first.
     fn take(&mut self, now: Instant, tokens: u32) {
         let mut missing = tokens;
--- a/crates/limit/tests/quotas.rs
+++ b/crates/limit/tests/quotas.rs
@@ -225,3 +225,19 @@
     let replies = grant(&mut issuer, begin + ms(4_100), 2, &[(1, ask(0, &[1_000_000]))]);
     assert_eq!(replies[0].1.level, 1_000);
 }
+
+#[test]
+fn a_request_isnt_refused_because_credit_lapses_while_it_waits() {
+    let begin = Instant::now();
+    let mut pools = QuotaPools::new(begin);
+    assert!(matches!(pools.charge(begin, TEAM, 100), QuotaVerdict::Waits(_)));
+    let granted =
+        QuotaGrant { team: TEAM, tokens: 400, stamp_ms: 0, level: 500, fill_per_s: 1_000.0 };
+    pools.add_grant(begin, &granted);
+    assert_eq!(pools.take_served(begin, TEAM).len(), 1);
+    // The remaining 300 lapse 100 ms after this request has come, which may wait for 150 ms.
+    let now = begin + ms(400);
+    assert!(matches!(pools.charge(now, TEAM, 350), QuotaVerdict::Waits(_)));
+    let asks = pools.next_asks(now);
+    assert_eq!(asks.iter().map(|ask| (ask.held, ask.waiting.clone())).next(), Some((0, vec![350])));
+}
