A node that lacks changes of the registry asks until it has them

The same fault as that of configurations: one request per heartbeat, to the node whose heartbeat arrived.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -38,6 +38,7 @@
         quota_exchange::QuotaExchange,
         read_role::{ReadConditions, ReadRole, read_role},
         registry::Registry,
+        registry_fetch::RegistryFetch,
         registry_update::RegistryUpdate,
         start_exchange::StartExchange,
         store_access::StoreAccess,
@@ -103,6 +104,8 @@
     catalog_fetch: CatalogFetch,
     catalog_announcer: CatalogAnnouncer,
     registry: Registry,
+    /// Requests for changes of the registry that this node lacks.
+    registry_fetch: RegistryFetch,
     /// The view of the registry for this node's leaves, if the node is a core with leaves.
     leaf_registry: LeafRegistry,
     /// Digests of engines to be sent to this node's leaves, if it is the primary core.
@@ -232,6 +235,7 @@
             catalog_fetch: CatalogFetch::default(),
             catalog_announcer: CatalogAnnouncer::default(),
             registry: Registry::default(),
+            registry_fetch: RegistryFetch::default(),
             leaf_registry: LeafRegistry::default(),
             pending_digests: PendingDigests::default(),
             name_table: NameTable::default(),
@@ -506,6 +510,7 @@
         self.send_leaf_digests(now);
         self.tick_store_access(now);
         self.fetch_catalog(now);
+        self.fetch_registry(now);
         let election = self.election(now);
         self.leadership.tick(now, election, &self.network.peers, &self.store_health);
         self.forward_demand(now);
--- a/crates/node/src/control/peer_handlers.rs
+++ b/crates/node/src/control/peer_handlers.rs
@@ -5,6 +5,7 @@
     crate::{
         leaf_digest::LeafDigest,
         peer_message::{Heartbeat, PeerBatch, PeerInfo, PeerMessage},
+        registry_fetch::RegistrySource,
         registry_update::RegistryUpdate,
     },
     glade_catalog::ServerKey,
@@ -170,9 +171,9 @@
         let is_comparable =
             self.network.mesh.is_core || self.network.upstream_core(now) == Some(&from.vm);
         // A leaf that reads waits for the store's snapshot: cores have only part of it for leaves.
-        let has_newer_registry = is_comparable
-            && !self.access.reads_as_leaf()
-            && heartbeat.registry_revision > self.registry.revision();
+        let newer_registry = Some(heartbeat.registry_revision).filter(|revision| {
+            is_comparable && !self.access.reads_as_leaf() && *revision > self.registry.revision()
+        });
         let peer_catalog_version = heartbeat.catalog_version;
         let has_newer_catalog = peer_catalog_version > self.catalog_version();
         let change = self.network.peers.on_heartbeat(now, from, heartbeat);
@@ -180,8 +181,9 @@
         if has_newer_catalog {
             self.on_later_catalog(now, peer_catalog_version, from.peer_addr);
         }
-        if has_newer_registry {
-            self.network.send(now, from.peer_addr, &PeerMessage::RegistryWanted);
+        if let Some(revision) = newer_registry {
+            self.registry_fetch.on_report(now, revision, from.peer_addr);
+            self.fetch_registry(now);
         }
         if change.is_new || change.has_recovered {
             log::info!(peer = from.vm.as_str(), incarnation = from.incarnation.0; "peer_heard");
@@ -251,12 +253,30 @@
         let update = update.reject_invalid();
         let is_known = update.revision <= self.registry.revision();
         if !self.apply_registry(now, update.clone()) {
-            self.network.send(now, from.peer_addr, &PeerMessage::RegistryWanted);
+            self.registry_fetch.on_report(now, update.revision, from.peer_addr);
+            self.fetch_registry(now);
         } else if !is_known {
             self.network.forward_to_remote_cores(now, &from.vm, &PeerMessage::Registry(update));
         }
     }
 
+    /// Asks for the complete registry if a request is due. A leaf that reads the store waits for what it
+    /// reads.
+    pub(super) fn fetch_registry(&mut self, now: Instant) {
+        if self.access.reads_as_leaf() {
+            return;
+        }
+        let source = self.registry_fetch.next_source(now, self.registry.revision());
+        let addr = match source {
+            None => return,
+            Some(RegistrySource::Informer(addr)) => Some(addr),
+            Some(RegistrySource::Core) => self.rng.choice(self.network.core_addrs()),
+        };
+        if let Some(addr) = addr {
+            self.network.send(now, addr, &PeerMessage::RegistryWanted);
+        }
+    }
+
     /// Adds nodes that another node has sent. The primary core forwards nodes of other data centres
     /// to the nodes of its own.
     pub(super) fn on_nodes(&mut self, now: Instant, from: &PeerInfo, nodes: Vec<PeerInfo>) {
--- a/crates/node/src/control/tests/quarantine.rs
+++ b/crates/node/src/control/tests/quarantine.rs
@@ -27,8 +27,8 @@
     ServerKey { id: BackendId::new(&format!("engine-{server}")), start_time_ms: 1 }
 }
 
-pub(super) fn row(server: usize) -> StoredRow {
-    let record = ServerRecord {
+pub(super) fn record(server: usize) -> ServerRecord {
+    ServerRecord {
         key: key(server),
         service: ServiceName::new("pool"),
         addr: ([10, 9, 0, server as u8], 80).into(),
@@ -39,10 +39,13 @@
         residents: Vec::new(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
-    };
+    }
+}
+
+pub(super) fn row(server: usize) -> StoredRow {
     let name = format!("{}/engine-{server}", registry::TABLE);
     let (key, revision) = (Key::new(&name), Revision::new(1));
-    StoredRow { key, revision, value: registry::encode(&record) }
+    StoredRow { key, revision, value: registry::encode(&record(server)) }
 }
 
 /// Nodes before engines that a part of a prompt crashes.
--- a/crates/node/src/control/tests/roles.rs
+++ b/crates/node/src/control/tests/roles.rs
@@ -2,9 +2,11 @@
 //! other.
 
 use {
-    super::{deployment::Deployment, nodes_of_data_centres, sim_store::SimStore},
+    super::{
+        deployment::Deployment, nodes_of_data_centres, quarantine::record, sim_store::SimStore,
+    },
     crate::event::{Event, TrafficReport},
-    glade_catalog::{DemandReport, ModelDemand},
+    glade_catalog::{DemandReport, ModelDemand, ServerRecord, ServerState},
     glade_types::ModelName,
     std::{
         collections::BTreeSet,
@@ -191,12 +193,23 @@
     }
 }
 
-/// Nodes without `version` of the configuration, after half of the batches and of the calls to the
-/// store of the nodes `lossy` were lost for a while before it was written.
-fn outdated_after_loss(deployment: &mut Deployment, lossy: &[usize], version: u64) -> Vec<usize> {
+fn cores_of_first_data_centre(deployment: &Deployment) -> Vec<usize> {
+    let is_local = |core: &usize| core.is_multiple_of(usize::from(DATA_CENTRES));
+    deployment.cores().into_iter().filter(is_local).collect()
+}
+
+/// Has half of the batches and of the calls to the store of the nodes `lossy` be lost, and lets some
+/// time pass.
+fn begin_loss(deployment: &mut Deployment, lossy: &[usize]) {
     deployment.lossy_nodes.extend(lossy);
     store(deployment).lossy.extend(lossy);
     run_with_one_holder(deployment, UPDATE_TIME);
+}
+
+/// Nodes without `version` of the configuration, which was written after loss at the nodes `lossy` had
+/// begun.
+fn outdated_after_loss(deployment: &mut Deployment, lossy: &[usize], version: u64) -> Vec<usize> {
+    begin_loss(deployment, lossy);
     store(deployment).write_config(version);
     run_with_one_holder(deployment, UPDATE_TIME);
     let mut outdated = outdated(deployment, version);
@@ -226,8 +239,7 @@
 fn leaves_of_cores_that_lose_half_of_their_packets_get_new_versions() {
     for seed in 1..=6 {
         let mut deployment = settled(seed, 20);
-        let is_lossy = |core: &usize| core.is_multiple_of(usize::from(DATA_CENTRES));
-        let lossy: Vec<usize> = deployment.cores().into_iter().filter(is_lossy).collect();
+        let lossy = cores_of_first_data_centre(&deployment);
         let outdated = outdated_after_loss(&mut deployment, &lossy, 3);
         assert_eq!(outdated, Vec::<usize>::new(), "seed {seed}, {lossy:?}");
     }
@@ -246,3 +258,32 @@
         assert_eq!(outdated(&deployment, 3), Vec::<usize>::new(), "seed {seed}");
     }
 }
+
+/// Positions of nodes that send to a server.
+fn sending(deployment: &Deployment) -> Vec<usize> {
+    let is_used = |position: &usize| {
+        let view = deployment.view(*position);
+        view.is_some_and(|view| view.servers.iter().any(|server| server.usable))
+    };
+    let all = deployment.cores().into_iter().chain(deployment.leaves());
+    all.filter(is_used).collect()
+}
+
+/// Both cores of a data centre lose half of their packets, and its leaves hear no other nodes.
+#[test]
+fn leaves_of_cores_that_lose_half_of_their_packets_stop_sending_to_a_server_that_leaves() {
+    for seed in 1..=6 {
+        let mut deployment = settled(seed, 20);
+        store(&mut deployment).write_server(&record(1));
+        run_with_one_holder(&mut deployment, UPDATE_TIME);
+        assert_eq!(sending(&deployment).len(), 60);
+        let lossy = cores_of_first_data_centre(&deployment);
+        begin_loss(&mut deployment, &lossy);
+        let leaving = ServerState::Leaving { remaining: None };
+        store(&mut deployment).write_server(&ServerRecord { state: leaving, ..record(1) });
+        run_with_one_holder(&mut deployment, UPDATE_TIME);
+        let mut sending = sending(&deployment);
+        sending.retain(|position| !lossy.contains(position));
+        assert_eq!(sending, Vec::<usize>::new(), "seed {seed}, {lossy:?}");
+    }
+}
--- a/crates/node/src/control/tests/sim_store.rs
+++ b/crates/node/src/control/tests/sim_store.rs
@@ -6,7 +6,8 @@
         lease::{LEASE_KEY, LeaseService},
         read_role::ReadRole,
     },
-    glade_adapter::config,
+    glade_adapter::{config, registry},
+    glade_catalog::ServerRecord,
     glade_lease::LeaseAction,
     glade_platform::{
         Change, Changes, Key, MemoryTable, Revision, Snapshot, StoreError, Txn, TxnAnswer, Write,
@@ -78,7 +79,6 @@
 pub(super) struct SimStore {
     rows: MemoryTable,
     latest: Revision,
-    config_revision: Revision,
     pub(super) cut_off: BTreeSet<usize>,
     /// Nodes half of whose calls are lost.
     pub(super) lossy: BTreeSet<usize>,
@@ -93,14 +93,18 @@
             r#"{{"Version":{version},"Routes":[],"Services":[],"Limits":{{"MaxHeaderBytes":16384,
             "MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#
         );
-        let key = Self::config_key();
-        let write = Write::Put { key, value: value.into_bytes() };
-        self.transact(&Txn { conditions: Vec::new(), writes: vec![write] });
-        self.config_revision = self.latest;
+        self.write(&format!("{}/{}", config::TABLE, config::KEY), value.into_bytes());
     }
 
-    fn config_key() -> Key {
-        Key::new(&format!("{}/{}", config::TABLE, config::KEY))
+    /// Puts the entry of a backend server into the store.
+    pub(super) fn write_server(&mut self, record: &ServerRecord) {
+        let key = format!("{}/{}", registry::TABLE, record.key.id);
+        self.write(&key, registry::encode(record));
+    }
+
+    fn write(&mut self, key: &str, value: Vec<u8>) {
+        let write = Write::Put { key: Key::new(key), value };
+        self.transact(&Txn { conditions: Vec::new(), writes: vec![write] });
     }
 
     fn transact(&mut self, txn: &Txn) -> TxnAnswer {
@@ -182,15 +186,17 @@
             let failed = Event::StoreCallFailed(call.began_at, "no answer".to_owned());
             return (time >= timeout).then_some((failed, PAUSE));
         }
-        let is_config = table == WatchedTable::Configuration;
-        let row = self.rows.read(&Self::config_key()).filter(|_| is_config);
+        let rows = match table {
+            WatchedTable::Configuration => self.rows.scan(&format!("{}/", config::TABLE)),
+            WatchedTable::Registry => self.rows.scan(&format!("{}/", registry::TABLE)),
+            WatchedTable::Quarantine => Vec::new(),
+        };
         let Some(after) = call.content else {
-            let rows = row.into_iter().collect();
             let snapshot = Event::Snapshot(table, Snapshot { rows, revision: self.latest });
             return (time >= call.answer_time).then_some((snapshot, PAUSE));
         };
-        let changes: Vec<Change> =
-            row.filter(|row| row.revision > after).into_iter().map(Change::Written).collect();
+        let changed = rows.into_iter().filter(|row| row.revision > after);
+        let changes: Vec<Change> = changed.map(Change::Written).collect();
         let wait = if changes.is_empty() { LONG_POLL_WAIT } else { Duration::ZERO };
         let pause = if changes.is_empty() { Duration::ZERO } else { PAUSE };
         let changes = Event::Changes(table, after, Changes { changes, revision: self.latest });
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,6 +43,7 @@
 mod quota_exchange;
 mod read_role;
 mod registry;
+mod registry_fetch;
 mod registry_update;
 mod reload;
 mod reloader;
