Nodes know the software versions of servers, and what callers take up

Cause: the logs couldn't tell a stream that its node continued at another software version from one that a caller took up there.

Change: server records carry the version. Nodes exchange it in a message of its own (ServerVersions), as nodes of earlier versions can't decode another field. request_sent names the server's version, the stream that the caller resumes and the event after which. Stand-in servers have versions, write other words by version, and take another one at their next start.

--- a/crates/catalog/src/request_metadata.rs
+++ b/crates/catalog/src/request_metadata.rs
@@ -38,6 +38,8 @@
     pub prompt_parts: Vec<PromptPart>,
     /// Last event that the caller received of an interrupted stream that it resumes.
     pub last_event_id: Option<u64>,
+    /// The caller's request that brought the first event of that stream.
+    pub resumes: Option<RequestId>,
 }
 
 impl RequestMetadata {
--- a/crates/catalog/src/server_record.rs
+++ b/crates/catalog/src/server_record.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::record_error::RecordError,
-    glade_types::{BackendId, DataCentre, ModelName, ServiceName, stable_hash},
+    glade_types::{BackendId, DataCentre, ModelName, ServiceName, SoftwareVersion, stable_hash},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
 };
@@ -65,6 +65,10 @@
     pub addr: SocketAddr,
     /// Data centre in which the server runs.
     pub data_centre: DataCentre,
+    /// Version of the server's software. Nodes of earlier versions don't know the field, so that nodes
+    /// exchange it in a message of its own.
+    #[serde(skip)]
+    pub version: SoftwareVersion,
     /// Requests that the server processes concurrently.
     pub slots: u32,
     /// Whether the server accepts new requests.
@@ -104,6 +108,12 @@
         Ok(())
     }
 
+    /// Returns a hash that identifies the version of the server's software among those of all services.
+    pub fn version_hash(&self) -> u32 {
+        let name = format!("{}\0{}", self.service, self.version);
+        stable_hash(name.as_bytes()) as u32
+    }
+
     /// Returns true if the base model or adapter `name` is loaded on this server.
     pub fn has_resident(&self, name: &ModelName) -> bool {
         self.residents
--- a/crates/dispatch/benches/decide.rs
+++ b/crates/dispatch/benches/decide.rs
@@ -5,7 +5,7 @@
     criterion::{Criterion, criterion_group, criterion_main},
     glade_catalog::{ServerKey, ServerRecord, ServerState},
     glade_dispatch::{ClusterView, Dispatcher, Load, RequestSpec, RetryLimit, ServerView},
-    glade_types::{BackendId, DataCentre, ModelName, ServiceName},
+    glade_types::{BackendId, DataCentre, ModelName, ServiceName, SoftwareVersion},
     std::{
         collections::HashMap,
         sync::Arc,
@@ -22,6 +22,7 @@
             service: ServiceName::new("pool"),
             addr: ([127, 0, 0, 1], 1).into(),
             data_centre: DataCentre::new("dc-1"),
+            version: SoftwareVersion::new("v1"),
             slots: 16,
             state: ServerState::Ready,
             warm_up_remaining: Duration::ZERO,
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -12,7 +12,7 @@
     glade_dispatch::{
         ClusterView, Dispatcher, Load, RequestSpec, RetryLimit, ServerIdx, ServerView, Verdict,
     },
-    glade_types::{BackendId, DataCentre, ModelName, ServiceName},
+    glade_types::{BackendId, DataCentre, ModelName, ServiceName, SoftwareVersion},
     std::{
         collections::HashMap,
         sync::Arc,
@@ -135,6 +135,7 @@
             service: ServiceName::new("pool"),
             addr: ([127, 0, 0, 1], 1).into(),
             data_centre: DataCentre::new("dc-1"),
+            version: SoftwareVersion::new("v1"),
             slots: SLOTS,
             state: ServerState::Ready,
             warm_up_remaining: Duration::ZERO,
--- a/crates/node/src/control/peer_handlers.rs
+++ b/crates/node/src/control/peer_handlers.rs
@@ -6,7 +6,7 @@
         leaf_digest::LeafDigest,
         peer_message::{Heartbeat, PeerBatch, PeerInfo, PeerMessage},
         registry_fetch::RegistrySource,
-        registry_update::RegistryUpdate,
+        registry_update::{RegistryUpdate, ServerVersion},
     },
     glade_catalog::ServerKey,
     glade_dispatch::TeamStartRequest,
@@ -61,9 +61,11 @@
             }
             PeerMessage::Nodes(nodes) => self.on_nodes(now, from, nodes),
             PeerMessage::Registry(update) => self.on_peer_registry(now, from, update),
+            PeerMessage::ServerVersions(versions) => {
+                self.on_server_versions(now, &from.vm, versions);
+            }
             PeerMessage::RegistryWanted => {
-                let all = self.registry_for(now, &from.vm);
-                self.network.send(now, from.peer_addr, &PeerMessage::Registry(all));
+                self.send_registry(now, &from.vm, from.peer_addr);
             }
             PeerMessage::CatalogWanted => self.send_catalog(now, from.peer_addr),
             PeerMessage::LaterCatalogWanted(known) => {
@@ -211,8 +213,7 @@
             return;
         }
         if self.network.mesh.is_primary_core {
-            let all = self.registry_for(now, vm);
-            self.network.send(now, addr, &PeerMessage::Registry(all));
+            self.send_registry(now, vm, addr);
             self.send_catalog(now, addr);
         }
         let (epoch, engines) = self.registry.digests(now);
@@ -241,6 +242,29 @@
         }
     }
 
+    /// Applies software versions of servers, and forwards those that this node didn't know.
+    fn on_server_versions(&mut self, now: Instant, from: &VmId, versions: Vec<ServerVersion>) {
+        let new = self.registry.apply_versions(versions);
+        if new.is_empty() {
+            return;
+        }
+        self.on_records_changed(now);
+        let message = PeerMessage::ServerVersions(new);
+        self.network.forward_to_remote_cores(now, from, &message);
+        // Whichever core has sent them, it sends them to cores alone.
+        if self.network.mesh.is_primary_core && !self.network.mesh.is_full_mesh {
+            self.network.send_to_leaves(now, &message);
+        }
+    }
+
+    /// Sends all entries of the registry that the node on `vm` at `addr` needs.
+    fn send_registry(&mut self, now: Instant, vm: &VmId, addr: SocketAddr) {
+        let all = self.registry_for(now, vm);
+        for message in self.registry_messages(all) {
+            self.network.send(now, addr, &message);
+        }
+    }
+
     /// All entries of the registry that `vm` needs.
     fn registry_for(&self, now: Instant, vm: &VmId) -> RegistryUpdate {
         let all = self.registry.snapshot(now);
@@ -256,7 +280,9 @@
             self.registry_fetch.on_report(now, update.revision, from.peer_addr);
             self.fetch_registry(now);
         } else if !is_known {
-            self.network.forward_to_remote_cores(now, &from.vm, &PeerMessage::Registry(update));
+            for message in self.registry_messages(update) {
+                self.network.forward_to_remote_cores(now, &from.vm, &message);
+            }
         }
     }
 
--- a/crates/node/src/control/store_handlers.rs
+++ b/crates/node/src/control/store_handlers.rs
@@ -135,7 +135,9 @@
     pub(super) fn on_registry_read(&mut self, now: Instant, update: RegistryUpdate) {
         let is_known = update.revision <= self.registry.revision();
         if self.apply_registry(now, update.clone()) && !is_known && !update.is_empty() {
-            self.network.send_to_cores(now, &PeerMessage::Registry(update));
+            for message in self.registry_messages(update) {
+                self.network.send_to_cores(now, &message);
+            }
         }
     }
 
@@ -179,10 +181,18 @@
         if let Some(update) = self.leaf_registry.apply(update)
             && self.network.mesh.is_primary_core
         {
-            self.network.send_to_leaves(now, &PeerMessage::Registry(update));
+            for message in self.registry_messages(update) {
+                self.network.send_to_leaves(now, &message);
+            }
         }
     }
 
+    /// The messages that carry `update` to other nodes.
+    pub(super) fn registry_messages(&self, update: RegistryUpdate) -> Vec<PeerMessage> {
+        let versions = self.registry.versions_of(&update);
+        PeerMessage::with_registry(update, versions)
+    }
+
     pub(super) fn on_records_changed(&mut self, now: Instant) {
         self.leadership.on_records(now, self.catalog.as_deref(), &self.registry);
         self.view_is_outdated = true;
--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -10,6 +10,7 @@
 mod roles;
 mod sim_store;
 mod teams;
+mod versions;
 
 use {
     self::deployment::Deployment,
--- a/crates/node/src/control/tests/quarantine.rs
+++ b/crates/node/src/control/tests/quarantine.rs
@@ -9,7 +9,7 @@
     glade_platform::{Key, Revision, Snapshot, StoredRow},
     glade_quarantine::LostAttempt,
     glade_relay::TrafficUpdate,
-    glade_types::{BackendId, DataCentre, ServiceName},
+    glade_types::{BackendId, DataCentre, ServiceName, SoftwareVersion},
     std::time::Duration,
 };
 
@@ -33,6 +33,7 @@
         service: ServiceName::new("pool"),
         addr: ([10, 9, 0, server as u8], 80).into(),
         data_centre: DataCentre::new("dc-1"),
+        version: SoftwareVersion::new("v1"),
         slots: 16,
         state: ServerState::Ready,
         warm_up_remaining: Duration::ZERO,
--- a/crates/node/src/control_metrics.rs
+++ b/crates/node/src/control_metrics.rs
@@ -12,7 +12,7 @@
 };
 
 /// Kinds of messages, indexed by [`crate::peer_message::PeerMessage::kind`].
-pub(crate) const MESSAGE_KINDS: [&str; 32] = [
+pub(crate) const MESSAGE_KINDS: [&str; 33] = [
     "beat",
     "loads",
     "prompts",
@@ -45,6 +45,7 @@
     "quota_grants",
     "team_start_wanted",
     "later_catalog_wanted",
+    "server_versions",
 ];
 
 /// Number of messages of one kind, and their bytes.
@@ -70,10 +71,20 @@
     counters: Arc<Counters>,
 }
 
+/// A counter for each kind of message.
+#[derive(Debug)]
+struct KindCounters([MessageCounter; MESSAGE_KINDS.len()]);
+
+impl Default for KindCounters {
+    fn default() -> Self {
+        Self(std::array::from_fn(|_| MessageCounter::default()))
+    }
+}
+
 #[derive(Debug, Default)]
 struct Counters {
-    sent: [MessageCounter; MESSAGE_KINDS.len()],
-    received: [MessageCounter; MESSAGE_KINDS.len()],
+    sent: KindCounters,
+    received: KindCounters,
     /// Batches by which the messages are sent.
     batches_sent: MessageCounter,
     batches_received: MessageCounter,
@@ -85,12 +96,12 @@
 impl ControlMetrics {
     /// Counts a message of `kind` sent to one node.
     pub(crate) fn on_sent(&self, kind: usize, bytes: usize) {
-        self.counters.sent[kind].add(bytes);
+        self.counters.sent.0[kind].add(bytes);
     }
 
     /// Counts a received message of `kind`.
     pub(crate) fn on_received(&self, kind: usize, bytes: usize) {
-        self.counters.received[kind].add(bytes);
+        self.counters.received.0[kind].add(bytes);
     }
 
     /// Counts a batch of messages sent to one node.
@@ -124,16 +135,16 @@
             metrics,
             "peer_messages_sent",
             "Messages to other nodes.",
-            |counters| counters.sent.each_ref().map(|counter| &counter.messages),
+            |counters| counters.sent.0.each_ref().map(|counter| &counter.messages),
         );
         self.register_kinds(metrics, "peer_bytes_sent", "Bytes of these.", |counters| {
-            counters.sent.each_ref().map(|counter| &counter.bytes)
+            counters.sent.0.each_ref().map(|counter| &counter.bytes)
         });
         self.register_kinds(metrics, "peer_messages_received", "Messages of others.", |counters| {
-            counters.received.each_ref().map(|counter| &counter.messages)
+            counters.received.0.each_ref().map(|counter| &counter.messages)
         });
         self.register_kinds(metrics, "peer_bytes_received", "Bytes of these.", |counters| {
-            counters.received.each_ref().map(|counter| &counter.bytes)
+            counters.received.0.each_ref().map(|counter| &counter.bytes)
         });
         let totals: [(&'static str, &'static str, CounterSelector); 7] = [
             ("peer_parcels_sent", "Parcels of messages to other nodes.", |counters| {
--- a/crates/node/src/leaf_registry/tests.rs
+++ b/crates/node/src/leaf_registry/tests.rs
@@ -3,7 +3,7 @@
 use {
     super::*,
     glade_catalog::{ServerKey, ServerState},
-    glade_types::{DataCentre, ModelName, ServiceName},
+    glade_types::{DataCentre, ModelName, ServiceName, SoftwareVersion},
 };
 
 fn entry(id: &str, revision: u64, residents: &[(&str, &[&str])]) -> ServerEntry {
@@ -13,6 +13,7 @@
         service: ServiceName::new("chat"),
         addr: ([10, 0, 0, 1], 80).into(),
         data_centre: DataCentre::new("dc-1"),
+        version: SoftwareVersion::new("v1"),
         slots: 16,
         state: ServerState::Ready,
         warm_up_remaining: Duration::ZERO,
--- a/crates/node/src/peer_message.rs
+++ b/crates/node/src/peer_message.rs
@@ -2,9 +2,14 @@
 
 use {
     crate::{
-        control_metrics::ControlMetrics, leaf_digest::LeafDigest, mesh::MeshTopology,
-        peer_prompt::PeerPrompt, published_state::CallerEndpoints, registry_update::RegistryUpdate,
-        store_access::StoreReport, store_health::StoreStatus,
+        control_metrics::ControlMetrics,
+        leaf_digest::LeafDigest,
+        mesh::MeshTopology,
+        peer_prompt::PeerPrompt,
+        published_state::CallerEndpoints,
+        registry_update::{RegistryUpdate, ServerVersion},
+        store_access::StoreReport,
+        store_health::StoreStatus,
     },
     glade_catalog::{Catalog, DemandReport, ServerKey, TeamCatalog},
     glade_dispatch::{ServerLoad, StartEvent, StartReply, StartRequest, TeamStartRequest},
@@ -203,6 +208,8 @@
     TeamStartRequests(Vec<TeamStartRequest>),
     /// Requests the configuration that is in force at the receiver if it is later than this version.
     LaterCatalogWanted(u64),
+    /// Software versions of servers, which nodes of earlier versions don't know as a part of `Registry`.
+    ServerVersions(Vec<ServerVersion>),
 }
 
 impl PeerMessage {
@@ -216,6 +223,12 @@
         }
     }
 
+    /// The messages that carry `update` and the `versions` of the servers in it.
+    pub(crate) fn with_registry(update: RegistryUpdate, versions: Vec<ServerVersion>) -> Vec<Self> {
+        let versions = (!versions.is_empty()).then_some(Self::ServerVersions(versions));
+        versions.into_iter().chain([Self::Registry(update)]).collect()
+    }
+
     /// The message that asks a coordinator for a start.
     pub(crate) fn start_request(request: StartRequest) -> Self {
         match request.team {
@@ -287,6 +300,7 @@
             Self::QuotaGrants(_) => 29,
             Self::TeamStartRequests(_) => 30,
             Self::LaterCatalogWanted(_) => 31,
+            Self::ServerVersions(_) => 32,
         }
     }
 
@@ -304,6 +318,7 @@
                 | Self::QuotaGrants(_)
                 | Self::TeamStartRequests(_)
                 | Self::LaterCatalogWanted(_)
+                | Self::ServerVersions(_)
         )
     }
 }
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -3,12 +3,12 @@
 //! themselves.
 
 use {
-    crate::registry_update::{LapsedEntry, RegistryUpdate, ServerEntry},
+    crate::registry_update::{LapsedEntry, RegistryUpdate, ServerEntry, ServerVersion},
     glade_catalog::{DURATION_MAX, ServerKey, ServerRecord, ServerState, is_adapter_of},
     glade_dispatch::{Load, ServerView},
     glade_platform::Revision,
     glade_residency::{EngineDigest, PendingLoad},
-    glade_types::{BackendId, DataCentre, ModelName},
+    glade_types::{BackendId, DataCentre, ModelName, SoftwareVersion},
     std::{
         collections::{BTreeMap, HashMap, HashSet},
         sync::Arc,
@@ -52,6 +52,8 @@
     reported_leaving: HashMap<ServerKey, Revision>,
     /// Server processes that were found gone, with the revision of their entry and the time.
     gone: HashMap<ServerKey, (Revision, Instant)>,
+    /// Software versions of server processes, by the hashes of their keys.
+    versions: HashMap<u32, SoftwareVersion>,
     /// Lease term that the digests come from.
     epoch: u64,
     digests: HashMap<ServerKey, EngineDigest>,
@@ -179,7 +181,8 @@
 
     fn remove(&mut self, id: &BackendId) {
         self.lapsed.remove(id);
-        if self.entries.remove(id).is_some() {
+        if let Some(entry) = self.entries.remove(id) {
+            self.versions.remove(&entry.key_hash);
             log::info!(server = id.as_str(), revision = self.revision.number; "server_gone");
         }
     }
@@ -220,13 +223,51 @@
         (self.epoch, self.digests.iter().map(digest).collect())
     }
 
-    fn insert(&mut self, revision: Revision, record: ServerRecord) {
+    /// Records the software versions of server processes. Returns those that weren't known.
+    pub(crate) fn apply_versions(&mut self, versions: Vec<ServerVersion>) -> Vec<ServerVersion> {
+        let mut new = Vec::new();
+        for version in versions {
+            let known = self.versions.insert(version.server, version.version.clone());
+            if known.as_ref() != Some(&version.version) {
+                new.push(version);
+            }
+        }
+        if !new.is_empty() {
+            for entry in self.entries.values_mut() {
+                let Some(version) = self.versions.get(&entry.key_hash) else { continue };
+                if entry.record.version != *version {
+                    Arc::make_mut(&mut entry.record).version = version.clone();
+                }
+            }
+        }
+        new
+    }
+
+    /// The known software versions of the servers in `update`.
+    pub(crate) fn versions_of(&self, update: &RegistryUpdate) -> Vec<ServerVersion> {
+        let lapsed = update.lapsed.iter().map(|lapsed| &lapsed.entry);
+        let servers =
+            update.written.iter().chain(lapsed).map(|entry| entry.record.key.short_hash());
+        let version = |server: u32| {
+            let version = self.versions.get(&server)?.clone();
+            Some(ServerVersion { server, version })
+        };
+        servers.filter_map(version).collect()
+    }
+
+    fn insert(&mut self, revision: Revision, mut record: ServerRecord) {
         let is_leaving = matches!(record.state, ServerState::Leaving { .. });
         if is_leaving && self.leaving.insert(record.key.clone()) {
             log::info!(server = record.key.id.as_str(), revision = revision.number; "server_leaving");
         }
         let id = record.key.id.clone();
         let key_hash = record.key.short_hash();
+        // Records that come from another node lack the version.
+        if record.version == SoftwareVersion::default() {
+            record.version = self.versions.get(&key_hash).cloned().unwrap_or_default();
+        } else {
+            self.versions.insert(key_hash, record.version.clone());
+        }
         let entry =
             Entry { key_hash, revision, record: Arc::new(record), resident_models: Arc::default() };
         self.entries.insert(id.clone(), entry);
--- a/crates/node/src/registry/tests.rs
+++ b/crates/node/src/registry/tests.rs
@@ -1,6 +1,11 @@
 //! Servers that are added, leave, lapse and are found gone.
 
-use {super::*, glade_catalog::Residence, glade_residency::PendingLoad, glade_types::ServiceName};
+use {
+    super::*,
+    glade_catalog::Residence,
+    glade_residency::PendingLoad,
+    glade_types::{ServiceName, SoftwareVersion},
+};
 
 fn record(id: &str, state: ServerState, models: &[&str]) -> ServerRecord {
     ServerRecord {
@@ -8,6 +13,7 @@
         service: ServiceName::new("pool"),
         addr: ([10, 0, 0, 1], 80).into(),
         data_centre: DataCentre::new("dc-1"),
+        version: SoftwareVersion::new("v1"),
         slots: 8,
         state,
         warm_up_remaining: Duration::ZERO,
--- a/crates/node/src/registry_update.rs
+++ b/crates/node/src/registry_update.rs
@@ -5,7 +5,7 @@
     glade_adapter::registry,
     glade_catalog::ServerRecord,
     glade_platform::{Change, Changes, Revision, Snapshot, StoredRow},
-    glade_types::BackendId,
+    glade_types::{BackendId, SoftwareVersion},
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, time::Duration},
 };
@@ -20,6 +20,16 @@
     pub(crate) record: ServerRecord,
 }
 
+/// Software version of a server process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct ServerVersion {
+    /// Hash of the server's key.
+    pub(crate) server: u32,
+    /// Version of the server's software.
+    pub(crate) version: SoftwareVersion,
+}
+
 /// An entry that disappeared while the store was unreachable, perhaps only because the server
 /// couldn't renew it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/node/src/registry_update/tests.rs
+++ b/crates/node/src/registry_update/tests.rs
@@ -4,7 +4,7 @@
     super::*,
     glade_catalog::{RecordError, ServerKey, ServerState},
     glade_platform::Key,
-    glade_types::{DataCentre, ServiceName},
+    glade_types::{DataCentre, ServiceName, SoftwareVersion},
 };
 
 fn written(name: &str, revision: u64) -> Change {
@@ -52,6 +52,7 @@
         service: ServiceName::new("p"),
         addr: ([10, 1, 0, 9], 1).into(),
         data_centre: DataCentre::new("z"),
+        version: SoftwareVersion::new("v1"),
         slots: 1,
         state: ServerState::Ready,
         warm_up_remaining: Duration::ZERO,
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -28,6 +28,9 @@
             model = admitted.open_request.spec.model.as_ref().map_or("", ModelName::as_str),
             prompt = admitted.open_request.spec.prompt_tokens,
             server = dispatcher.record(server).key.id.as_str(),
+            version = dispatcher.record(server).version.as_str(),
+            resumes = routed.terms.resumes.as_ref().map(RequestId::as_str),
+            after_event = routed.terms.last_event_id,
             attempt = admitted.failed_attempts().tried.len() as u64 + 1,
             after_ms = self.after_ms(admitted),
             own = inputs.own_load.in_flight,
@@ -158,6 +161,7 @@
         log::info!(
             id = admitted.routed.id.as_str(),
             server = self.dispatcher.borrow().record(server).key.id.as_str(),
+            version = self.dispatcher.borrow().record(server).version.as_str(),
             after_event = last_id.unwrap_or(0),
             after_ms = self.after_ms(admitted);
             "stream_resumed"
--- a/crates/residency/tests/common/mod.rs
+++ b/crates/residency/tests/common/mod.rs
@@ -8,7 +8,7 @@
         ModelSpec, OrderAnswer, OrderKind, Residence, ServerKey, ServerRecord, ServerState,
         Service,
     },
-    glade_types::{BackendId, DataCentre, ModelName, ServiceName},
+    glade_types::{BackendId, DataCentre, ModelName, ServiceName, SoftwareVersion},
     std::{
         collections::BTreeSet,
         sync::Arc,
@@ -126,6 +126,7 @@
             service: ServiceName::new("pool"),
             addr: ([127, 0, 0, 1], 1).into(),
             data_centre: DataCentre::new("dc-1"),
+            version: SoftwareVersion::new("v1"),
             slots: 32,
             state: ServerState::Ready,
             warm_up_remaining: Duration::ZERO,
--- a/crates/standins/src/site/caller.rs
+++ b/crates/standins/src/site/caller.rs
@@ -1,6 +1,7 @@
 //! A caller on the platform.
 
 use {
+    crate::site::engine::{FIRST_VERSION, FIRST_VERSION_WORD},
     bytes::Bytes,
     glade_adapter::{directory, platform_dialect::stand_in},
     glade_catalog::RequestMetadata,
@@ -13,7 +14,7 @@
     },
     hyper_util::rt::TokioIo,
     socket2::SockRef,
-    std::{io, net::SocketAddr, time::Duration},
+    std::{collections::BTreeSet, io, net::SocketAddr, time::Duration},
     tokio::{
         net::{TcpSocket, TcpStream},
         time::sleep,
@@ -44,6 +45,14 @@
         let ids = self.body.lines().filter_map(|line| line.strip_prefix("id: "));
         ids.filter_map(|id| id.parse().ok()).collect()
     }
+
+    /// Software versions of the servers whose events a stream holds.
+    pub fn versions(&self) -> BTreeSet<&str> {
+        let data = self.body.lines().filter_map(|line| line.strip_prefix("data: "));
+        let words = data.filter_map(|line| Some(line.rsplit_once('-')?.0));
+        let version = |word| if word == FIRST_VERSION_WORD { FIRST_VERSION } else { word };
+        words.map(version).collect()
+    }
 }
 
 /// The lines of a request's head by which its caller sets `terms`.
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -21,7 +21,7 @@
     },
     glade_limit::StatedLimit,
     glade_relay::{AnswerMetadata, Dialect},
-    glade_types::{BackendId, DataCentre, ModelName, ServiceName},
+    glade_types::{BackendId, DataCentre, ModelName, ServiceName, SoftwareVersion},
     http_body_util::BodyExt,
     hyper::{
         HeaderMap, Request, Response, StatusCode,
@@ -63,6 +63,10 @@
 /// Tokens of an event.
 const TOKENS_PER_EVENT: u64 = 5;
 
+/// Software version that servers have unless a test says otherwise, and what it writes.
+pub const FIRST_VERSION: &str = "v1";
+pub(crate) const FIRST_VERSION_WORD: &str = "token";
+
 /// What a server is.
 #[derive(Clone, Debug)]
 pub struct ServerSpec {
@@ -70,6 +74,8 @@
     pub id: String,
     /// Its service.
     pub service: String,
+    /// Version of its software.
+    pub version: String,
     /// Base models that it holds at its start; none for a plain server.
     pub models: Vec<String>,
     /// Whether it runs models.
@@ -83,6 +89,8 @@
 #[derive(Debug)]
 struct State {
     record: ServerRecord,
+    /// Version that it runs from its next start on.
+    next_version: SoftwareVersion,
     bases: BTreeMap<ModelName, Vec<ModelName>>,
     loading: bool,
     orders_accepted: u64,
@@ -151,6 +159,7 @@
             service: ServiceName::new(&spec.service),
             addr,
             data_centre: DataCentre::new("dc-1"),
+            version: SoftwareVersion::new(&spec.version),
             slots: 16,
             state: ServerState::Ready,
             warm_up_remaining: Duration::ZERO,
@@ -159,6 +168,7 @@
             on_disk: Vec::new(),
         };
         let state = State {
+            next_version: record.version.clone(),
             record,
             bases,
             loading: false,
@@ -270,10 +280,21 @@
         self.shared.lock().rejections
     }
 
+    /// Has it run another version of its software from its next start on.
+    pub fn set_version(&self, version: &str) {
+        self.shared.lock().next_version = SoftwareVersion::new(version);
+    }
+
+    /// Version of its software.
+    pub fn version(&self) -> String {
+        self.shared.lock().record.version.to_string()
+    }
+
     /// Begins another life under the same name and at the same address, with nothing of before.
     pub fn begin_anew(&self) {
         {
             let mut state = self.shared.lock();
+            state.record.version = state.next_version.clone();
             state.record.key.start_time_ms += 1;
             state.record.state = ServerState::Ready;
             state.says_leaving = false;
@@ -371,6 +392,7 @@
                 return;
             }
             state.record.key.start_time_ms += 1;
+            state.record.version = state.next_version.clone();
             state.is_down = false;
             state.orders_accepted = 0;
             state.fence = 0;
@@ -598,6 +620,8 @@
     let work = shared.log.begin(Run {
         request_id: id.clone(),
         server: shared.spec.id.clone(),
+        version: shared.lock().record.version.to_string(),
+        resumes: terms.resumes.as_ref().map(ToString::to_string),
         resumed_after: terms.last_event_id,
         reserved: reserved.is_some(),
         fault,
@@ -712,6 +736,7 @@
         let _ = sender.send(Ok(Bytes::from_static(text.as_bytes()))).await;
         return false;
     }
+    let version = shared.lock().record.version.clone();
     let last = shared.spec.events.max(u64::from(terms.output_tokens_max) / TOKENS_PER_EVENT);
     for (sent, id) in (first..=last).enumerate() {
         if breaks_after(fault) == Some(sent as u64) {
@@ -726,8 +751,8 @@
             return false;
         }
         sleep(shared.spec.pause).await;
-        let event = Bytes::from(format!("id: {id}\ndata: token-{id}\n\n"));
-        if sender.send(Ok(event)).await.is_err() {
+        let event = event_text(id, version.as_str());
+        if sender.send(Ok(Bytes::from(event))).await.is_err() {
             return false;
         }
     }
@@ -738,6 +763,13 @@
     true
 }
 
+/// The event `id` of a stream of a server that runs `version` of its software. Each version writes
+/// other words.
+pub fn event_text(id: u64, version: &str) -> String {
+    let word = if version == FIRST_VERSION { FIRST_VERSION_WORD } else { version };
+    format!("id: {id}\ndata: {word}-{id}\n\n")
+}
+
 /// Breaks the connection once the events before have left.
 async fn break_off(shared: &Shared, sender: &Sender<io::Result<Bytes>>) {
     sleep(shared.spec.pause).await;
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -24,7 +24,7 @@
     cut_head::{CutHead, CutHeadServer},
     earlier_answer::{EarlierAnswer, RepeatedAt},
     endless::{EndlessPart, EndlessServer, Pace, marks},
-    engine::{ServerSpec, SiteServer},
+    engine::{FIRST_VERSION, ServerSpec, SiteServer, event_text},
     engine_fault::EngineFault,
     kept_connection::{KeptConnection, KeptOutcome},
     odd_rows::{ODD_KEYS, leaving_entry, odd_entries, sound_entry},
--- a/crates/standins/src/site/odd_rows.rs
+++ b/crates/standins/src/site/odd_rows.rs
@@ -3,7 +3,7 @@
 use {
     glade_adapter::{odd_entries, registry},
     glade_catalog::{Residence, ServerKey, ServerRecord, ServerState},
-    glade_types::{BackendId, DataCentre, ModelName, ServiceName},
+    glade_types::{BackendId, DataCentre, ModelName, ServiceName, SoftwareVersion},
     std::time::Duration,
 };
 
@@ -39,6 +39,7 @@
         service: ServiceName::new(service),
         addr: ([127, 0, 0, 1], 1).into(),
         data_centre: DataCentre::new("dc-1"),
+        version: SoftwareVersion::new("v1"),
         slots: 4,
         state: ServerState::Ready,
         warm_up_remaining: Duration::ZERO,
--- a/crates/standins/src/site/run_log.rs
+++ b/crates/standins/src/site/run_log.rs
@@ -22,6 +22,10 @@
     pub request_id: String,
     /// The server.
     pub server: String,
+    /// Version of the server's software.
+    pub version: String,
+    /// The caller's request that it said to have begun the stream.
+    pub resumes: Option<String>,
     /// Last event that the caller of the run had already.
     pub resumed_after: Option<u64>,
     /// Whether its engine kept a place for it.
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -10,9 +10,9 @@
         Route, Service, WeightedService,
     },
     glade_standins::site::{
-        Caller, CutHead, CutHeadServer, EndlessPart, EndlessServer, EngineFault, Pace, RawAnswer,
-        RawServer, Reply, RunLog, ServerSpec, SiteServer, SiteStore, StoreFault, UnframedEnd,
-        UnframedServer,
+        Caller, CutHead, CutHeadServer, EndlessPart, EndlessServer, EngineFault, FIRST_VERSION,
+        Pace, RawAnswer, RawServer, Reply, RunLog, ServerSpec, SiteServer, SiteStore, StoreFault,
+        UnframedEnd, UnframedServer,
     },
     glade_types::{ModelName, RequestId, RouteName, ServiceName},
     rustix::process::{Pid, Signal, kill_process},
@@ -487,7 +487,14 @@
 
     /// Starts another model engine.
     pub fn add_engine(&mut self, models: &[&str]) {
-        let spec = server_spec(&format!("engine-{}", self.engines.len()), "pool", Some(models));
+        self.add_engine_of(FIRST_VERSION, models);
+    }
+
+    /// Starts another model engine that runs this version of the engines' software.
+    pub fn add_engine_of(&mut self, version: &str, models: &[&str]) {
+        let name = format!("engine-{}", self.engines.len());
+        let spec =
+            ServerSpec { version: version.to_owned(), ..server_spec(&name, "pool", Some(models)) };
         let server = self.runtime.block_on(SiteServer::spawn(spec, &self.store, &self.log));
         self.engines.push(server);
     }
@@ -599,6 +606,7 @@
 
 fn server_spec(id: &str, service: &str, models: Option<&[&str]>) -> ServerSpec {
     ServerSpec {
+        version: FIRST_VERSION.to_owned(),
         id: id.to_owned(),
         service: service.to_owned(),
         models: models.unwrap_or_default().iter().map(|name| (*name).to_owned()).collect(),
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -72,6 +72,10 @@
     /// Name of a group of engines that are managed by one lease holder.
     GroupId
 }
+name_type! {
+    /// Version of a backend server's software.
+    SoftwareVersion
+}
 name_type! {
     /// Identifier of one request, propagated end to end.
     RequestId
@@ -94,6 +98,13 @@
     }
 }
 
+impl Default for SoftwareVersion {
+    /// An unknown version.
+    fn default() -> Self {
+        Self::new("")
+    }
+}
+
 /// Number of one run of a process, from start to exit. A later run of the same process has a higher
 /// number.
 #[derive(
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,7 +13,7 @@
     call_outcome::CallOutcome,
     ids::{
         BackendId, DataCentre, GroupId, IdempotencyKey, Incarnation, ModelName, RequestId,
-        RouteName, ServiceName, TeamName, VmId, is_valid_name,
+        RouteName, ServiceName, SoftwareVersion, TeamName, VmId, is_valid_name,
     },
     limits::{Bytes, MAX_NAME_LEN},
     priority::Priority,
