--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -309,6 +309,11 @@
         self.shared.register();
     }
 
+    /// Removes its entry.
+    pub fn unregister(&self) {
+        self.shared.store.delete(&format!("{}/{}", registry::TABLE, self.shared.spec.id));
+    }
+
     /// Models and adapters that it holds.
     pub fn holds(&self) -> Vec<String> {
         let state = self.shared.lock();
