A node continues a stream at the software version that began it

Cause: nothing read the version of a server's software. The choice of servers knew a service and a model.

Change: once the first event of a stream has come, its request requires the version of that server. The choice of servers, hedges, moves from silent servers, permits, waits and the choice of a coordinator keep to it (a coordinator is told to leave out the others). A stream whose version has no server with its base model left is refused at once (version_unavailable).

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -103,7 +103,7 @@
         let priority = self.priority(now, request);
         for idx in candidates {
             let server = &self.servers[idx.get()];
-            if server.view.record.service != request.service
+            if !request.may_run_at(&server.view.record)
                 || !server.is_usable()
                 || (server.health.is_ejected(now) && !include_ejected)
                 || tried.contains(&idx)
@@ -193,6 +193,10 @@
         if has_limited_server {
             return refuse(Refusal::Limited, RETRY_AFTER_DEFAULT);
         }
+        // Models aren't placed by the software versions of engines. An adapter is.
+        if request.software_version.is_some() && !base_is_resident {
+            return refuse(Refusal::VersionUnavailable, RETRY_AFTER_DEFAULT);
+        }
         if !has_known_server {
             return refuse(Refusal::NoServer, RETRY_AFTER_DEFAULT);
         }
@@ -204,8 +208,10 @@
     /// model.
     fn candidates(&self, request: &RequestSpec, tried: &[ServerIdx]) -> (Vec<ServerIdx>, bool) {
         let holders = request.model.as_ref().and_then(|model| self.holders.get(model));
-        let is_untried =
-            |idx: &ServerIdx| !tried.contains(idx) && self.servers[idx.get()].is_usable();
+        let is_untried = |idx: &ServerIdx| {
+            let server = &self.servers[idx.get()];
+            !tried.contains(idx) && server.is_usable() && request.may_run_at(&server.view.record)
+        };
         match holders {
             Some(holders) if holders.iter().any(is_untried) => (holders.clone(), true),
             _ => (self.indices().collect(), false),
@@ -384,7 +390,7 @@
         let model = request.model.as_ref()?;
         let priority = self.priority(now, request);
         let can_serve = |(idx, server): &(ServerIdx, &Server)| {
-            server.view.record.service == request.service
+            request.may_run_at(&server.view.record)
                 && server.is_available_and_healthy(now)
                 && server.view.resident_models.contains(model)
                 && !tried.contains(idx)
--- a/crates/dispatch/src/coordinator.rs
+++ b/crates/dispatch/src/coordinator.rs
@@ -327,6 +327,8 @@
             model_load_min,
             first_byte_deadline: now + ms(request.max_wait_ms),
             seed,
+            // The node excludes the servers of other versions.
+            software_version: None,
         })
     }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -476,6 +476,23 @@
         own_load.held_tokens -= in_flight.load.held_tokens;
     }
 
+    /// Tags of the servers of the service of `request` whose software version mustn't run it.
+    pub fn unfit_servers(&self, request: &RequestSpec) -> Vec<u32> {
+        if request.software_version.is_none() {
+            return Vec::new();
+        }
+        let records = self.servers.iter().filter(|server| server.view.usable);
+        let records = records.map(|server| &server.view.record);
+        let of_service = records.filter(|record| record.service == request.service);
+        let unfit = of_service.filter(|record| !request.may_run_at(record));
+        unfit.map(|record| record.key.short_hash()).collect()
+    }
+
+    /// True if the server at `idx` may run `request`, by its service and software version.
+    pub fn is_fit(&self, request: &RequestSpec, idx: ServerIdx) -> bool {
+        request.may_run_at(self.record(idx))
+    }
+
     /// Returns the registry record of the server at `idx`.
     pub fn record(&self, idx: ServerIdx) -> &Arc<ServerRecord> {
         &self.servers[idx.get()].view.record
--- a/crates/dispatch/src/hedging.rs
+++ b/crates/dispatch/src/hedging.rs
@@ -215,7 +215,7 @@
     fn hedge_servers(&self, request: &RequestSpec) -> impl Iterator<Item = ServerIdx> {
         self.indices().filter(|idx| {
             let server = &self.servers[idx.get()];
-            server.view.record.service == request.service
+            request.may_run_at(&server.view.record)
                 && server.is_usable()
                 && request
                     .model
--- a/crates/dispatch/src/limits.rs
+++ b/crates/dispatch/src/limits.rs
@@ -78,7 +78,7 @@
     ) -> impl Iterator<Item = ServerIdx> {
         let can_take = move |(idx, server): &(ServerIdx, &Server)| {
             server.limit.get().is_some()
-                && server.view.record.service == request.service
+                && request.may_run_at(&server.view.record)
                 && server.is_available_and_healthy(now)
                 && request
                     .model
@@ -118,7 +118,7 @@
         }
         let is_unlimited = |(server, at): (&Server, u32)| {
             server.limit.get().is_none()
-                && server.view.record.service == request.service
+                && request.may_run_at(&server.view.record)
                 && server.is_usable()
                 && request
                     .model
--- a/crates/dispatch/src/many_vms.rs
+++ b/crates/dispatch/src/many_vms.rs
@@ -128,7 +128,7 @@
             let Some(model) = &request.model else { continue };
             let can_take = |(position, server): &(usize, &Server)| {
                 server.view.usable
-                    && server.view.record.service == request.service
+                    && request.may_run_at(&server.view.record)
                     && server.view.resident_models.contains(model)
                     && !tried.contains(&ServerIdx(*position as u32))
             };
--- a/crates/dispatch/src/request_spec.rs
+++ b/crates/dispatch/src/request_spec.rs
@@ -1,6 +1,7 @@
 //! The properties of a request that dispatch decisions depend on.
 
 use {
+    glade_catalog::ServerRecord,
     glade_types::{ModelName, ServiceName},
     std::time::{Duration, Instant},
 };
@@ -40,9 +41,19 @@
     pub first_byte_deadline: Instant,
     /// Random number drawn for the request, which selects among equally good servers.
     pub seed: u32,
+    /// Hash of the software version that began the stream which the request continues; `None` if any
+    /// version may run the request.
+    pub software_version: Option<u32>,
 }
 
 impl RequestSpec {
+    /// True if the server of `record` belongs to the request's service, and runs the software version
+    /// that the request requires.
+    pub(crate) fn may_run_at(&self, record: &ServerRecord) -> bool {
+        record.service == self.service
+            && self.software_version.is_none_or(|hash| record.version_hash() == hash)
+    }
+
     /// True if the answer is a stream. Routes without streams have no pause limit.
     pub(crate) fn is_stream(&self) -> bool {
         self.pause_limit.is_some()
--- a/crates/dispatch/src/slot_wait.rs
+++ b/crates/dispatch/src/slot_wait.rs
@@ -72,7 +72,7 @@
             if self.queues.has_waiting(*idx) {
                 return false;
             }
-            if server.is_available_and_healthy(now) {
+            if server.is_available_and_healthy(now) && request.may_run_at(&server.view.record) {
                 taken += server.load(now).in_flight;
                 slots += server.view.record.slots;
             }
--- a/crates/dispatch/src/verdict.rs
+++ b/crates/dispatch/src/verdict.rs
@@ -25,6 +25,12 @@
     /// The configuration no longer has the key that the request carries. Only the node of the caller
     /// refuses with it.
     KeyRevoked,
+    /// No usable server of the software version that began the stream holds the model. Only the node of
+    /// the caller refuses with it.
+    VersionUnavailable,
+    /// It isn't known which software version began the stream. Only the node of the caller refuses with
+    /// it.
+    VersionUnknown,
 }
 
 impl Refusal {
@@ -38,6 +44,8 @@
             Self::Quarantined => "quarantined",
             Self::Limited => "limited",
             Self::KeyRevoked => "key_revoked",
+            Self::VersionUnavailable => "version_unavailable",
+            Self::VersionUnknown => "version_unknown",
         }
     }
 }
@@ -52,6 +60,8 @@
             Self::Quarantined => "the prompt holds parts that crash engines",
             Self::Limited => "the limits that servers name are used up",
             Self::KeyRevoked => "the key is no longer valid",
+            Self::VersionUnavailable => "no server can continue the stream of its software version",
+            Self::VersionUnknown => "the software version that began the stream isn't known",
         })
     }
 }
--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -332,6 +332,10 @@
         "limited" => "the limits that its servers name were used up",
         "over_quota" => "its team had used up its quota, see quota_refused_total",
         "no_server" => "no server of the service was usable",
+        "version_unavailable" => {
+            "no server of the software version that began its stream holds the model"
+        }
+        "version_unknown" => "it isn't known which software version began its stream",
         "refused" => "every server that was tried refused it",
         "timed_out" => "its time was over",
         "no_answer" => "it may have run, and no answer can be had",
--- a/crates/explain/tests/causes.rs
+++ b/crates/explain/tests/causes.rs
@@ -74,6 +74,16 @@
     }
 }
 
+#[test]
+fn a_stream_that_is_refused_for_its_software_version_is_told_so() {
+    let text = r#"{"t_ms":1,"vm":"vm-1","event":"request_given_up","id":"r1","status":503,"cause":"version_unknown","attempts":0}"#;
+    assert_eq!(
+        cause(text),
+        "given up with 503 after 0 attempts: it isn't known which software version began its \
+         stream (version_unknown)"
+    );
+}
+
 #[test]
 fn a_stream_cut_after_a_hand_over_names_the_server_that_was_left() {
     let text = format!(
--- a/crates/relay/src/admitted_request.rs
+++ b/crates/relay/src/admitted_request.rs
@@ -162,6 +162,11 @@
         self.error_answer.borrow_mut().take_if(|answer| is_fit(answer))
     }
 
+    /// Has the rest of the request run only at servers whose software version has this hash.
+    pub(crate) fn require_version(&mut self, software_version: u32) {
+        self.open_request.spec.software_version = Some(software_version);
+    }
+
     /// Restarts the wait for a first byte, because the time until now was lost at servers that won't answer.
     pub(crate) fn restart_wait(&mut self, now: Instant) {
         self.open_request.spec.arrived_at = now;
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -136,6 +136,8 @@
         mut admitted: AdmittedRequest,
         caller: Sender<Result<Bytes, AnswerAborted>>,
     ) {
+        let version = relay.dispatcher.borrow().record(self.server()).version_hash();
+        admitted.require_version(version);
         loop {
             let end = self.forward(&relay, &admitted, &caller).await;
             let pauses = self.pauses();
--- a/crates/relay/src/start_client.rs
+++ b/crates/relay/src/start_client.rs
@@ -228,9 +228,10 @@
     fn send_start_request(&self, admitted: &AdmittedRequest, ticket: u32) {
         let dispatcher = self.dispatcher.borrow();
         let tag = |server: &ServerIdx| dispatcher.record(*server).key.short_hash();
-        let tried = admitted.failed_attempts().tried.iter().map(tag).collect();
-        let request =
-            StartRequest::new(self.clock.now(), ticket, &admitted.open_request.spec, tried);
+        let spec = &admitted.open_request.spec;
+        let mut tried: Vec<u32> = admitted.failed_attempts().tried.iter().map(tag).collect();
+        tried.extend(dispatcher.unfit_servers(spec));
+        let request = StartRequest::new(self.clock.now(), ticket, spec, tried);
         (self.on_update)(TrafficUpdate::StartWanted(request));
     }
 
@@ -244,12 +245,13 @@
         None
     }
 
-    /// The server with `tag`, unless this VM may not send to it or an attempt at it has failed
-    /// already.
+    /// The server with `tag`, unless this VM may not send the request to it or an attempt at it has
+    /// failed already.
     fn acceptable_server(&self, admitted: &AdmittedRequest, tag: u32) -> Option<ServerIdx> {
         let dispatcher = self.dispatcher.borrow();
         let server = dispatcher.server_by_tag(tag)?;
         let is_acceptable = dispatcher.may_send_to(self.clock.now(), server)
+            && dispatcher.is_fit(&admitted.open_request.spec, server)
             && !admitted.failed_attempts().tried.contains(&server);
         is_acceptable.then_some(server)
     }
