A stream that a caller takes up goes on at the version that began it

Cause: a node knew of the streams of other nodes nothing, and of its own only while it served them. Resumes wasn't read.

A request for the rest of a stream waits until its node has found the version, in its own records or by asking others, and runs there alone. A stream of unknown version is refused at once with 503 and without Retry-After, unless its service has had one version only.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -350,6 +350,7 @@
 fn stage_in_words(name: &str) -> String {
     let words = match name {
         "reading" => "its body was still being read",
+        "looking_up_version" => "other VMs were asked which software version began its stream",
         "waiting_for_model" => "it waited for its model, which no server held",
         "waiting_for_room" => "it waited for room on a server",
         "at_server" => "a server worked on it",
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -9,6 +9,7 @@
 mod quota_handlers;
 mod role_handlers;
 mod store_handlers;
+mod stream_handlers;
 mod traffic_handlers;
 
 use {
@@ -43,6 +44,7 @@
         start_exchange::StartExchange,
         store_access::StoreAccess,
         store_health::StoreHealth,
+        stream_exchange::StreamExchange,
         table_watcher::{LONG_POLL_WAIT, TableWatcher, WatchPosition},
     },
     glade_adapter::{config, platform_store::PlatformStore, registry},
@@ -133,6 +135,7 @@
     quarantine_store: QuarantineStore,
     limits: LimitExchange,
     quotas: QuotaExchange,
+    streams: StreamExchange,
     demand: DemandAggregator,
     endpoints: EndpointExchange,
     is_shutting_down: bool,
@@ -229,6 +232,7 @@
             quarantine_store: QuarantineStore::default(),
             limits: LimitExchange::new(now),
             quotas: QuotaExchange::default(),
+            streams: StreamExchange::new(now),
             network,
             leadership,
             catalog: None,
@@ -303,7 +307,13 @@
 
     /// When the control thread next has work to do if no event arrives before.
     fn next_wake_at(&self) -> Instant {
-        let due = [self.prompts.due(), self.network.due(), self.starts.due(), self.quotas.due()];
+        let due = [
+            self.prompts.due(),
+            self.network.due(),
+            self.starts.due(),
+            self.quotas.due(),
+            self.streams.due(),
+        ];
         due.into_iter().flatten().fold(self.next_tick_at, Instant::min)
     }
 
@@ -311,7 +321,7 @@
     /// tick.
     fn handle_event(&mut self, now: Instant, event: Event) {
         let can_wait =
-            event.has_only_prompts() || !self.network.mesh.is_full_mesh && event.is_routine();
+            event.has_only_records() || !self.network.mesh.is_full_mesh && event.is_routine();
         self.apply_event(now, event);
         if !can_wait {
             self.act_on_state(now);
@@ -332,6 +342,9 @@
         if self.quotas.due().is_some_and(|due| due <= now) {
             self.issue_quotas(now);
         }
+        if self.streams.due().is_some_and(|due| due <= now) {
+            self.act_on_streams(now);
+        }
     }
 
     /// Period of the periodic work. Leaves decide nothing for other nodes, so theirs may be longer.
@@ -470,6 +483,12 @@
             Event::TrafficUpdate(TrafficUpdate::QuotaWanted(asks)) => {
                 self.on_quota_wanted(now, asks);
             }
+            Event::TrafficUpdate(TrafficUpdate::StreamBegun { stream, version }) => {
+                self.streams.on_begun(now, stream, version);
+            }
+            Event::TrafficUpdate(TrafficUpdate::OriginWanted(number, question)) => {
+                self.on_origin_wanted(now, number, question);
+            }
             Event::TrafficUpdate(TrafficUpdate::TrialWanted(key)) => {
                 self.on_trial_wanted(now, key);
             }
@@ -518,6 +537,7 @@
         self.network.update_known_nodes(now);
         self.tick_limits(now);
         self.tick_quotas(now);
+        self.tick_streams(now);
         if self.network.mesh.is_core && self.catalog_announcer.take_due(now) {
             self.send_heartbeats(now, HeartbeatReceivers::Before(self.catalog_version()));
         }
@@ -533,6 +553,7 @@
             self.send_heartbeats(now, HeartbeatReceivers::All);
             self.repeat_store_reports(now);
             self.network.peers.sweep(now);
+            self.update_server_versions(now);
             self.update_read_role(now);
             self.endpoints.send_due(now, self.own_endpoint(), &mut self.network);
             self.view_is_outdated |=
--- a/crates/node/src/control/peer_handlers.rs
+++ b/crates/node/src/control/peer_handlers.rs
@@ -114,6 +114,18 @@
                     self.network.forward(now, &from.vm, &PeerMessage::ServerLeaving(key));
                 }
             }
+            PeerMessage::StreamRecords(groups) => {
+                self.streams.on_records(now, from, &groups, &mut self.network);
+                self.act_on_streams(now);
+            }
+            PeerMessage::StreamQuestions(questions) => {
+                self.streams.on_questions(now, from, questions, &mut self.network);
+                self.act_on_streams(now);
+            }
+            PeerMessage::StreamAnswers(answers) => {
+                self.streams.on_answers(now, from, answers, &mut self.network);
+                self.act_on_streams(now);
+            }
             PeerMessage::AttemptsLost(attempts) => {
                 self.quarantine.on_peer_attempts(now, from, attempts, &self.network);
             }
--- a/crates/node/src/control/store_handlers.rs
+++ b/crates/node/src/control/store_handlers.rs
@@ -195,6 +195,7 @@
 
     pub(super) fn on_records_changed(&mut self, now: Instant) {
         self.leadership.on_records(now, self.catalog.as_deref(), &self.registry);
+        self.update_server_versions(now);
         self.view_is_outdated = true;
     }
 
--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -9,6 +9,7 @@
 mod restarts;
 mod roles;
 mod sim_store;
+mod streams;
 mod teams;
 mod versions;
 
--- a/crates/node/src/control/tests/deployment.rs
+++ b/crates/node/src/control/tests/deployment.rs
@@ -19,6 +19,7 @@
     glade_dispatch::ClusterView,
     glade_limit::{PermitGrant, QuotaGrant},
     glade_settings::{NodeListen, NodeSettings, NodeTiming, RetryLimits, VmLimits},
+    glade_streams::StreamOrigin,
     glade_types::Incarnation,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -207,6 +208,12 @@
         std::iter::from_fn(|| node.updates.quota_grants.try_recv().ok()).flatten().collect()
     }
 
+    /// Takes the answers to a running node's questions about streams.
+    pub(super) fn take_origins(&mut self, position: usize) -> Vec<(u32, StreamOrigin)> {
+        let Some(node) = &mut self.nodes[position] else { return Vec::new() };
+        std::iter::from_fn(|| node.updates.origins.try_recv().ok()).flatten().collect()
+    }
+
     /// Has a running node take over a configuration.
     pub(super) fn apply_catalog(&mut self, position: usize, catalog: Catalog) {
         let now = self.clock.now();
--- a/crates/node/src/control_metrics.rs
+++ b/crates/node/src/control_metrics.rs
@@ -12,7 +12,7 @@
 };
 
 /// Kinds of messages, indexed by [`crate::peer_message::PeerMessage::kind`].
-pub(crate) const MESSAGE_KINDS: [&str; 33] = [
+pub(crate) const MESSAGE_KINDS: [&str; 36] = [
     "beat",
     "loads",
     "prompts",
@@ -46,6 +46,9 @@
     "team_start_wanted",
     "later_catalog_wanted",
     "server_versions",
+    "stream_records",
+    "stream_questions",
+    "stream_answers",
 ];
 
 /// Number of messages of one kind, and their bytes.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -69,13 +69,14 @@
 }
 
 impl Event {
-    /// True if the event consists only of sent prompts, on which no decision depends.
-    pub(crate) fn has_only_prompts(&self) -> bool {
+    /// True if the event consists only of sent prompts and of records of streams, on which no decision
+    /// depends.
+    pub(crate) fn has_only_records(&self) -> bool {
         match self {
-            Self::PromptsSent(_) => true,
-            Self::PeerBatch(batch) => {
-                batch.messages.iter().all(|message| matches!(message, PeerMessage::Prompts(_)))
-            }
+            Self::PromptsSent(_) | Self::TrafficUpdate(TrafficUpdate::StreamBegun { .. }) => true,
+            Self::PeerBatch(batch) => batch.messages.iter().all(|message| {
+                matches!(message, PeerMessage::Prompts(_) | PeerMessage::StreamRecords(_))
+            }),
             _ => false,
         }
     }
@@ -89,7 +90,9 @@
                 | TrafficUpdate::AttemptLost(_)
                 | TrafficUpdate::PartsServed(_)
                 | TrafficUpdate::PermitsWanted(_)
-                | TrafficUpdate::QuotaWanted(_),
+                | TrafficUpdate::QuotaWanted(_)
+                | TrafficUpdate::StreamBegun { .. }
+                | TrafficUpdate::OriginWanted(..),
             ) => true,
             Self::PeerBatch(batch) => batch.is_routine(),
             _ => false,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -52,6 +52,7 @@
 mod status_page;
 mod store_access;
 mod store_health;
+mod stream_exchange;
 mod table_watcher;
 
 pub use crate::{
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -25,6 +25,7 @@
     glade_process::{EndSignals, keep_running},
     glade_relay::{Relay, RelayDependencies, RelayHandle, TrafficUpdate},
     glade_settings::{NodeSettings, NodeTiming},
+    glade_streams::StreamOrigin,
     glade_types::Incarnation,
     http_body_util::Full,
     hyper::{
@@ -246,8 +247,14 @@
 }
 
 fn spawn_receivers(relay: &RelayHandle<PlatformDialect>, updates: PeerUpdates) {
-    let PeerUpdates { mut prompts, mut start_replies, mut trials, mut permits, mut quota_grants } =
-        updates;
+    let PeerUpdates {
+        mut prompts,
+        mut start_replies,
+        mut trials,
+        mut permits,
+        mut quota_grants,
+        mut origins,
+    } = updates;
     let to = relay.clone();
     spawn_local(keep_running("receive_prompts", async move || {
         receive_prompts(&mut prompts, &to).await;
@@ -265,6 +272,10 @@
         receive_permits(&mut permits, &to).await;
     }));
     let to = relay.clone();
+    spawn_local(keep_running("receive_origins", async move || {
+        receive_origins(&mut origins, &to).await;
+    }));
+    let to = relay.clone();
     spawn_local(keep_running("receive_quota_grants", async move || {
         receive_quota_grants(&mut quota_grants, &to).await;
     }));
@@ -410,6 +421,16 @@
     }
 }
 
+/// Passes to traffic which software versions began streams.
+async fn receive_origins(
+    receiver: &mut Receiver<Vec<(u32, StreamOrigin)>>,
+    relay: &RelayHandle<PlatformDialect>,
+) {
+    while let Some(origins) = receiver.recv().await {
+        relay.on_origins(&origins);
+    }
+}
+
 /// Passes replies of coordinators to traffic.
 async fn receive_start_replies(
     receiver: &mut Receiver<(SocketAddr, Vec<StartReply>)>,
--- a/crates/node/src/peer_message.rs
+++ b/crates/node/src/peer_message.rs
@@ -17,6 +17,7 @@
     glade_platform::Revision,
     glade_quarantine::{EntryUpdate, LostAttempt},
     glade_residency::EngineDigest,
+    glade_streams::{StreamAnswer, StreamQuestion, VersionStreams},
     glade_types::{DataCentre, Incarnation, ModelName, VmId, stable_hash},
     glade_wire::{WireError, frame},
     serde::{Deserialize, Serialize},
@@ -210,6 +211,12 @@
     LaterCatalogWanted(u64),
     /// Software versions of servers, which nodes of earlier versions don't know as a part of `Registry`.
     ServerVersions(Vec<ServerVersion>),
+    /// Streams that have begun, or go on, at the sender or at its leaves.
+    StreamRecords(Vec<VersionStreams>),
+    /// Asks which software versions began streams.
+    StreamQuestions(Vec<StreamQuestion>),
+    /// Replies to the receiver's questions.
+    StreamAnswers(Vec<StreamAnswer>),
 }
 
 impl PeerMessage {
@@ -262,6 +269,9 @@
                 | Self::QuotaGrants(_)
                 | Self::TeamStartRequests(_)
                 | Self::LaterCatalogWanted(_)
+                | Self::StreamRecords(_)
+                | Self::StreamQuestions(_)
+                | Self::StreamAnswers(_)
         )
     }
 
@@ -301,6 +311,9 @@
             Self::TeamStartRequests(_) => 30,
             Self::LaterCatalogWanted(_) => 31,
             Self::ServerVersions(_) => 32,
+            Self::StreamRecords(_) => 33,
+            Self::StreamQuestions(_) => 34,
+            Self::StreamAnswers(_) => 35,
         }
     }
 
@@ -319,6 +332,9 @@
                 | Self::TeamStartRequests(_)
                 | Self::LaterCatalogWanted(_)
                 | Self::ServerVersions(_)
+                | Self::StreamRecords(_)
+                | Self::StreamQuestions(_)
+                | Self::StreamAnswers(_)
         )
     }
 }
--- a/crates/node/src/peer_network.rs
+++ b/crates/node/src/peer_network.rs
@@ -207,6 +207,12 @@
         self.mesh.cores.iter().filter_map(|vm| self.peers.addr(vm)).collect()
     }
 
+    /// Addresses of the live cores but this node.
+    pub(crate) fn live_core_addrs(&self, now: Instant) -> Vec<SocketAddr> {
+        let live = self.mesh.cores.iter().filter(|vm| self.peers.is_live(now, vm));
+        live.filter_map(|vm| self.peers.addr(vm)).collect()
+    }
+
     /// Addresses of the other nodes of this data centre that aren't cores.
     pub(crate) fn local_leaf_addrs(&self) -> Vec<SocketAddr> {
         let local = self.peers.infos().filter(|info| info.data_centre == self.me.data_centre);
--- a/crates/node/src/published_state.rs
+++ b/crates/node/src/published_state.rs
@@ -4,6 +4,7 @@
     arc_swap::ArcSwap,
     glade_dispatch::{ClusterView, PromptSent, StartReply},
     glade_limit::{PermitGrant, QuotaGrant},
+    glade_streams::StreamOrigin,
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc},
     tokio::sync::{
@@ -24,6 +25,9 @@
 /// Capacity of the channel for replies of the issuers of quotas.
 const QUOTA_GRANTS_CAPACITY: usize = 256;
 
+/// Capacity of the channel for answers to questions about streams.
+const ORIGINS_CAPACITY: usize = 256;
+
 /// Capacity of the channel for permitted trials, of which there are few.
 const TRIALS_CAPACITY: usize = 16;
 
@@ -53,6 +57,8 @@
     pub(crate) permits: Receiver<Vec<PermitGrant>>,
     /// Replies of the issuers of quotas.
     pub(crate) quota_grants: Receiver<Vec<QuotaGrant>>,
+    /// Which software versions began streams, by the numbers of the requests that asked.
+    pub(crate) origins: Receiver<Vec<(u32, StreamOrigin)>>,
 }
 
 /// State and channels by which the control thread publishes to the traffic thread.
@@ -70,6 +76,8 @@
     pub(crate) permits: Sender<Vec<PermitGrant>>,
     /// Replies of the issuers of quotas.
     pub(crate) quota_grants: Sender<Vec<QuotaGrant>>,
+    /// Which software versions began streams, by the numbers of the requests that asked.
+    pub(crate) origins: Sender<Vec<(u32, StreamOrigin)>>,
     /// Notified after each change of the view.
     pub(crate) view_changed: Arc<Notify>,
 }
@@ -82,12 +90,14 @@
         let (trials, trials_receiver) = channel(TRIALS_CAPACITY);
         let (permits, permits_receiver) = channel(PERMITS_CAPACITY);
         let (quota_grants, quota_grants_receiver) = channel(QUOTA_GRANTS_CAPACITY);
+        let (origins, origins_receiver) = channel(ORIGINS_CAPACITY);
         let receivers = PeerUpdates {
             prompts: prompts_receiver,
             start_replies: start_replies_receiver,
             trials: trials_receiver,
             permits: permits_receiver,
             quota_grants: quota_grants_receiver,
+            origins: origins_receiver,
         };
         let published = Self {
             view: Arc::new(ArcSwap::from_pointee(ClusterView::default())),
@@ -97,6 +107,7 @@
             trials,
             permits,
             quota_grants,
+            origins,
             view_changed: Arc::default(),
         };
         (published, receivers)
--- /dev/null
+++ b/crates/node/src/stream_exchange.rs
@@ -0,0 +1,242 @@
+//! Reports to other nodes which software versions begin streams, and asks them about the streams that
+//! callers take up.
+//!
+//! In a full mesh each node has the records of all streams, else each core has. A leaf reports its
+//! streams to its core, which sends them to the other cores, and asks its core.
+
+use {
+    crate::{
+        peer_message::{PeerInfo, PeerMessage},
+        peer_network::PeerNetwork,
+    },
+    glade_streams::{
+        Asker, KnownVersions, LookupAction, NodeState, OriginLookups, StreamAnswer, StreamOrigin,
+        StreamQuestion, StreamRecords, VersionStreams,
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time for which a node collects records before it sends them.
+const COLLECT_TIME: Duration = Duration::from_millis(50);
+/// Period at which lookups are checked for those that have waited for long enough.
+const LOOKUP_PERIOD: Duration = Duration::from_millis(20);
+
+/// Records of streams, and lookups of them.
+#[derive(Debug)]
+pub(crate) struct StreamExchange {
+    records: StreamRecords,
+    versions: KnownVersions,
+    lookups: OriginLookups,
+    /// Records of this node, and of its leaves if it is a core, that weren't sent yet.
+    unsent: Vec<(u64, u32)>,
+    send_at: Option<Instant>,
+    check_at: Option<Instant>,
+    started_at: Instant,
+    core_since: Option<Instant>,
+    /// Answers to this node's requests.
+    origins: Vec<(u32, StreamOrigin)>,
+}
+
+impl StreamExchange {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            records: StreamRecords::new(now),
+            versions: KnownVersions::default(),
+            lookups: OriginLookups::default(),
+            unsent: Vec::new(),
+            send_at: None,
+            check_at: None,
+            started_at: now,
+            core_since: None,
+            origins: Vec::new(),
+        }
+    }
+
+    /// Records the software versions of the known servers, each as its service and version.
+    pub(crate) fn on_servers(&mut self, now: Instant, servers: impl Iterator<Item = (u32, u32)>) {
+        self.versions.update(now, servers);
+    }
+
+    /// Records a stream of this node.
+    pub(crate) fn on_begun(&mut self, now: Instant, stream: u64, version: u32) {
+        self.records.add(now, stream, version);
+        self.unsent.push((stream, version));
+        self.send_at.get_or_insert(now + COLLECT_TIME);
+    }
+
+    /// Adds records that another node has sent.
+    pub(crate) fn on_records(
+        &mut self,
+        now: Instant,
+        from: &PeerInfo,
+        groups: &[VersionStreams],
+        network: &mut PeerNetwork,
+    ) {
+        let is_leaf = network.mesh.leaves.contains(&from.vm);
+        for (stream, version) in VersionStreams::records(groups) {
+            self.records.add(now, stream, version);
+            if is_leaf {
+                self.unsent.push((stream, version));
+                self.send_at.get_or_insert(now + COLLECT_TIME);
+            }
+        }
+        self.advance(now, network);
+    }
+
+    /// When records are to be sent or lookups checked next.
+    pub(crate) fn due(&self) -> Option<Instant> {
+        self.send_at.into_iter().chain(self.check_at).min()
+    }
+
+    /// Does the work that is due.
+    pub(crate) fn run_due(&mut self, now: Instant, network: &mut PeerNetwork) {
+        if self.send_at.take_if(|at| *at <= now).is_some() {
+            let groups = VersionStreams::group(std::mem::take(&mut self.unsent));
+            let message = PeerMessage::StreamRecords(groups);
+            if network.mesh.is_core {
+                network.send_to_cores(now, &message);
+            } else {
+                network.send_upstream_now(now, &message);
+            }
+        }
+        if self.check_at.take_if(|at| *at <= now).is_some() {
+            self.advance(now, network);
+        }
+    }
+
+    /// Follows whether this node is a core.
+    pub(crate) fn on_mesh(&mut self, now: Instant, network: &PeerNetwork) {
+        if !network.mesh.is_core {
+            self.core_since = None;
+        } else if self.core_since.is_none() {
+            self.core_since = Some(now);
+        }
+        self.records.drop_outdated(now);
+    }
+
+    /// Handles a question of one of this node's requests.
+    pub(crate) fn on_own_question(
+        &mut self,
+        now: Instant,
+        number: u32,
+        question: StreamQuestion,
+        network: &mut PeerNetwork,
+    ) {
+        self.ask(now, Asker::Own(number), question, network);
+    }
+
+    /// Handles questions of another node: looks up those of a leaf, and answers those of a core from this
+    /// node's own records.
+    pub(crate) fn on_questions(
+        &mut self,
+        now: Instant,
+        from: &PeerInfo,
+        questions: Vec<StreamQuestion>,
+        network: &mut PeerNetwork,
+    ) {
+        if network.mesh.leaves.contains(&from.vm) {
+            for question in questions {
+                self.ask(now, Asker::Node(from.peer_addr), question, network);
+            }
+            return;
+        }
+        let (upstream, cores) = neighbours(now, network);
+        let node = self.state(upstream, &cores);
+        let answers: Vec<StreamAnswer> = questions
+            .into_iter()
+            .map(|question| OriginLookups::answer_core(question, &node))
+            .collect();
+        network.send(now, from.peer_addr, &PeerMessage::StreamAnswers(answers));
+    }
+
+    /// Handles answers of another node.
+    pub(crate) fn on_answers(
+        &mut self,
+        now: Instant,
+        from: &PeerInfo,
+        answers: Vec<StreamAnswer>,
+        network: &mut PeerNetwork,
+    ) {
+        for answer in answers {
+            if let StreamOrigin::Version(version) = answer.origin {
+                self.records.add(now, answer.question.stream, version);
+            }
+            let (upstream, cores) = neighbours(now, network);
+            let mut lookups = std::mem::take(&mut self.lookups);
+            let node = self.state(upstream, &cores);
+            let actions = lookups.on_answer(now, from.peer_addr, answer, &node);
+            self.lookups = lookups;
+            self.carry_out(now, actions, network);
+        }
+    }
+
+    /// Takes the answers to this node's requests, each with the number of its request.
+    pub(crate) fn take_origins(&mut self) -> Vec<(u32, StreamOrigin)> {
+        std::mem::take(&mut self.origins)
+    }
+
+    fn state<'a>(&'a self, upstream: Option<SocketAddr>, cores: &'a [SocketAddr]) -> NodeState<'a> {
+        NodeState {
+            records: &self.records,
+            versions: &self.versions,
+            started_at: self.started_at,
+            core_since: self.core_since,
+            upstream,
+            cores,
+        }
+    }
+
+    fn ask(
+        &mut self,
+        now: Instant,
+        asker: Asker,
+        question: StreamQuestion,
+        network: &mut PeerNetwork,
+    ) {
+        let (upstream, cores) = neighbours(now, network);
+        let mut lookups = std::mem::take(&mut self.lookups);
+        let actions = lookups.ask(now, asker, question, &self.state(upstream, &cores));
+        self.lookups = lookups;
+        self.carry_out(now, actions, network);
+    }
+
+    fn advance(&mut self, now: Instant, network: &mut PeerNetwork) {
+        if !self.lookups.are_open() {
+            return;
+        }
+        let (upstream, cores) = neighbours(now, network);
+        let mut lookups = std::mem::take(&mut self.lookups);
+        let actions = lookups.advance_all(now, &self.state(upstream, &cores));
+        self.lookups = lookups;
+        self.carry_out(now, actions, network);
+    }
+
+    fn carry_out(&mut self, now: Instant, actions: Vec<LookupAction>, network: &mut PeerNetwork) {
+        for action in actions {
+            match action {
+                LookupAction::Ask { to, question } => {
+                    network.send(now, to, &PeerMessage::StreamQuestions(vec![question]));
+                }
+                LookupAction::Tell { asker: Asker::Own(number), answer } => {
+                    self.origins.push((number, answer.origin));
+                }
+                LookupAction::Tell { asker: Asker::Node(to), answer } => {
+                    network.send(now, to, &PeerMessage::StreamAnswers(vec![answer]));
+                }
+            }
+        }
+        self.check_at = self.lookups.are_open().then_some(now + LOOKUP_PERIOD);
+    }
+}
+
+/// The core that answers for this node, if it is a leaf, and the other live cores.
+fn neighbours(now: Instant, network: &PeerNetwork) -> (Option<SocketAddr>, Vec<SocketAddr>) {
+    if network.mesh.is_core {
+        return (None, network.live_core_addrs(now));
+    }
+    let upstream = network.upstream_core(now).and_then(|vm| network.peers.addr(vm));
+    (upstream, Vec::new())
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,7 @@
 mod idle_connections;
 mod metrics;
 mod open_request;
+mod origin_client;
 mod own_answer;
 mod permit_client;
 mod quarantine;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -26,6 +26,7 @@
     hedges_refused: Counter<u64>,
     resumed_streams: Counter<u64>,
     streams: Counter<u64>,
+    streams_taken_up: Counter<u64>,
     waits: Counter<u64>,
     caller_left: Counter<u64>,
     quarantined: Counter<u64>,
@@ -62,6 +63,10 @@
             hedges_refused: counter("hedges_refused", "Late requests not hedged, by cause."),
             resumed_streams: counter("stream_resumes", "Streams continued at another server."),
             streams: counter("streams", "Streams that ended, by outcome."),
+            streams_taken_up: counter(
+                "streams_taken_up",
+                "Streams that callers took up, by what is known of the version that began them.",
+            ),
             waits: counter("waits", "Requests that waited for a server."),
             caller_left: counter("left", "Requests whose callers left before an answer, by stage."),
             quarantined: counter(
@@ -129,6 +134,10 @@
         self.stream_pause_s.record(longest_pause.as_secs_f64(), &[]);
     }
 
+    pub(crate) fn on_taken_up(&self, origin: &'static str) {
+        self.streams_taken_up.add(1, &[KeyValue::new("origin", origin)]);
+    }
+
     pub(crate) fn on_caller_left(&self, stage: &'static str) {
         self.caller_left.add(1, &[KeyValue::new("stage", stage)]);
     }
--- a/crates/relay/src/own_answer.rs
+++ b/crates/relay/src/own_answer.rs
@@ -32,6 +32,11 @@
         Self { status, cause, retry_after: Some(retry_after) }
     }
 
+    /// The request has not run, and the same request can't be served later either.
+    pub(crate) fn never_run(cause: &'static str) -> Self {
+        Self { status: StatusCode::SERVICE_UNAVAILABLE, cause, retry_after: None }
+    }
+
     /// The request has not run and won't run, because its team has used up its quota.
     pub(crate) fn over_quota(retry_after: Duration) -> Self {
         let status = StatusCode::TOO_MANY_REQUESTS;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,6 +12,7 @@
         idle_connections::IdleConnections,
         metrics::Metrics,
         open_request::OpenRequest,
+        origin_client::OriginClient,
         own_answer::OwnAnswer,
         permit_client::PermitClient,
         quarantine::QuarantineClient,
@@ -32,6 +33,7 @@
     },
     glade_limit::{PermitGrant, PermitWish, QuotaAsk, QuotaGrant},
     glade_process::{catch_panic, keep_running},
+    glade_streams::StreamOrigin,
     hyper::{
         Request, Response,
         body::{Body, Incoming},
@@ -110,6 +112,7 @@
     pub(crate) quarantine: QuarantineClient,
     pub(crate) permit_client: PermitClient,
     pub(crate) quota_client: Rc<QuotaClient>,
+    pub(crate) origin_client: OriginClient,
     pub(crate) metrics: Rc<Metrics>,
     /// Notified when another configuration may be in force.
     pub(crate) catalog_changed: Notify,
@@ -220,6 +223,14 @@
         self.relay.quota_client.on_grants(grants);
     }
 
+    /// Applies answers to the questions of requests, by their numbers, which software versions began
+    /// streams.
+    pub fn on_origins(&self, origins: &[(u32, StreamOrigin)]) {
+        for (number, origin) in origins {
+            self.relay.origin_client.on_origin(*number, *origin);
+        }
+    }
+
     /// Replaces the limit on retried requests.
     pub fn set_retry_limit(&self, limit: RetryLimit) {
         self.relay.dispatcher.borrow_mut().set_retry_limit(limit);
@@ -293,6 +304,7 @@
             quarantine: QuarantineClient::default(),
             permit_client: PermitClient::default(),
             quota_client,
+            origin_client: OriginClient::default(),
             metrics: Rc::new(Metrics::new(meter)),
             catalog_changed: Notify::new(),
             rng: RefCell::new(rng),
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -8,6 +8,7 @@
     },
     glade_dispatch::ServerIdx,
     glade_quarantine::BlockedParts,
+    glade_streams::StreamOrigin,
     glade_types::{ModelName, RequestId},
     hyper::StatusCode,
     std::time::Duration,
@@ -168,6 +169,20 @@
         );
     }
 
+    /// Logs what is known of the software version that began the stream which `admitted` takes up.
+    pub(crate) fn log_taken_up(&self, admitted: &AdmittedRequest, origin: StreamOrigin) {
+        self.metrics.on_taken_up(origin.name());
+        let terms = &admitted.routed.terms;
+        log::info!(
+            id = admitted.routed.id.as_str(),
+            resumes = terms.resumes.as_ref().map(RequestId::as_str),
+            after_event = terms.last_event_id,
+            origin = origin.name(),
+            after_ms = self.after_ms(admitted);
+            "stream_taken_up"
+        );
+    }
+
     /// Logs that a request stays with a `server` that was silent, because the server has sent
     /// something or because no other server takes the request.
     pub(crate) fn log_server_kept(
--- a/crates/relay/src/server_answer.rs
+++ b/crates/relay/src/server_answer.rs
@@ -50,6 +50,9 @@
         self: &Rc<Self>,
         mut admitted: AdmittedRequest,
     ) -> Response<AnswerBody> {
+        if let Err(refused) = self.require_origin(&mut admitted).await {
+            return self.give_up(&admitted, Some(refused));
+        }
         loop {
             let attempt = tokio::select! {
                 biased;
@@ -207,7 +210,11 @@
                 .map_or(("refused", REFUSED_RETRY_AFTER), |refused| {
                     (refused.reason.name(), self.return_after(admitted, refused))
                 });
-            OwnAnswer::not_run(cause, retry_after)
+            if cause == Refusal::VersionUnknown.name() && retry_after.is_zero() {
+                OwnAnswer::never_run(cause)
+            } else {
+                OwnAnswer::not_run(cause, retry_after)
+            }
         } else if admitted.time_left(self.clock.now()).is_zero() {
             OwnAnswer::timed_out()
         } else if refused.is_some_and(|refused| refused.reason == Refusal::Quarantined) {
--- a/crates/relay/src/traffic_update.rs
+++ b/crates/relay/src/traffic_update.rs
@@ -5,6 +5,7 @@
     glade_dispatch::StartRequest,
     glade_limit::{LimitReport, PermitWish, QuotaAsk},
     glade_quarantine::LostAttempt,
+    glade_streams::StreamQuestion,
     glade_types::ModelName,
     std::time::Duration,
 };
@@ -34,6 +35,15 @@
     PermitsWanted(Vec<PermitWish>),
     /// What this VM's requests need of the quotas of teams, and what they haven't used.
     QuotaWanted(Vec<QuotaAsk>),
+    /// A stream has begun, or goes on, at the software version with this hash.
+    StreamBegun {
+        /// Hash of the request that brought its first event.
+        stream: u64,
+        /// Hash of the version.
+        version: u32,
+    },
+    /// The request with this number needs to know which software version began a stream.
+    OriginWanted(u32, StreamQuestion),
 }
 
 /// Called with each update.
