Streams keep their software versions after all nodes were killed

What callers saw: while two software versions served, or the servers of the old one had just left, all nodes were killed. With records in nodes' memories alone, all of these streams are refused, and those of a version that has left go on at another.

Cause: what nodes know of streams is gone with the last of them.

Change: while a service has several versions, the node that reads the store for all writes new records to the table streams, every 250 ms, and removes them after 40 s. A node that finds no record elsewhere, and hasn't run for that long, reads the table once.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -45,6 +45,7 @@
         store_access::StoreAccess,
         store_health::StoreHealth,
         stream_exchange::StreamExchange,
+        stream_store::StreamStore,
         table_watcher::{LONG_POLL_WAIT, TableWatcher, WatchPosition},
     },
     glade_adapter::{config, platform_store::PlatformStore, registry},
@@ -136,6 +137,7 @@
     limits: LimitExchange,
     quotas: QuotaExchange,
     streams: StreamExchange,
+    stream_store: StreamStore,
     demand: DemandAggregator,
     endpoints: EndpointExchange,
     is_shutting_down: bool,
@@ -233,6 +235,7 @@
             limits: LimitExchange::new(now),
             quotas: QuotaExchange::default(),
             streams: StreamExchange::new(now),
+            stream_store: StreamStore::default(),
             network,
             leadership,
             catalog: None,
@@ -489,6 +492,10 @@
             Event::TrafficUpdate(TrafficUpdate::OriginWanted(number, question)) => {
                 self.on_origin_wanted(now, number, question);
             }
+            Event::StreamLogRead(_, answer) => self.on_stream_log_read(now, answer),
+            Event::StreamLogWritten(_, write, answer) => {
+                self.on_stream_log_written(now, write, &answer);
+            }
             Event::TrafficUpdate(TrafficUpdate::TrialWanted(key)) => {
                 self.on_trial_wanted(now, key);
             }
--- a/crates/node/src/control/store_handlers.rs
+++ b/crates/node/src/control/store_handlers.rs
@@ -37,6 +37,8 @@
             | Event::Changes(..)
             | Event::NodesRead(_)
             | Event::QuarantineWritten(_, _, Ok(_))
+            | Event::StreamLogRead(_, Ok(_))
+            | Event::StreamLogWritten(_, _, Ok(_))
             | Event::LeaseRead(_, Ok(_))
             | Event::LeaseWritten(_, Ok(_)) => self.store_health.record_answer(now),
             Event::StoreCallFailed(began_at, reason) => {
@@ -45,7 +47,9 @@
             Event::LeaseRead(began_at, Err(err)) | Event::LeaseWritten(began_at, Err(err)) => {
                 self.store_health.record_failure(now, *began_at, &err.to_string());
             }
-            Event::QuarantineWritten(began_at, _, Err(err))
+            Event::StreamLogRead(began_at, Err(err))
+            | Event::StreamLogWritten(began_at, _, Err(err))
+            | Event::QuarantineWritten(began_at, _, Err(err))
             | Event::TrialClaimed(began_at, _, TrialClaim::Failed(err)) => {
                 self.store_health.record_failure(now, *began_at, &err.to_string());
             }
--- a/crates/node/src/control/stream_handlers.rs
+++ b/crates/node/src/control/stream_handlers.rs
@@ -1,8 +1,10 @@
-//! Handling of records of streams, and of questions about them.
+//! Handling of records of streams, of questions about them, and of their log in the store.
 
 use {
     super::Control,
-    glade_streams::StreamQuestion,
+    crate::{read_role::ReadRole, stream_store::StreamStore},
+    glade_platform::{Snapshot, StoreError, TxnAnswer},
+    glade_streams::{LogWrite, StreamQuestion},
     glade_types::{SoftwareVersion, stable_hash},
     std::time::Instant,
 };
@@ -11,6 +13,7 @@
     /// Does the periodic work for streams.
     pub(super) fn tick_streams(&mut self, now: Instant) {
         self.streams.on_mesh(now, &self.network);
+        self.write_stream_log(now);
         self.act_on_streams(now);
     }
 
@@ -26,17 +29,59 @@
         self.streams.on_servers(now, servers);
     }
 
-    /// Sends what is due, and passes answers to the relay.
+    /// Writes the log if this node reads the store for all, and has the records of all streams.
+    fn write_stream_log(&mut self, now: Instant) {
+        let new = self.streams.take_new_records();
+        let is_writer = *self.read_role.borrow() == ReadRole::Primary && self.network.mesh.is_core;
+        let several_versions = self.streams.has_several_versions();
+        let (me, rng) = (&self.network.me, &mut self.rng);
+        let name = || format!("{}-{}-{:08x}", me.vm, me.incarnation, rng.u32(..));
+        let records = self.streams.records();
+        self.stream_store.add(new);
+        if self.stream_store.follow(now, is_writer, several_versions, name, records) {
+            StreamStore::read(now, &self.store, &self.events);
+        }
+        self.stream_store.write(now, &self.store, &self.events);
+    }
+
+    /// Sends what is due, passes answers to the relay, and reads the log if a lookup wants it.
     pub(super) fn act_on_streams(&mut self, now: Instant) {
         self.streams.run_due(now, &mut self.network);
         let origins = self.streams.take_origins();
         if !origins.is_empty() && self.published.origins.try_send(origins).is_err() {
             log::debug!("traffic_behind");
         }
+        if self.streams.take_log_wish() {
+            StreamStore::read(now, &self.store, &self.events);
+        }
     }
 
     pub(super) fn on_origin_wanted(&mut self, now: Instant, number: u32, question: StreamQuestion) {
         self.streams.on_own_question(now, number, question, &mut self.network);
         self.act_on_streams(now);
     }
+
+    pub(super) fn on_stream_log_read(
+        &mut self,
+        now: Instant,
+        answer: Result<Snapshot, StoreError>,
+    ) {
+        let groups = answer
+            .inspect_err(|err| {
+                log::info!(reason = err.to_string().as_str(); "stream_log_read_failed");
+            })
+            .ok()
+            .map(|snapshot| self.stream_store.on_read(now, &snapshot));
+        self.streams.on_log_read(now, groups, &mut self.network);
+        self.act_on_streams(now);
+    }
+
+    pub(super) fn on_stream_log_written(
+        &mut self,
+        now: Instant,
+        write: LogWrite,
+        answer: &Result<TxnAnswer, StoreError>,
+    ) {
+        self.stream_store.on_written(now, write, answer);
+    }
 }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -10,6 +10,7 @@
     glade_platform::{Changes, Revision, Snapshot, StoreError, StoredRow, TxnAnswer},
     glade_quarantine::Entry,
     glade_relay::TrafficUpdate,
+    glade_streams::LogWrite,
     std::{net::SocketAddr, time::Instant},
 };
 
@@ -56,6 +57,10 @@
     QuarantineWritten(Instant, Entry, Result<TxnAnswer, StoreError>),
     /// An attempt to claim the trial of a quarantined entry, which began at this time, has ended.
     TrialClaimed(Instant, Entry, TrialClaim),
+    /// A read of the log of streams, which began at this time, has ended.
+    StreamLogRead(Instant, Result<Snapshot, StoreError>),
+    /// A write of the log of streams, which began at this time, has ended.
+    StreamLogWritten(Instant, LogWrite, Result<TxnAnswer, StoreError>),
     /// An engine has answered an order, or the order has failed.
     OrderAnswered(EngineOrder, OrderAnswer),
     /// An engine has reported which models it holds; `None` if it didn't answer.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -53,6 +53,7 @@
 mod store_access;
 mod store_health;
 mod stream_exchange;
+mod stream_store;
 mod table_watcher;
 
 pub use crate::{
--- a/crates/node/src/stream_exchange.rs
+++ b/crates/node/src/stream_exchange.rs
@@ -10,8 +10,8 @@
         peer_network::PeerNetwork,
     },
     glade_streams::{
-        Asker, KnownVersions, LookupAction, NodeState, OriginLookups, StreamAnswer, StreamOrigin,
-        StreamQuestion, StreamRecords, VersionStreams,
+        Asker, KnownVersions, LogState, LookupAction, NodeState, OriginLookups, StreamAnswer,
+        StreamOrigin, StreamQuestion, StreamRecords, VersionStreams,
     },
     std::{
         net::SocketAddr,
@@ -33,9 +33,13 @@
     /// Records of this node, and of its leaves if it is a core, that weren't sent yet.
     unsent: Vec<(u64, u32)>,
     send_at: Option<Instant>,
+    /// Records that were added since the last call of [`Self::take_new_records`].
+    new: Vec<(u64, u32)>,
     check_at: Option<Instant>,
     started_at: Instant,
     core_since: Option<Instant>,
+    log: LogState,
+    wants_log: bool,
     /// Answers to this node's requests.
     origins: Vec<(u32, StreamOrigin)>,
 }
@@ -48,13 +52,26 @@
             lookups: OriginLookups::default(),
             unsent: Vec::new(),
             send_at: None,
+            new: Vec::new(),
             check_at: None,
             started_at: now,
             core_since: None,
+            log: LogState::Unread,
+            wants_log: false,
             origins: Vec::new(),
         }
     }
 
+    /// The records.
+    pub(crate) fn records(&self) -> &StreamRecords {
+        &self.records
+    }
+
+    /// True if a service has had several software versions lately.
+    pub(crate) fn has_several_versions(&self) -> bool {
+        self.versions.has_several(self.records.versions())
+    }
+
     /// Records the software versions of the known servers, each as its service and version.
     pub(crate) fn on_servers(&mut self, now: Instant, servers: impl Iterator<Item = (u32, u32)>) {
         self.versions.update(now, servers);
@@ -62,7 +79,7 @@
 
     /// Records a stream of this node.
     pub(crate) fn on_begun(&mut self, now: Instant, stream: u64, version: u32) {
-        self.records.add(now, stream, version);
+        self.add(now, stream, version);
         self.unsent.push((stream, version));
         self.send_at.get_or_insert(now + COLLECT_TIME);
     }
@@ -77,7 +94,7 @@
     ) {
         let is_leaf = network.mesh.leaves.contains(&from.vm);
         for (stream, version) in VersionStreams::records(groups) {
-            self.records.add(now, stream, version);
+            self.add(now, stream, version);
             if is_leaf {
                 self.unsent.push((stream, version));
                 self.send_at.get_or_insert(now + COLLECT_TIME);
@@ -86,6 +103,16 @@
         self.advance(now, network);
     }
 
+    fn add(&mut self, now: Instant, stream: u64, version: u32) {
+        self.records.add(now, stream, version);
+        self.new.push((stream, version));
+    }
+
+    /// Takes the records that were added since the last call.
+    pub(crate) fn take_new_records(&mut self) -> Vec<(u64, u32)> {
+        std::mem::take(&mut self.new)
+    }
+
     /// When records are to be sent or lookups checked next.
     pub(crate) fn due(&self) -> Option<Instant> {
         self.send_at.into_iter().chain(self.check_at).min()
@@ -113,6 +140,8 @@
             self.core_since = None;
         } else if self.core_since.is_none() {
             self.core_since = Some(now);
+            // What a leaf has read doesn't have the records since.
+            self.log = LogState::Unread;
         }
         self.records.drop_outdated(now);
     }
@@ -162,7 +191,7 @@
     ) {
         for answer in answers {
             if let StreamOrigin::Version(version) = answer.origin {
-                self.records.add(now, answer.question.stream, version);
+                self.add(now, answer.question.stream, version);
             }
             let (upstream, cores) = neighbours(now, network);
             let mut lookups = std::mem::take(&mut self.lookups);
@@ -173,6 +202,27 @@
         }
     }
 
+    /// True, once, if the log of streams in the store is to be read.
+    pub(crate) fn take_log_wish(&mut self) -> bool {
+        std::mem::take(&mut self.wants_log)
+    }
+
+    /// Adds the records of the log; `None` if it couldn't be read.
+    pub(crate) fn on_log_read(
+        &mut self,
+        now: Instant,
+        groups: Option<Vec<VersionStreams>>,
+        network: &mut PeerNetwork,
+    ) {
+        self.log = if groups.is_some() { LogState::Read } else { LogState::Unread };
+        for (stream, version) in VersionStreams::records(&groups.unwrap_or_default()) {
+            if self.records.get(stream).is_none() {
+                self.records.add(now, stream, version);
+            }
+        }
+        self.advance(now, network);
+    }
+
     /// Takes the answers to this node's requests, each with the number of its request.
     pub(crate) fn take_origins(&mut self) -> Vec<(u32, StreamOrigin)> {
         std::mem::take(&mut self.origins)
@@ -182,6 +232,7 @@
         NodeState {
             records: &self.records,
             versions: &self.versions,
+            log: self.log,
             started_at: self.started_at,
             core_since: self.core_since,
             upstream,
@@ -226,6 +277,10 @@
                 LookupAction::Tell { asker: Asker::Node(to), answer } => {
                     network.send(now, to, &PeerMessage::StreamAnswers(vec![answer]));
                 }
+                LookupAction::ReadLog => {
+                    self.log = LogState::Reading;
+                    self.wants_log = true;
+                }
             }
         }
         self.check_at = self.lookups.are_open().then_some(now + LOOKUP_PERIOD);
--- a/crates/streams/src/origin_lookups.rs
+++ b/crates/streams/src/origin_lookups.rs
@@ -18,6 +18,8 @@
 const UPSTREAM_WAIT: Duration = Duration::from_millis(250);
 /// Time for which a core waits for the other cores' answers.
 const CORES_WAIT: Duration = Duration::from_millis(80);
+/// Time for which a node waits for the store's answer.
+const LOG_WAIT: Duration = Duration::from_secs(1);
 /// Time after the start of a node until which it may not know yet which other nodes there are.
 const SETTLING_TIME: Duration = Duration::from_millis(700);
 
@@ -30,6 +32,18 @@
     Node(SocketAddr),
 }
 
+/// Whether a node has read the log of streams in the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogState {
+    /// It hasn't, and isn't reading it.
+    #[default]
+    Unread,
+    /// It is reading it.
+    Reading,
+    /// It has read all rows that were there after its start.
+    Read,
+}
+
 /// What a node knows when it looks for the origin of a stream.
 #[derive(Debug)]
 pub struct NodeState<'a> {
@@ -37,6 +51,8 @@
     pub records: &'a StreamRecords,
     /// Software versions of servers.
     pub versions: &'a KnownVersions,
+    /// Whether the node has read the log.
+    pub log: LogState,
     /// When the node started.
     pub started_at: Instant,
     /// Since when the node has been a core, which gets the records of all streams; `None` on a leaf.
@@ -91,6 +107,8 @@
         /// The answer.
         answer: StreamAnswer,
     },
+    /// Read the log of streams in the store.
+    ReadLog,
 }
 
 /// Whose answer a lookup waits for.
@@ -98,6 +116,7 @@
 enum Stage {
     Upstream,
     Cores,
+    Log,
 }
 
 #[derive(Clone, Debug)]
@@ -185,7 +204,7 @@
         self.advance(now, question, node)
     }
 
-    /// Goes on with all lookups, after some time or after records were added.
+    /// Goes on with all lookups, after some time, after records were added or after the log was read.
     pub fn advance_all(&mut self, now: Instant, node: &NodeState<'_>) -> Vec<LookupAction> {
         let questions: Vec<StreamQuestion> = self.by_question.keys().copied().collect();
         questions.into_iter().flat_map(|question| self.advance(now, question, node)).collect()
@@ -214,11 +233,23 @@
                 actions.extend(lookup.ask_new(question, node.cores));
                 let is_settled = now >= node.started_at + SETTLING_TIME;
                 if is_over || is_settled && lookup.unanswered.is_empty() {
+                    (lookup.stage, lookup.until) = (Stage::Log, now + LOG_WAIT);
+                    actions.extend(self.advance(now, question, node));
+                }
+            }
+            Stage::Log => {
+                let has_several = lookup.has_several;
+                if node.log == LogState::Read || node.has_seen_all(now) {
                     let conclusion = node.conclusion(&question);
-                    let has_several = lookup.has_several;
                     let origin = if has_several { StreamOrigin::Unknown } else { conclusion };
                     return self.end(question, origin);
                 }
+                if is_over {
+                    return self.end(question, StreamOrigin::Unanswered);
+                }
+                if node.log == LogState::Unread {
+                    actions.push(LookupAction::ReadLog);
+                }
             }
         }
         actions
--- /dev/null
+++ b/crates/streams/src/stream_log.rs
@@ -0,0 +1,130 @@
+//! Records of streams in the store, for nodes that start when no other has any records.
+//!
+//! One node writes what it has recorded, a few rows a second, while a service has several software
+//! versions. Rows are only added, and removed once their streams are over.
+
+use {
+    crate::{stream_records::StreamRecords, version_streams::VersionStreams},
+    std::{
+        collections::VecDeque,
+        time::{Duration, Instant},
+    },
+};
+
+/// Interval between writes.
+const WRITE_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause after a write that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Most records of a row, which has 10 bytes for each.
+const RECORDS_PER_ROW: usize = 4_000;
+/// Most rows that one write adds, and removes.
+const ROWS_PER_WRITE: usize = 8;
+/// Most records that wait to be written.
+const UNWRITTEN_MAX: usize = 1 << 16;
+
+/// A write to the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogWrite {
+    /// Rows to be added, by name.
+    pub put: Vec<(String, Vec<u8>)>,
+    /// Names of rows to be removed.
+    pub delete: Vec<String>,
+    records: Vec<(u64, u32)>,
+}
+
+/// What one node writes, and which rows it removes.
+#[derive(Clone, Debug)]
+pub struct StreamLog {
+    /// Distinguishes the rows of this process from those of others.
+    writer: String,
+    rows_written: u64,
+    unwritten: Vec<(u64, u32)>,
+    /// Rows of the table with the time from which on each is removed.
+    rows: VecDeque<(String, Instant)>,
+    next_at: Instant,
+    is_writing: bool,
+}
+
+impl StreamLog {
+    /// Returns a log of the process called `writer` that has written nothing yet.
+    pub fn new(now: Instant, writer: &str) -> Self {
+        Self {
+            writer: writer.to_owned(),
+            rows_written: 0,
+            unwritten: Vec::new(),
+            rows: VecDeque::new(),
+            next_at: now,
+            is_writing: false,
+        }
+    }
+
+    /// Adds a record.
+    pub fn add(&mut self, stream: u64, version: u32) {
+        if self.unwritten.len() < UNWRITTEN_MAX {
+            self.unwritten.push((stream, version));
+        }
+    }
+
+    /// Records rows of other processes, which are to be removed later.
+    pub fn add_rows<'a>(&mut self, now: Instant, names: impl Iterator<Item = &'a str>) {
+        let remove_at = now + StreamRecords::KEPT_FOR_MAX;
+        let own = format!("{}-", self.writer);
+        for name in names.filter(|name| !name.starts_with(&own)) {
+            if !self.rows.iter().any(|(known, _)| known == name) {
+                self.rows.push_back((name.to_owned(), remove_at));
+            }
+        }
+    }
+
+    /// True if the log has no rows and nothing to write.
+    pub fn is_empty(&self) -> bool {
+        self.unwritten.is_empty() && self.rows.is_empty() && !self.is_writing
+    }
+
+    /// The next write, if one is due. It ends with [`Self::on_written`].
+    pub fn take_due(&mut self, now: Instant) -> Option<LogWrite> {
+        let removable = self.rows.iter().take_while(|(_, at)| *at <= now).count();
+        if self.is_writing || now < self.next_at || self.unwritten.is_empty() && removable == 0 {
+            return None;
+        }
+        self.is_writing = true;
+        let count = self.unwritten.len().min(RECORDS_PER_ROW * ROWS_PER_WRITE);
+        let records: Vec<(u64, u32)> = self.unwritten.drain(..count).collect();
+        let put = records.chunks(RECORDS_PER_ROW).map(|rows| self.row(rows)).collect();
+        let removed = self.rows.drain(..removable.min(ROWS_PER_WRITE));
+        let delete = removed.map(|(name, _)| name).collect();
+        Some(LogWrite { put, delete, records })
+    }
+
+    fn row(&mut self, records: &[(u64, u32)]) -> (String, Vec<u8>) {
+        self.rows_written += 1;
+        let groups = VersionStreams::group(records.iter().copied());
+        let value = postcard::to_extend(&groups, Vec::new()).expect("plain data of known size");
+        (format!("{}-{:08}", self.writer, self.rows_written), value)
+    }
+
+    /// Handles the end of a write. One that failed may have taken effect all the same; its records are
+    /// written again.
+    pub fn on_written(&mut self, now: Instant, write: LogWrite, has_failed: bool) {
+        self.is_writing = false;
+        let remove_at = now + StreamRecords::KEPT_FOR_MAX;
+        self.rows.extend(write.put.into_iter().map(|(name, _)| (name, remove_at)));
+        if has_failed {
+            self.next_at = now + RETRY_PAUSE;
+            self.unwritten.splice(..0, write.records);
+            let again = write.delete.into_iter().map(|name| (name, now));
+            again.rev().for_each(|row| self.rows.push_front(row));
+        } else {
+            self.next_at = now + WRITE_INTERVAL;
+        }
+    }
+
+    /// Decodes a row.
+    ///
+    /// # Errors
+    ///
+    /// Why the bytes aren't a row of the log.
+    pub fn decode_row(bytes: &[u8]) -> Result<Vec<VersionStreams>, String> {
+        postcard::from_bytes(bytes).map_err(|err| err.to_string())
+    }
+}
