Dispatch: a stream that goes on goes before new requests of its rank

Cause: several engines end at once, so that the rest is overloaded. Requests that can't be on time any more give way to later ones, and a stream whose first engine has ended is late. A stream that keeps to its software version also waits for fewer servers than new requests do.

Change: among requests of a rank, those whose callers have a part of the answer go first. Coordinators learn this by a message of its own, `continuation_wanted`, as nodes of earlier versions couldn't decode a new field; they drop the message, and the sender decides by itself.

The test failed before with the order new, continued.

--- a/crates/dispatch/benches/decide.rs
+++ b/crates/dispatch/benches/decide.rs
@@ -78,6 +78,7 @@
         model_load_min: Duration::from_millis(1200),
         first_byte_deadline: now + Duration::from_secs(3),
         seed: 7,
+        is_continuation: false,
         software_version: None,
     }
 }
--- a/crates/dispatch/src/coordinator.rs
+++ b/crates/dispatch/src/coordinator.rs
@@ -327,6 +327,7 @@
             model_load_min,
             first_byte_deadline: now + ms(request.max_wait_ms),
             seed,
+            is_continuation: request.is_continuation,
             // The node excludes the servers of other versions.
             software_version: None,
         })
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -51,6 +51,8 @@
     request_spec::RequestSpec,
     retry_budget::RetryLimit,
     server::ServerIdx,
-    start::{StartEvent, StartReply, StartRequest, StartVerdict, TeamStartRequest},
+    start::{
+        ContinuationRequest, StartEvent, StartReply, StartRequest, StartVerdict, TeamStartRequest,
+    },
     verdict::{Refusal, Verdict},
 };
--- a/crates/dispatch/src/request_spec.rs
+++ b/crates/dispatch/src/request_spec.rs
@@ -41,6 +41,8 @@
     pub first_byte_deadline: Instant,
     /// Random number drawn for the request, which selects among equally good servers.
     pub seed: u32,
+    /// The caller has events of the answer already.
+    pub is_continuation: bool,
     /// Hash of the software version that began the stream which the request continues; `None` if any
     /// version may run the request.
     pub software_version: Option<u32>,
--- a/crates/dispatch/src/server_queues.rs
+++ b/crates/dispatch/src/server_queues.rs
@@ -30,6 +30,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct QueuePriority {
     rank: u8,
+    /// Streams that their callers have a part of go before requests that haven't begun: there are few, and a
+    /// caller has no use for half a stream.
+    is_new: bool,
     /// Virtual time of the request in the shares of teams; zero without teams.
     virtual_time: u64,
     /// A request that can't be on time any more gives way to requests that can, until its caller is
@@ -46,6 +49,7 @@
         let needed = request.objective.mul_f64(START_FRACTION);
         Self {
             rank: request.rank,
+            is_new: !request.is_continuation,
             virtual_time,
             is_late: due_at < now + needed && !is_leaving,
             due_at,
@@ -59,9 +63,10 @@
         self.rank
     }
 
-    /// True if the request can't be on time any more and gives way to those that can.
-    pub(crate) fn is_late(&self) -> bool {
-        self.is_late
+    /// True if requests of the same rank that arrive later mostly go ahead: the request can't be on time
+    /// any more.
+    pub(crate) fn gives_way(&self) -> bool {
+        self.is_new && self.is_late
     }
 }
 
--- a/crates/dispatch/src/slot_wait.rs
+++ b/crates/dispatch/src/slot_wait.rs
@@ -51,7 +51,7 @@
             return 0.0;
         };
         let freed_per_s = f64::from(slots) / slot_time_s.max(0.001);
-        let ahead_per_s = server.urgent_reserve.ahead_per_s(now, request, priority.is_late());
+        let ahead_per_s = server.urgent_reserve.ahead_per_s(now, request, priority.gives_way());
         let share_per_s = freed_per_s / f64::from(PATIENT_SLOT_SHARE);
         let wait_s = f64::from(missing) / (freed_per_s - ahead_per_s).max(share_per_s);
         let Some(starts_per_s) = server.urgent_reserve.patient_starts_per_s(now, request) else {
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/start.rs
@@ -48,6 +48,26 @@
     /// goes in a [`TeamStartRequest`].
     #[serde(skip)]
     pub team: Option<u32>,
+    /// The caller has events of the answer already. Goes in a [`ContinuationRequest`].
+    #[serde(skip)]
+    pub is_continuation: bool,
+}
+
+/// A [`StartRequest`] for a stream that its caller has a part of.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ContinuationRequest {
+    /// Hash of the name of the caller's team.
+    pub team: Option<u32>,
+    /// The request.
+    pub request: StartRequest,
+}
+
+impl ContinuationRequest {
+    /// Returns the request with what it doesn't encode itself.
+    pub fn into_request(self) -> StartRequest {
+        StartRequest { team: self.team, is_continuation: true, ..self.request }
+    }
 }
 
 /// A [`StartRequest`] with the caller's team.
@@ -169,6 +189,7 @@
             tried,
             reply_to: None,
             team: spec.team,
+            is_continuation: spec.is_continuation,
         }
     }
 }
--- a/crates/dispatch/src/urgent_reserve.rs
+++ b/crates/dispatch/src/urgent_reserve.rs
@@ -158,12 +158,12 @@
     }
 
     /// Rate of arrivals that go ahead of `request`, in requests per second. Most of its own rank do so
-    /// once it is late.
-    pub(crate) fn ahead_per_s(&self, now: Instant, request: &RequestSpec, is_late: bool) -> f64 {
+    /// if it `gives_way`.
+    pub(crate) fn ahead_per_s(&self, now: Instant, request: &RequestSpec, gives_way: bool) -> f64 {
         let part_ahead = |kind: &KindLoad| {
             if kind.rank < request.rank || kind.is_urgent_beside(request) {
                 1.0
-            } else if is_late && kind.rank == request.rank {
+            } else if gives_way && kind.rank == request.rank {
                 OWN_RANK_AHEAD
             } else {
                 0.0
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -99,6 +99,7 @@
             model_load_min: ms(300),
             first_byte_deadline: self.now + ms(2400),
             seed: 0,
+            is_continuation: false,
             software_version: None,
         }
     }
--- a/crates/dispatch/tests/coordinator.rs
+++ b/crates/dispatch/tests/coordinator.rs
@@ -5,8 +5,8 @@
 use {
     common::{Fixture, ms},
     glade_dispatch::{
-        Coordinator, CoordinatorAction, Refusal, StartEvent, StartRequest, StartVerdict,
-        TeamStartRequest,
+        ContinuationRequest, Coordinator, CoordinatorAction, Refusal, StartEvent, StartRequest,
+        StartVerdict, TeamStartRequest,
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -180,16 +180,20 @@
     }
 }
 
-/// Nodes of earlier versions must be able to decode start requests without teams.
+/// Nodes of earlier versions must be able to decode start requests.
 #[test]
-fn a_team_doesnt_change_the_encoding_of_a_start_request() {
+fn neither_team_nor_continuation_changes_the_encoding_of_a_start_request() {
     let fixture = CoordinatorFixture::new(&[&["m"]]);
     let plain = fixture.start_request(1, "m", 100);
     let with_team = StartRequest { team: Some(7), ..plain.clone() };
     let encoded = |request: &StartRequest| postcard::to_stdvec(request).expect("serializable");
     assert_eq!(encoded(&with_team), encoded(&plain));
-    let sent = TeamStartRequest { team: 7, request: plain };
+    let sent = TeamStartRequest { team: 7, request: plain.clone() };
     assert_eq!(sent.into_request(), with_team);
+    let continued = StartRequest { is_continuation: true, ..with_team };
+    assert_eq!(encoded(&continued), encoded(&plain));
+    let sent = ContinuationRequest { team: Some(7), request: plain };
+    assert_eq!(sent.into_request(), continued);
 }
 
 #[test]
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -4,7 +4,7 @@
 
 use {
     common::{Fixture, model, ms},
-    glade_dispatch::{Load, Refusal, Verdict},
+    glade_dispatch::{Load, Refusal, RequestSpec, Verdict},
 };
 
 #[test]
@@ -196,6 +196,35 @@
     assert_eq!(due.iter().map(|(id, ..)| *id).collect::<Vec<_>>(), [urgent_id], "one slot");
 }
 
+/// Under overload all streams that broke off were refused, while new ones of the same rank began.
+#[test]
+fn a_stream_that_goes_on_goes_before_new_requests_of_its_rank() {
+    let mut fixture = Fixture::engines(&[&["m"]]);
+    let in_flight: Vec<_> = (0..32)
+        .map(|_| {
+            let request = fixture.request("m", 10);
+            let server = fixture.chosen_server(&request);
+            fixture.dispatcher.begin_request(fixture.now, &request, server)
+        })
+        .collect();
+    let request = |rank, is_continuation, fixture: &Fixture| RequestSpec {
+        rank,
+        is_continuation,
+        ..fixture.request("m", 10)
+    };
+    let new = fixture.dispatcher.enqueue(&request(1, false, &fixture), &[]);
+    fixture.now += ms(50);
+    let continued = fixture.dispatcher.enqueue(&request(1, true, &fixture), &[]);
+    let urgent = fixture.dispatcher.enqueue(&request(0, false, &fixture), &[]);
+    let mut started = Vec::new();
+    for id in &in_flight[..3] {
+        fixture.dispatcher.end_request(*id);
+        let due = fixture.dispatcher.poll_waiting(fixture.now);
+        started.extend(due.into_iter().map(|(id, ..)| id));
+    }
+    assert_eq!(started, [urgent, continued, new]);
+}
+
 #[test]
 fn failures_on_all_servers_alike_make_no_outlier() {
     let mut fixture = Fixture::engines(&[&["m"], &["m"], &["m"]]);
--- a/crates/dispatch/tests/software_versions.rs
+++ b/crates/dispatch/tests/software_versions.rs
@@ -31,7 +31,11 @@
 /// A request that continues a stream for `model` that engine `server` has begun.
 fn continuation(fixture: &Fixture, model: &str, server: usize) -> RequestSpec {
     let version_hash = fixture.view.servers[server].record.version_hash();
-    RequestSpec { software_version: Some(version_hash), ..fixture.request(model, 100) }
+    RequestSpec {
+        is_continuation: true,
+        software_version: Some(version_hash),
+        ..fixture.request(model, 100)
+    }
 }
 
 fn names(fixture: &Fixture, servers: &[ServerIdx]) -> Vec<String> {
--- a/crates/fuzz/tests/outside_data.rs
+++ b/crates/fuzz/tests/outside_data.rs
@@ -156,6 +156,7 @@
         model_load_min: spec.min_load_time(),
         first_byte_deadline: now + wait,
         seed: 1,
+        is_continuation: false,
         software_version: None,
     })
 }
--- a/crates/node/src/control/peer_handlers.rs
+++ b/crates/node/src/control/peer_handlers.rs
@@ -9,7 +9,7 @@
         registry_update::{RegistryUpdate, ServerVersion},
     },
     glade_catalog::ServerKey,
-    glade_dispatch::TeamStartRequest,
+    glade_dispatch::{ContinuationRequest, TeamStartRequest},
     glade_platform::Revision,
     glade_residency::EngineDigest,
     glade_types::VmId,
@@ -102,6 +102,10 @@
                 let requests = requests.into_iter().map(TeamStartRequest::into_request).collect();
                 self.on_start_requests(now, from.peer_addr, requests)
             }
+            PeerMessage::ContinuationRequests(requests) => {
+                let requests = requests.into_iter().map(ContinuationRequest::into_request);
+                self.on_start_requests(now, from.peer_addr, requests.collect())
+            }
             PeerMessage::StartReplies(replies) => self.on_start_replies(from.peer_addr, replies),
             PeerMessage::StartEvents(events) => self.starts.on_events(now, from.peer_addr, events),
             // This report is only an indication: an announcement of the server itself or a change
--- a/crates/node/src/control_metrics.rs
+++ b/crates/node/src/control_metrics.rs
@@ -12,7 +12,7 @@
 };
 
 /// Kinds of messages, indexed by [`crate::peer_message::PeerMessage::kind`].
-pub(crate) const MESSAGE_KINDS: [&str; 36] = [
+pub(crate) const MESSAGE_KINDS: [&str; 37] = [
     "beat",
     "loads",
     "prompts",
@@ -49,6 +49,7 @@
     "stream_records",
     "stream_questions",
     "stream_answers",
+    "continuation_wanted",
 ];
 
 /// Number of messages of one kind, and their bytes.
--- a/crates/node/src/peer_message.rs
+++ b/crates/node/src/peer_message.rs
@@ -12,7 +12,9 @@
         store_health::StoreStatus,
     },
     glade_catalog::{Catalog, DemandReport, ServerKey, TeamCatalog},
-    glade_dispatch::{ServerLoad, StartEvent, StartReply, StartRequest, TeamStartRequest},
+    glade_dispatch::{
+        ContinuationRequest, ServerLoad, StartEvent, StartReply, StartRequest, TeamStartRequest,
+    },
     glade_limit::{LimitUpdate, PermitDemand, PermitGrant, QuotaGrant, QuotaReport},
     glade_platform::Revision,
     glade_quarantine::{EntryUpdate, LostAttempt},
@@ -217,6 +219,8 @@
     StreamQuestions(Vec<StreamQuestion>),
     /// Replies to the receiver's questions.
     StreamAnswers(Vec<StreamAnswer>),
+    /// Like `StartRequests`, for streams that their callers have a part of.
+    ContinuationRequests(Vec<ContinuationRequest>),
 }
 
 impl PeerMessage {
@@ -239,6 +243,9 @@
     /// The message that asks a coordinator for a start.
     pub(crate) fn start_request(request: StartRequest) -> Self {
         match request.team {
+            team if request.is_continuation => {
+                Self::ContinuationRequests(vec![ContinuationRequest { team, request }])
+            }
             Some(team) => Self::TeamStartRequests(vec![TeamStartRequest { team, request }]),
             None => Self::StartRequests(vec![request]),
         }
@@ -272,6 +279,7 @@
                 | Self::StreamRecords(_)
                 | Self::StreamQuestions(_)
                 | Self::StreamAnswers(_)
+                | Self::ContinuationRequests(_)
         )
     }
 
@@ -314,6 +322,7 @@
             Self::StreamRecords(_) => 33,
             Self::StreamQuestions(_) => 34,
             Self::StreamAnswers(_) => 35,
+            Self::ContinuationRequests(_) => 36,
         }
     }
 
@@ -335,6 +344,7 @@
                 | Self::StreamRecords(_)
                 | Self::StreamQuestions(_)
                 | Self::StreamAnswers(_)
+                | Self::ContinuationRequests(_)
         )
     }
 }
--- a/crates/relay/src/admitted_request.rs
+++ b/crates/relay/src/admitted_request.rs
@@ -162,6 +162,11 @@
         self.error_answer.borrow_mut().take_if(|answer| is_fit(answer))
     }
 
+    /// Records that the caller gets events of the answer.
+    pub(crate) fn begin_stream(&mut self) {
+        self.open_request.spec.is_continuation = true;
+    }
+
     /// Has the rest of the request run only at servers whose software version has this hash.
     pub(crate) fn require_version(&mut self, software_version: u32) {
         self.open_request.spec.software_version = Some(software_version);
--- a/crates/relay/src/event_stream.rs
+++ b/crates/relay/src/event_stream.rs
@@ -138,6 +138,7 @@
     ) {
         let version = relay.dispatcher.borrow().record(self.server()).version_hash();
         admitted.require_version(version);
+        admitted.begin_stream();
         relay.report_stream(&admitted, version);
         loop {
             let end = self.forward(&relay, &admitted, &caller).await;
--- a/crates/relay/src/routed_request.rs
+++ b/crates/relay/src/routed_request.rs
@@ -142,6 +142,7 @@
             model_load_min: model_spec.map_or(Duration::ZERO, ModelSpec::min_load_time),
             first_byte_deadline: self.give_up_at(self.arrived_at),
             seed,
+            is_continuation: self.route.streams && self.terms.last_event_id.is_some(),
             software_version: None,
         })
     }
