A response with an undefined status isn't passed on as an answer

Callers of a node and of an entry got responses with status 600 or 999, and 101 without having asked for another protocol, from a server in trouble, as if they were answers. Status 000 never passed: the HTTP library can't read it.

Cause: the library accepts any status from 100 to 999, and the processes that pass responses on take what isn't a server error for an answer.

Change: a connection to a server returns a malformed response as an error, for all who use it: node, entry, planner, and the client of the store. As it isn't known whether the request ran, it is repeated only where it may run again. A stored answer whose status can't be read is no longer repeated as 200.

--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -261,7 +261,7 @@
 }
 
 fn answer_response(answer: &StoredAnswer, id: &RequestId, repeated: bool) -> Response {
-    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     Response::builder()
         .status(status)
         .content_type(answer.content_type.as_deref().unwrap_or("application/octet-stream"))
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -7,10 +7,10 @@
     },
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Request, Response, body::Incoming, client::conn::http1},
+    hyper::{Request, Response, StatusCode, body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
-    std::{error::Error, io, net::SocketAddr, time::Duration},
+    std::{error::Error, io, net::SocketAddr, ops::RangeInclusive, time::Duration},
     tokio::{net::TcpStream, task::AbortHandle, time::timeout},
 };
 
@@ -27,6 +27,9 @@
 /// Time after which the kernel closes a connection with sent but unacknowledged bytes.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Status codes that a final response can have (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// An open connection that carries one request at a time. Dropping a `Connection` closes it at once,
 /// even while a request is in flight.
 #[derive(Debug)]
@@ -131,7 +134,8 @@
     /// # Errors
     ///
     /// [`HttpError::NotSent`] if no byte of the request was sent. After [`HttpError::Broken`], also of a server that
-    /// sends interim answers without end, and [`HttpError::TimedOut`] the request may have run.
+    /// sends interim answers without end, [`HttpError::TimedOut`] and [`HttpError::Malformed`] the request may have
+    /// run.
     pub async fn send(
         &mut self,
         mut req: Request<Full<Bytes>>,
@@ -149,6 +153,17 @@
                 if is_unsent { not_sent(reason) } else { HttpError::Broken { addr, reason } }
             })
         };
-        timeout(time_limit, exchange).await.unwrap_or(Err(HttpError::TimedOut { addr }))
+        let head =
+            timeout(time_limit, exchange).await.unwrap_or(Err(HttpError::TimedOut { addr }))?;
+        check_status(addr, head.status())?;
+        Ok(head)
     }
 }
+
+/// Checks that `status` is one that HTTP defines for final responses. The HTTP library accepts any from 100 to 999,
+/// and 101 although no request asks for another protocol.
+fn check_status(addr: SocketAddr, status: StatusCode) -> Result<(), HttpError> {
+    let is_final = FINAL_STATUSES.contains(&status.as_u16());
+    let reason = || format!("status {}", status.as_u16());
+    if is_final { Ok(()) } else { Err(HttpError::Malformed { addr, reason: reason() }) }
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -447,7 +447,7 @@
             "/metrics" => engine.metrics().into_response(),
             "/v2/repository/index" => json(&engine.index()),
             "/v1/chat/completions" | "/v1/completions" => {
-                engine.generate(req.headers(), &body).await
+                engine.faults.with_status(engine.generate(req.headers(), &body).await)
             }
             _ => self.order(&path, &body).await,
         };
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -1,6 +1,7 @@
 //! Faults that can be switched on for one stand-in.
 
 use {
+    poem::{Response, http::StatusCode},
     serde::{Deserialize, Serialize},
     std::{
         sync::{Mutex, PoisonError},
@@ -43,6 +44,8 @@
     pub endless_bodies: bool,
     /// Plain services: least length of an answer.
     pub answer_bytes: usize,
+    /// Engines and plain services: status of all answers, in place of their own.
+    pub status: Option<u16>,
     /// Engines and plain services: listed as leaving.
     pub leaving: bool,
 }
@@ -71,6 +74,15 @@
         taken
     }
 
+    /// `answer` with the status that the faults give it.
+    pub(crate) fn with_status(&self, mut answer: Response) -> Response {
+        if let Some(status) = self.get().status.and_then(|status| StatusCode::from_u16(status).ok())
+        {
+            answer.set_status(status);
+        }
+        answer
+    }
+
     /// Waits as the faults say; false if the stand-in is down.
     pub(crate) async fn pass(&self) -> bool {
         let faults = self.get();
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -60,7 +60,8 @@
             Some(id) => response.header("x-request-id", id),
             None => response,
         };
-        let response = response.status(StatusCode::OK).body(padding + &answer).into_response();
+        let response = response.body(padding + &answer).into_response();
+        let response = self.faults.with_status(response);
         if self.faults.get().endless_bodies {
             return Ok(with_endless_body(response));
         }
--- a/crates/standins/src/site/raw.rs
+++ b/crates/standins/src/site/raw.rs
@@ -32,11 +32,17 @@
     pub body: &'static str,
 }
 
+#[derive(Debug, Default)]
+struct Counts {
+    answers: AtomicU64,
+    resumes: AtomicU64,
+}
+
 /// A running server. It stops when it is dropped.
 #[derive(Debug)]
 pub struct RawServer {
     addr: SocketAddr,
-    resumes: Arc<AtomicU64>,
+    counts: Arc<Counts>,
     task: JoinHandle<()>,
 }
 
@@ -51,8 +57,8 @@
     pub async fn spawn(answer: RawAnswer) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
         let addr = listener.local_addr().expect("a bound socket has an address");
-        let resumes = Arc::new(AtomicU64::new(0));
-        let counted = Arc::clone(&resumes);
+        let counts = Arc::new(Counts::default());
+        let counted = Arc::clone(&counts);
         let task = tokio::spawn(async move {
             // Aborts its connections when it is dropped.
             let mut connections = JoinSet::new();
@@ -60,7 +66,7 @@
                 connections.spawn(send(stream, answer, Arc::clone(&counted)));
             }
         });
-        Self { addr, resumes, task }
+        Self { addr, counts, task }
     }
 
     /// Where it listens.
@@ -68,24 +74,30 @@
         self.addr
     }
 
+    /// Requests that it has answered.
+    pub fn answers(&self) -> u64 {
+        self.counts.answers.load(Ordering::Relaxed)
+    }
+
     /// Requests to resume a stream that it has answered.
     pub fn resumes(&self) -> u64 {
-        self.resumes.load(Ordering::Relaxed)
+        self.counts.resumes.load(Ordering::Relaxed)
     }
 }
 
 /// Reads a request and answers it. A call that isn't a caller's request gets no answer.
-async fn send(mut stream: TcpStream, answer: RawAnswer, resumes: Arc<AtomicU64>) {
+async fn send(mut stream: TcpStream, answer: RawAnswer, counts: Arc<Counts>) {
     let mut request = vec![0; REQUEST_BYTES_MAX];
     let Ok(length) = stream.read(&mut request).await else { return };
     let request = String::from_utf8_lossy(&request[..length]).into_owned();
-    if !request.starts_with("POST") || request.starts_with("POST /order") {
+    let terms = PlatformDialect.read_caller_terms(&headers(&request)).unwrap_or_default();
+    if terms.request_id.is_none() || request.starts_with("POST /order") {
         return;
     }
-    let terms = PlatformDialect.read_caller_terms(&headers(&request)).unwrap_or_default();
     let RawAnswer { status, headers, body } = answer;
     let answer = format!("{status}\r\n{}{headers}\r\n{body}", marks(&request));
     // The other side may close at any time.
     let _ = stream.write_all(answer.as_bytes()).await;
-    resumes.fetch_add(u64::from(terms.last_event_id.is_some()), Ordering::Relaxed);
+    counts.answers.fetch_add(1, Ordering::Relaxed);
+    counts.resumes.fetch_add(u64::from(terms.last_event_id.is_some()), Ordering::Relaxed);
 }
--- a/crates/system/tests/short_streams.rs
+++ b/crates/system/tests/short_streams.rs
@@ -86,7 +86,7 @@
 }
 
 /// Answers that don't continue a stream after [`EVENTS_BEFORE_BREAK`] events.
-const NOT_RESUMED: [RawAnswer; 10] = [
+const NOT_RESUMED: [RawAnswer; 11] = [
     RawAnswer { status: OK, headers: "content-length: 0\r\n", body: "" },
     RawAnswer { status: OK, headers: CHUNKED, body: "0\r\n\r\n" },
     RawAnswer { status: OK, headers: CHUNKED, body: "0\r\ngrpc-status: 13\r\n\r\n" },
@@ -105,6 +105,7 @@
     RawAnswer { status: OK, headers: "content-length: 99\r\n", body: "id: 4\ndata: tok" },
     RawAnswer { status: "HTTP/1.1 204 No Content", headers: "", body: "" },
     RawAnswer { status: "HTTP/1.1 500 Error", headers: "", body: "id: 4\ndata: token-4\n\n" },
+    RawAnswer { status: "HTTP/1.1 600 ", headers: "", body: "id: 4\ndata: token-4\n\n" },
 ];
 const OK: &str = "HTTP/1.1 200 OK";
 const CHUNKED: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
