A stream that goes on waits for its model at its software version

Callers saw: a stream whose adapter only engines of another version held waited 1.5 s and was refused, as nobody loaded the adapter at its own version; one whose model an engine of its version was loading was refused at once, with 0.5 s as the time to come back.

Cause: nodes ask for models by name alone, and expect them at whichever engine is first.

Change: requests for models name the software version where one is required (`version_wanted`, a message that nodes of earlier versions drop), and expected models are known by version. A coordinator gets the version in place of a list of all other servers, and reports models likewise.

The tests of the placement controller and of the wait failed without the change.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -28,6 +28,7 @@
 mod team;
 mod team_catalog;
 mod team_key;
+mod wanted_model;
 
 pub use crate::{
     adapter_name::{base_model_of, is_adapter, is_adapter_of},
@@ -45,4 +46,5 @@
     team::{Quota, QuotaUnit, Team},
     team_catalog::TeamCatalog,
     team_key::TeamKey,
+    wanted_model::WantedModel,
 };
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -14,6 +14,7 @@
         verdict::{Refusal, Verdict},
     },
     glade_catalog::base_model_of,
+    glade_types::ModelName,
     std::time::{Duration, Instant},
 };
 
@@ -193,12 +194,10 @@
         if has_limited_server {
             return refuse(Refusal::Limited, RETRY_AFTER_DEFAULT);
         }
-        // Models aren't placed by the software versions of engines. An adapter is.
-        if request.software_version.is_some() && !base_is_resident {
-            return refuse(Refusal::VersionUnavailable, RETRY_AFTER_DEFAULT);
-        }
         if !has_known_server {
-            return refuse(Refusal::NoServer, RETRY_AFTER_DEFAULT);
+            let is_bound = request.software_version.is_some();
+            let reason = if is_bound { Refusal::VersionUnavailable } else { Refusal::NoServer };
+            return refuse(reason, RETRY_AFTER_DEFAULT);
         }
         self.decide_missing_model(now, request, base_is_resident)
     }
@@ -308,7 +307,7 @@
                 refuse(Refusal::NotResident, RETRY_AFTER_DEFAULT)
             };
         }
-        match self.models_ready_at.get(base_model_of(model)).map(|at| expected_ready_at(now, *at)) {
+        match self.base_ready_at(request, model).map(|at| expected_ready_at(now, at)) {
             Some(at) if at + FIRST_PREFILL_TIME < request.first_byte_deadline => {
                 Verdict::Wait { missing: true }
             }
@@ -316,11 +315,25 @@
                 let wait = at.saturating_duration_since(now);
                 refuse(Refusal::NotResident, wait.max(RETRY_AFTER_DEFAULT))
             }
+            // Models are placed whatever the software versions of engines. Only adapters are wanted at one.
+            None if request.software_version.is_some() => {
+                refuse(Refusal::VersionUnavailable, RETRY_AFTER_DEFAULT)
+            }
             None if now < wait_for_placement_until(request) => Verdict::Wait { missing: true },
             None => refuse(Refusal::NotResident, request.model_load.max(RETRY_AFTER_DEFAULT)),
         }
     }
 
+    /// When the base model of `model` is expected at the first engine that may run `request`, of those
+    /// that load it.
+    fn base_ready_at(&self, request: &RequestSpec, model: &ModelName) -> Option<Instant> {
+        let by_version = self.models_ready_at.get(base_model_of(model))?;
+        match request.software_version {
+            Some(version) => by_version.get(&version).copied(),
+            None => by_version.values().min().copied(),
+        }
+    }
+
     /// True if the server can take the request now. Requests for which the server is reserved and
     /// whose prefill takes `queued_ahead_us` go first.
     fn has_capacity(
--- a/crates/dispatch/src/cluster_view.rs
+++ b/crates/dispatch/src/cluster_view.rs
@@ -7,7 +7,7 @@
     glade_quarantine::QuarantineView,
     glade_types::ModelName,
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeMap, HashMap, HashSet},
         sync::Arc,
         time::Instant,
     },
@@ -39,8 +39,9 @@
     pub catalog_is_outdated: bool,
     /// All known backend servers.
     pub servers: Vec<ServerView>,
-    /// When models that are being loaded are expected to be ready.
-    pub models_ready_at: HashMap<ModelName, Instant>,
+    /// When models that are being loaded are expected to be ready, by the hash of the engine's software
+    /// version.
+    pub models_ready_at: HashMap<ModelName, BTreeMap<u32, Instant>>,
     /// True if a coordinator decides when and where this VM's requests start. Without an answer
     /// from it, this VM decides by itself.
     pub has_coordinator: bool,
--- a/crates/dispatch/src/coordinator.rs
+++ b/crates/dispatch/src/coordinator.rs
@@ -20,7 +20,7 @@
         start::{StartEvent, StartReply, StartRequest, StartVerdict, name_hash},
         verdict::Verdict,
     },
-    glade_catalog::{Catalog, ModelSpec},
+    glade_catalog::{Catalog, ModelSpec, WantedModel},
     glade_types::{DataCentre, ModelName, ServiceName},
     std::{
         collections::HashMap,
@@ -56,7 +56,7 @@
         request: StartRequest,
     },
     /// A request waits for a model or adapter that is on no usable server.
-    ModelMissing(ModelName),
+    ModelMissing(WantedModel),
 }
 
 #[derive(Clone, Debug)]
@@ -179,9 +179,11 @@
                     key,
                     Ticket { state: State::Waiting { id, missing }, request, expires_at },
                 );
-                let missing_model =
-                    spec.model.filter(|_| missing).map(CoordinatorAction::ModelMissing);
+                let software_version = spec.software_version;
+                let wanted = |name| WantedModel { name, software_version };
+                let missing_model = spec.model.filter(|_| missing).map(wanted);
                 missing_model
+                    .map(CoordinatorAction::ModelMissing)
                     .into_iter()
                     .chain([reply(key, StartVerdict::Queued { missing })])
                     .collect()
@@ -328,8 +330,7 @@
             first_byte_deadline: now + ms(request.max_wait_ms),
             seed,
             is_continuation: request.is_continuation,
-            // The node excludes the servers of other versions.
-            software_version: None,
+            software_version: request.software_version,
         })
     }
 
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -110,7 +110,7 @@
     pub(crate) skips_limited: bool,
     /// Waiting requests of this VM by the tag of the server's key, in hundredths of requests.
     pub(crate) waiting_by_server: HashMap<u32, u32>,
-    pub(crate) models_ready_at: HashMap<ModelName, Instant>,
+    pub(crate) models_ready_at: HashMap<ModelName, BTreeMap<u32, Instant>>,
     /// The configuration that was last applied.
     pub(crate) catalog: Option<Arc<Catalog>>,
     pub(crate) kv_capacity: HashMap<ServiceName, u64>,
@@ -476,18 +476,6 @@
         own_load.held_tokens -= in_flight.load.held_tokens;
     }
 
-    /// Tags of the servers of the service of `request` whose software version mustn't run it.
-    pub fn unfit_servers(&self, request: &RequestSpec) -> Vec<u32> {
-        if request.software_version.is_none() {
-            return Vec::new();
-        }
-        let records = self.servers.iter().filter(|server| server.view.usable);
-        let records = records.map(|server| &server.view.record);
-        let of_service = records.filter(|record| record.service == request.service);
-        let unfit = of_service.filter(|record| !request.may_run_at(record));
-        unfit.map(|record| record.key.short_hash()).collect()
-    }
-
     /// True if the server at `idx` may run `request`, by its service and software version.
     pub fn is_fit(&self, request: &RequestSpec, idx: ServerIdx) -> bool {
         request.may_run_at(self.record(idx))
--- a/crates/dispatch/src/start.rs
+++ b/crates/dispatch/src/start.rs
@@ -51,6 +51,9 @@
     /// The caller has events of the answer already. Goes in a [`ContinuationRequest`].
     #[serde(skip)]
     pub is_continuation: bool,
+    /// Hash of the software version that the request must run at. Goes in a [`ContinuationRequest`].
+    #[serde(skip)]
+    pub software_version: Option<u32>,
 }
 
 /// A [`StartRequest`] for a stream that its caller has a part of.
@@ -59,6 +62,8 @@
 pub struct ContinuationRequest {
     /// Hash of the name of the caller's team.
     pub team: Option<u32>,
+    /// Hash of the software version that began the stream, if the sender knows it.
+    pub software_version: Option<u32>,
     /// The request.
     pub request: StartRequest,
 }
@@ -66,7 +71,8 @@
 impl ContinuationRequest {
     /// Returns the request with what it doesn't encode itself.
     pub fn into_request(self) -> StartRequest {
-        StartRequest { team: self.team, is_continuation: true, ..self.request }
+        let Self { team, software_version, request } = self;
+        StartRequest { team, is_continuation: true, software_version, ..request }
     }
 }
 
@@ -190,6 +196,7 @@
             reply_to: None,
             team: spec.team,
             is_continuation: spec.is_continuation,
+            software_version: spec.software_version,
         }
     }
 }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -63,6 +63,14 @@
         self.dispatcher.update_view(self.now, &self.view);
     }
 
+    /// Has the model `name` be expected at an engine of the software version of `server` after `wait`.
+    pub fn expect_model(&mut self, name: &str, server: usize, wait: Duration) {
+        let version = self.view.servers[server].record.version_hash();
+        let by_version = self.view.models_ready_at.entry(model(name)).or_default();
+        by_version.insert(version, self.now + wait);
+        self.update_view();
+    }
+
     /// Sets the number of slots of all engines.
     pub fn set_slots(&mut self, slots: u32) {
         for server in &mut self.view.servers {
--- a/crates/dispatch/tests/coordinator.rs
+++ b/crates/dispatch/tests/coordinator.rs
@@ -4,6 +4,7 @@
 
 use {
     common::{Fixture, ms},
+    glade_catalog::WantedModel,
     glade_dispatch::{
         ContinuationRequest, Coordinator, CoordinatorAction, Refusal, StartEvent, StartRequest,
         StartVerdict, TeamStartRequest,
@@ -157,7 +158,10 @@
     let mut fixture = CoordinatorFixture::new(&[&["m"]]);
     let (ticket, actions) = fixture.request_start("m/a1", 100);
     assert!(
-        actions.contains(&CoordinatorAction::ModelMissing(common::model("m/a1"))),
+        actions.contains(&CoordinatorAction::ModelMissing(WantedModel {
+            name: common::model("m/a1"),
+            software_version: None,
+        })),
         "{actions:?}"
     );
     assert_eq!(verdicts(&actions), [(ticket, StartVerdict::Queued { missing: true })]);
@@ -190,9 +194,9 @@
     assert_eq!(encoded(&with_team), encoded(&plain));
     let sent = TeamStartRequest { team: 7, request: plain.clone() };
     assert_eq!(sent.into_request(), with_team);
-    let continued = StartRequest { is_continuation: true, ..with_team };
+    let continued = StartRequest { is_continuation: true, software_version: Some(5), ..with_team };
     assert_eq!(encoded(&continued), encoded(&plain));
-    let sent = ContinuationRequest { team: Some(7), request: plain };
+    let sent = ContinuationRequest { team: Some(7), software_version: Some(5), request: plain };
     assert_eq!(sent.into_request(), continued);
 }
 
--- a/crates/dispatch/tests/decisions.rs
+++ b/crates/dispatch/tests/decisions.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use {
-    common::{Fixture, model, ms},
+    common::{Fixture, ms},
     glade_dispatch::{Load, Refusal, RequestSpec, Verdict},
 };
 
@@ -60,8 +60,7 @@
 #[test]
 fn an_overdue_model_is_not_waited_for_until_the_deadline() {
     let mut fixture = Fixture::engines(&[&["m"]]);
-    fixture.view.models_ready_at.insert(model("n"), fixture.now + ms(500));
-    fixture.update_view();
+    fixture.expect_model("n", 0, ms(500));
     let request = fixture.request("n", 800);
     let max_wait = request.first_byte_deadline - fixture.now;
     let mut waited = ms(0);
@@ -81,16 +80,14 @@
 #[test]
 fn a_model_expected_too_late_is_refused_with_its_ready_time() {
     let mut fixture = Fixture::engines(&[&["m"]]);
-    fixture.view.models_ready_at.insert(model("n"), fixture.now + ms(4000));
-    fixture.update_view();
+    fixture.expect_model("n", 0, ms(4000));
     let request = fixture.request("n", 800);
     let Verdict::Refuse { reason, retry_after } = fixture.decide(&request, &[]) else {
         panic!("callers leave after 2.4 s");
     };
     assert_eq!(reason, Refusal::NotResident);
     assert_eq!(retry_after, ms(4000));
-    fixture.view.models_ready_at.insert(model("n"), fixture.now + ms(1000));
-    fixture.update_view();
+    fixture.expect_model("n", 0, ms(1000));
     assert_eq!(fixture.decide(&request, &[]), Verdict::Wait { missing: true });
 }
 
@@ -272,8 +269,7 @@
     let mut fixture = Fixture::engines(&[&["m"]]);
     let mut request = fixture.request("n", 800);
     (request.model_load, request.model_load_min) = (ms(1200), ms(1200));
-    fixture.view.models_ready_at.insert(model("n"), fixture.now + ms(1200));
-    fixture.update_view();
+    fixture.expect_model("n", 0, ms(1200));
     assert_eq!(fixture.decide(&request, &[]), Verdict::Wait { missing: true });
     fixture.now += ms(900);
     fixture.view.models_ready_at.clear();
--- a/crates/dispatch/tests/software_versions.rs
+++ b/crates/dispatch/tests/software_versions.rs
@@ -4,7 +4,7 @@
 
 use {
     common::{Fixture, ms},
-    glade_catalog::ServerRecord,
+    glade_catalog::{ServerRecord, WantedModel},
     glade_dispatch::{
         Coordinator, CoordinatorAction, Refusal, RequestSpec, ServerIdx, StartReply, StartRequest,
         StartVerdict, Verdict,
@@ -65,8 +65,7 @@
 #[test]
 fn a_stream_is_refused_at_once_if_no_engine_of_its_version_holds_its_model() {
     let mut fixture = engines(&[("v1", &["m"]), ("v2", &["n"]), ("v2", &["m"])]);
-    fixture.view.models_ready_at.insert(common::model("m"), fixture.now + ms(300));
-    fixture.update_view();
+    fixture.expect_model("m", 1, ms(300));
     let request = continuation(&fixture, "m", 0);
     let tag = fixture.view.servers[0].record.key.short_hash();
     let failed = fixture.dispatcher.server_by_tag(tag).expect("a server");
@@ -77,6 +76,18 @@
     );
 }
 
+#[test]
+fn a_continued_stream_waits_for_a_model_that_an_engine_of_its_version_loads() {
+    let mut fixture = engines(&[("v1", &["n"]), ("v2", &["m"])]);
+    fixture.expect_model("m", 0, ms(300));
+    let request = continuation(&fixture, "m", 0);
+    assert_eq!(fixture.decide(&request, &[]), Verdict::Wait { missing: true });
+    fixture.expect_model("m", 0, ms(4000));
+    let refused = fixture.decide(&request, &[]);
+    let Verdict::Refuse { retry_after, .. } = refused else { panic!("{refused:?}") };
+    assert_eq!(retry_after, ms(4000), "when the model is expected there");
+}
+
 #[test]
 fn an_adapter_is_waited_for_if_an_engine_of_the_version_holds_its_base_model() {
     let fixture = engines(&[("v1", &["m"]), ("v2", &["m", "m/a1"])]);
@@ -91,11 +102,23 @@
     coordinator.update_view(fixture.now, &fixture.view);
     let spec = continuation(&fixture, "m", 0);
     for ticket in 0..6 {
-        let tried = fixture.dispatcher.unfit_servers(&spec);
-        let request = StartRequest::new(fixture.now, ticket, &spec, tried);
+        let request = StartRequest::new(fixture.now, ticket, &spec, Vec::new());
         let actions = coordinator.request_start(fixture.now, NODE, request, ticket);
         let tag = fixture.view.servers[0].record.key.short_hash();
         let granted = StartReply { ticket, verdict: StartVerdict::Go { server: tag } };
         assert_eq!(actions, [CoordinatorAction::Reply { to: NODE, reply: granted }]);
     }
 }
+
+#[test]
+fn a_coordinator_reports_the_adapter_that_a_continued_stream_waits_for_at_its_version() {
+    let fixture = engines(&[("v1", &["m"]), ("v2", &["m", "m/a1"])]);
+    let mut coordinator = Coordinator::new();
+    coordinator.update_view(fixture.now, &fixture.view);
+    let spec = continuation(&fixture, "m/a1", 0);
+    let request = StartRequest::new(fixture.now, 1, &spec, Vec::new());
+    let actions = coordinator.request_start(fixture.now, NODE, request, 1);
+    let wanted =
+        WantedModel { name: common::model("m/a1"), software_version: spec.software_version };
+    assert!(actions.contains(&CoordinatorAction::ModelMissing(wanted)), "{actions:?}");
+}
--- a/crates/fuzz/tests/outside_data.rs
+++ b/crates/fuzz/tests/outside_data.rs
@@ -5,7 +5,8 @@
     fastrand::Rng,
     glade_adapter::{config, engine, platform_dialect::PlatformDialect, registry},
     glade_catalog::{
-        Catalog, DemandReport, ModelDemand, OrderAnswer, RequestMetadata, ServerRecord, ServerState,
+        Catalog, DemandReport, ModelDemand, OrderAnswer, RequestMetadata, ServerRecord,
+        ServerState, WantedModel,
     },
     glade_dispatch::{ClusterView, Dispatcher, Load, RequestSpec, RetryLimit, ServerView, Verdict},
     glade_relay::Dialect,
@@ -225,7 +226,10 @@
             let report = DemandReport { interval, models: models.clone() };
             controller.on_demand(now, &VmId::new(vm), &report);
         }
-        controller.on_model_wanted(now, &ModelName::new("n"));
+        controller.on_model_wanted(
+            now,
+            WantedModel { name: ModelName::new("n"), software_version: None },
+        );
         for action in controller.tick(now, catalog) {
             match action {
                 Action::RequestReport { server, .. } => {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -453,8 +453,8 @@
             Event::PeerBatch(batch) => self.on_peer_batch(now, *batch),
             Event::TrafficReport(report) => self.on_traffic_report(now, report),
             Event::PromptsSent(sent) => self.prompts.on_local(now, sent, &mut self.network),
-            Event::TrafficUpdate(TrafficUpdate::ModelWanted(model)) => {
-                self.on_model_wanted(now, model)
+            Event::TrafficUpdate(TrafficUpdate::ModelWanted(wanted)) => {
+                self.on_model_wanted(now, wanted)
             }
             Event::TrafficUpdate(TrafficUpdate::ServerGone(key)) => {
                 if self.mark_server_gone(now, &key) {
--- a/crates/node/src/control/peer_handlers.rs
+++ b/crates/node/src/control/peer_handlers.rs
@@ -8,7 +8,7 @@
         registry_fetch::RegistrySource,
         registry_update::{RegistryUpdate, ServerVersion},
     },
-    glade_catalog::ServerKey,
+    glade_catalog::{ServerKey, WantedModel},
     glade_dispatch::{ContinuationRequest, TeamStartRequest},
     glade_platform::Revision,
     glade_residency::EngineDigest,
@@ -81,15 +81,16 @@
             PeerMessage::Demand(report) if self.network.mesh.forwards_to_holder_for(&from.vm) => {
                 self.demand.on_report(now, &from.vm, &report);
             }
-            PeerMessage::ModelWanted(model)
-                if self.leadership.is_holder()
-                    || self.network.mesh.forwards_to_holder_for(&from.vm) =>
-            {
-                self.on_model_wanted(now, model);
+            PeerMessage::ModelWanted(name) => {
+                let wanted = WantedModel { name, software_version: None };
+                self.on_peer_wants_model(now, &from.vm, wanted);
+            }
+            PeerMessage::VersionWanted(wanted) => {
+                self.on_peer_wants_model(now, &from.vm, wanted);
             }
             // The sender assumes that this node still holds the lease, which is no longer so.
             // Forwarding the message to the new holder could make it circulate.
-            PeerMessage::Demand(_) | PeerMessage::ModelWanted(_) => {}
+            PeerMessage::Demand(_) => {}
             PeerMessage::ServerGone(key) => {
                 if self.mark_server_gone(now, &key) {
                     self.network.forward(now, &from.vm, &PeerMessage::ServerGone(key));
--- a/crates/node/src/control/traffic_handlers.rs
+++ b/crates/node/src/control/traffic_handlers.rs
@@ -4,8 +4,9 @@
 use {
     super::Control,
     crate::{event::TrafficReport, peer_message::PeerMessage, start_exchange::StartUpdate},
+    glade_catalog::WantedModel,
     glade_dispatch::{StartEvent, StartReply, StartRequest},
-    glade_types::ModelName,
+    glade_types::VmId,
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -86,7 +87,7 @@
         if !update.replies.is_empty() {
             self.on_start_replies(self.network.me.peer_addr, update.replies);
         }
-        update.missing.into_iter().for_each(|model| self.on_model_wanted(now, model));
+        update.missing.into_iter().for_each(|wanted| self.on_model_wanted(now, wanted));
     }
 
     /// Passes replies to the relay; the coordinator that has sent them receives events at
@@ -143,13 +144,22 @@
 
     /// Reports to the holder of the lease that a request waits for a model that no usable server
     /// holds.
-    pub(super) fn on_model_wanted(&mut self, now: Instant, model: ModelName) {
+    pub(super) fn on_model_wanted(&mut self, now: Instant, wanted: WantedModel) {
         if self.leadership.is_holder() {
-            self.leadership.on_model_wanted(now, &model);
+            self.leadership.on_model_wanted(now, wanted);
         } else if self.network.mesh.is_core {
-            self.send_to_holder(now, PeerMessage::ModelWanted(model));
+            self.send_to_holder(now, PeerMessage::model_wanted(wanted));
         } else {
-            self.network.send_upstream_now(now, &PeerMessage::ModelWanted(model));
+            self.network.send_upstream_now(now, &PeerMessage::model_wanted(wanted));
+        }
+    }
+
+    /// Handles a report of `vm` as one of its own.
+    pub(super) fn on_peer_wants_model(&mut self, now: Instant, vm: &VmId, wanted: WantedModel) {
+        // A sender that takes this node for the holder of the lease is wrong if it isn't any more.
+        // Forwarding the message to the new holder could make it circulate.
+        if self.leadership.is_holder() || self.network.mesh.forwards_to_holder_for(vm) {
+            self.on_model_wanted(now, wanted);
         }
     }
 
--- a/crates/node/src/control_metrics.rs
+++ b/crates/node/src/control_metrics.rs
@@ -12,7 +12,7 @@
 };
 
 /// Kinds of messages, indexed by [`crate::peer_message::PeerMessage::kind`].
-pub(crate) const MESSAGE_KINDS: [&str; 37] = [
+pub(crate) const MESSAGE_KINDS: [&str; 38] = [
     "beat",
     "loads",
     "prompts",
@@ -50,6 +50,7 @@
     "stream_questions",
     "stream_answers",
     "continuation_wanted",
+    "version_wanted",
 ];
 
 /// Number of messages of one kind, and their bytes.
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -12,11 +12,13 @@
         registry::Registry,
         store_health::StoreHealth,
     },
-    glade_catalog::{Catalog, DemandReport, EngineOrder, EngineReport, OrderAnswer, ServerKey},
+    glade_catalog::{
+        Catalog, DemandReport, EngineOrder, EngineReport, OrderAnswer, ServerKey, WantedModel,
+    },
     glade_lease::LeaseConfig,
     glade_platform::{Era, StoreError, StoredRow, TxnAnswer},
     glade_residency::{Action, EngineDigest, PlacementController},
-    glade_types::{Incarnation, ModelName, VmId, rendezvous_order},
+    glade_types::{Incarnation, VmId, rendezvous_order},
     std::{
         rc::Rc,
         time::{Duration, Instant},
@@ -254,9 +256,9 @@
 
     /// Notifies the placement controller that a request waits for a model that no engine holds, if
     /// this node gives orders.
-    pub(crate) fn on_model_wanted(&mut self, now: Instant, model: &ModelName) {
+    pub(crate) fn on_model_wanted(&mut self, now: Instant, wanted: WantedModel) {
         if let Some(controller) = &mut self.controller {
-            controller.on_model_wanted(now, model);
+            controller.on_model_wanted(now, wanted);
         }
     }
 
--- a/crates/node/src/peer_message.rs
+++ b/crates/node/src/peer_message.rs
@@ -11,7 +11,7 @@
         store_access::StoreReport,
         store_health::StoreStatus,
     },
-    glade_catalog::{Catalog, DemandReport, ServerKey, TeamCatalog},
+    glade_catalog::{Catalog, DemandReport, ServerKey, TeamCatalog, WantedModel},
     glade_dispatch::{
         ContinuationRequest, ServerLoad, StartEvent, StartReply, StartRequest, TeamStartRequest,
     },
@@ -221,6 +221,8 @@
     StreamAnswers(Vec<StreamAnswer>),
     /// Like `StartRequests`, for streams that their callers have a part of.
     ContinuationRequests(Vec<ContinuationRequest>),
+    /// Like `ModelWanted`, for requests that engines of one software version may run.
+    VersionWanted(WantedModel),
 }
 
 impl PeerMessage {
@@ -240,11 +242,24 @@
         versions.into_iter().chain([Self::Registry(update)]).collect()
     }
 
+    /// The message that reports a wanted model to the holder of the lease.
+    pub(crate) fn model_wanted(wanted: WantedModel) -> Self {
+        match wanted.software_version {
+            Some(_) => Self::VersionWanted(wanted),
+            None => Self::ModelWanted(wanted.name),
+        }
+    }
+
     /// The message that asks a coordinator for a start.
     pub(crate) fn start_request(request: StartRequest) -> Self {
         match request.team {
             team if request.is_continuation => {
-                Self::ContinuationRequests(vec![ContinuationRequest { team, request }])
+                let software_version = request.software_version;
+                Self::ContinuationRequests(vec![ContinuationRequest {
+                    team,
+                    software_version,
+                    request,
+                }])
             }
             Some(team) => Self::TeamStartRequests(vec![TeamStartRequest { team, request }]),
             None => Self::StartRequests(vec![request]),
@@ -280,6 +295,7 @@
                 | Self::StreamQuestions(_)
                 | Self::StreamAnswers(_)
                 | Self::ContinuationRequests(_)
+                | Self::VersionWanted(_)
         )
     }
 
@@ -323,6 +339,7 @@
             Self::StreamQuestions(_) => 34,
             Self::StreamAnswers(_) => 35,
             Self::ContinuationRequests(_) => 36,
+            Self::VersionWanted(_) => 37,
         }
     }
 
@@ -345,6 +362,7 @@
                 | Self::StreamQuestions(_)
                 | Self::StreamAnswers(_)
                 | Self::ContinuationRequests(_)
+                | Self::VersionWanted(_)
         )
     }
 }
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -367,12 +367,18 @@
         self.entries.values().map(view).collect()
     }
 
-    /// For each model that is being loaded, when it is likely to be ready at the first server.
-    pub(crate) fn models_ready_at(&self) -> HashMap<ModelName, Instant> {
-        let mut earliest: HashMap<ModelName, Instant> = HashMap::new();
-        for (model, at) in self.pending_loads.values().flatten() {
-            let known = earliest.entry(model.clone()).or_insert(*at);
-            *known = (*known).min(*at);
+    /// For each model that is being loaded, when it is likely to be ready at the first server of each software
+    /// version.
+    pub(crate) fn models_ready_at(&self) -> HashMap<ModelName, BTreeMap<u32, Instant>> {
+        let mut earliest: HashMap<ModelName, BTreeMap<u32, Instant>> = HashMap::new();
+        for (key, loads) in &self.pending_loads {
+            let entry = self.entries.get(&key.id).filter(|entry| entry.record.key == *key);
+            let Some(version) = entry.map(|entry| entry.record.version_hash()) else { continue };
+            for (model, at) in loads {
+                let by_version = earliest.entry(model.clone()).or_default();
+                let known = by_version.entry(version).or_insert(*at);
+                *known = (*known).min(*at);
+            }
         }
         earliest
     }
--- a/crates/node/src/registry/tests.rs
+++ b/crates/node/src/registry/tests.rs
@@ -191,7 +191,8 @@
     };
     registry.apply_digests(now, 2, vec![digest.clone()]);
     assert_eq!(resident_models(&registry), ["m", "m/a1"]);
-    assert_eq!(registry.models_ready_at()[&ModelName::new("n")], now + Duration::from_secs(3));
+    let ready_at = &registry.models_ready_at()[&ModelName::new("n")];
+    assert_eq!(ready_at.values().collect::<Vec<_>>(), [&(now + Duration::from_secs(3))]);
     let unloading = EngineDigest { unloading: vec![ModelName::new("m")], ..digest.clone() };
     registry.apply_digests(now, 2, vec![unloading]);
     assert!(resident_models(&registry).is_empty());
--- a/crates/node/src/start_exchange.rs
+++ b/crates/node/src/start_exchange.rs
@@ -7,10 +7,10 @@
 
 use {
     crate::{peer_message::PeerMessage, peer_network::PeerNetwork},
+    glade_catalog::WantedModel,
     glade_dispatch::{
         ClusterView, Coordinator, CoordinatorAction, StartEvent, StartReply, StartRequest,
     },
-    glade_types::ModelName,
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -30,7 +30,7 @@
     /// Replies to this node's own start requests.
     pub(crate) replies: Vec<StartReply>,
     /// Models and adapters that requests wait for and no engine holds.
-    pub(crate) missing: Vec<ModelName>,
+    pub(crate) missing: Vec<WantedModel>,
 }
 
 /// The coordinator, while this node receives start requests.
@@ -124,7 +124,7 @@
             CoordinatorAction::Forward { data_centre, request } => {
                 network.send_to_primary_of(now, &data_centre, &PeerMessage::start_request(request));
             }
-            CoordinatorAction::ModelMissing(model) => update.missing.push(model),
+            CoordinatorAction::ModelMissing(wanted) => update.missing.push(wanted),
         }
     }
     for (to, replies) in replies {
--- a/crates/relay/src/start_client.rs
+++ b/crates/relay/src/start_client.rs
@@ -229,8 +229,7 @@
         let dispatcher = self.dispatcher.borrow();
         let tag = |server: &ServerIdx| dispatcher.record(*server).key.short_hash();
         let spec = &admitted.open_request.spec;
-        let mut tried: Vec<u32> = admitted.failed_attempts().tried.iter().map(tag).collect();
-        tried.extend(dispatcher.unfit_servers(spec));
+        let tried = admitted.failed_attempts().tried.iter().map(tag).collect();
         let request = StartRequest::new(self.clock.now(), ticket, spec, tried);
         (self.on_update)(TrafficUpdate::StartWanted(request));
     }
--- a/crates/relay/src/traffic_update.rs
+++ b/crates/relay/src/traffic_update.rs
@@ -1,20 +1,19 @@
 //! Updates that the traffic thread sends to the control thread immediately.
 
 use {
-    glade_catalog::ServerKey,
+    glade_catalog::{ServerKey, WantedModel},
     glade_dispatch::StartRequest,
     glade_limit::{LimitReport, PermitWish, QuotaAsk},
     glade_quarantine::LostAttempt,
     glade_streams::StreamQuestion,
-    glade_types::ModelName,
     std::time::Duration,
 };
 
 /// An observation or request of the traffic thread.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TrafficUpdate {
-    /// A request waits for a model or adapter that no usable server holds.
-    ModelWanted(ModelName),
+    /// A request waits for a model or adapter that no usable server holds which may run it.
+    ModelWanted(WantedModel),
     /// The coordinator should choose a server for a request.
     StartWanted(StartRequest),
     /// A server has announced that it is about to exit.
--- a/crates/relay/src/wait_queue.rs
+++ b/crates/relay/src/wait_queue.rs
@@ -5,9 +5,8 @@
         admitted_request::AdmittedRequest, attempt::Attempt, dialect::Dialect, relay::Relay,
         traffic_update::TrafficUpdate,
     },
-    glade_catalog::RequestMetadata,
+    glade_catalog::WantedModel,
     glade_dispatch::{Refusal, Verdict, WaitId},
-    glade_types::ModelName,
     std::{
         cell::RefCell,
         collections::HashMap,
@@ -40,7 +39,7 @@
 pub(crate) struct WaitQueue<D: Dialect> {
     senders: RefCell<HashMap<WaitId, oneshot::Sender<StartResult<D>>>>,
     changed: Notify,
-    model_wanted_at: RefCell<HashMap<ModelName, Instant>>,
+    model_wanted_at: RefCell<HashMap<WantedModel, Instant>>,
 }
 
 impl<D: Dialect> WaitQueue<D> {
@@ -104,7 +103,7 @@
             }
             Verdict::Wait { missing } => {
                 if missing {
-                    self.report_model_wanted(now, &admitted.routed.terms);
+                    self.report_model_wanted(now, admitted);
                 }
                 self.log_waiting(admitted, missing);
                 let (sender, receiver) = oneshot::channel();
@@ -123,17 +122,19 @@
 
     /// Reports to the lease holder that a model is wanted which no server available to this VM
     /// holds.
-    fn report_model_wanted(&self, now: Instant, terms: &RequestMetadata) {
-        let Some(model) = &terms.model else { return };
+    fn report_model_wanted(&self, now: Instant, admitted: &AdmittedRequest) {
+        let spec = &admitted.open_request.spec;
+        let Some(name) = spec.model.clone() else { return };
+        let wanted = WantedModel { name, software_version: spec.software_version };
         let mut model_wanted_at = self.wait_queue.model_wanted_at.borrow_mut();
         let is_recent = model_wanted_at
-            .get(model)
+            .get(&wanted)
             .is_some_and(|at| now.saturating_duration_since(*at) < MODEL_WANTED_INTERVAL);
         if !is_recent {
             model_wanted_at
                 .retain(|_, at| now.saturating_duration_since(*at) < MODEL_WANTED_INTERVAL);
-            model_wanted_at.insert(model.clone(), now);
-            (self.on_update)(TrafficUpdate::ModelWanted(model.clone()));
+            model_wanted_at.insert(wanted.clone(), now);
+            (self.on_update)(TrafficUpdate::ModelWanted(wanted));
         }
     }
 
--- a/crates/residency/src/placement_controller.rs
+++ b/crates/residency/src/placement_controller.rs
@@ -14,7 +14,7 @@
     },
     glade_catalog::{
         Catalog, DemandReport, EngineClass, EngineOrder, EngineReport, ModelSpec, OrderAnswer,
-        ServerKey, ServerRecord, Service, base_model_of, is_adapter,
+        ServerKey, ServerRecord, Service, WantedModel, base_model_of, is_adapter,
     },
     glade_types::{DataCentre, ModelName, VmId},
     std::{
@@ -66,9 +66,9 @@
     engines: BTreeMap<ServerKey, ManagedEngine>,
     demand: DemandTable,
     store_load_limiter: RateLimiter,
-    /// Models and adapters for which a request waits although no engine holds them, with the time
-    /// of the last such request.
-    wanted_models: BTreeMap<ModelName, Instant>,
+    /// Models and adapters for which a request waits although no engine holds them which may run it,
+    /// with the time of the last such request.
+    wanted_models: BTreeMap<WantedModel, Instant>,
     /// Time since which base models have had no copy.
     without_copy_since: BTreeMap<ModelName, Instant>,
     plan_at: Instant,
@@ -147,9 +147,9 @@
         }
     }
 
-    /// Records that a request waits for `model`, which no engine holds.
-    pub fn on_model_wanted(&mut self, now: Instant, model: &ModelName) {
-        self.wanted_models.insert(model.clone(), now);
+    /// Records that a request waits for a model that no engine holds which may run it.
+    pub fn on_model_wanted(&mut self, now: Instant, wanted: WantedModel) {
+        self.wanted_models.insert(wanted, now);
     }
 
     /// Handles the answer to an order.
@@ -330,7 +330,8 @@
             base.load += self.demand.projected_load(now, name, PREFILL_TOKENS_PER_S, batch_slots);
             base.in_flight += self.demand.in_flight(now, name);
         }
-        for model in self.wanted_models.keys().filter(|model| is_adapter(model)) {
+        let wanted = self.wanted_models.keys().map(|wanted| &wanted.name);
+        for model in wanted.filter(|model| is_adapter(model)) {
             by_base.entry(base_model_of(model)).or_default();
         }
         by_base
--- a/crates/residency/src/placement_controller/adapters.rs
+++ b/crates/residency/src/placement_controller/adapters.rs
@@ -7,8 +7,8 @@
 
 use {
     super::PlacementController,
-    crate::managed_engine::EvictionCost,
-    glade_catalog::{EngineClass, Service, base_model_of, is_adapter},
+    crate::managed_engine::{EvictionCost, ManagedEngine},
+    glade_catalog::{EngineClass, Service, WantedModel, base_model_of, is_adapter},
     glade_types::ModelName,
     std::{collections::BTreeMap, time::Instant},
 };
@@ -37,8 +37,13 @@
     }
 }
 
+/// True if `engine` runs the software version that `wanted` is bound to, if any.
+fn is_of_version(engine: &ManagedEngine, wanted: &WantedModel) -> bool {
+    wanted.software_version.is_none_or(|version| engine.record.version_hash() == version)
+}
+
 impl PlacementController {
-    /// Orders adapters that have been requested and that no engine holds.
+    /// Orders adapters that have been requested and that no engine holds which may run the requests.
     pub(super) fn order_wanted_adapters(
         &mut self,
         now: Instant,
@@ -49,17 +54,20 @@
             return;
         }
         let copies = self.adapter_copies(service);
-        let wanted: Vec<ModelName> = self.wanted_models.keys().cloned().collect();
-        for adapter in wanted {
-            let base = base_model_of(&adapter);
-            if !is_adapter(&adapter) || class.model(base).is_none() {
+        let all_wanted: Vec<WantedModel> = self.wanted_models.keys().cloned().collect();
+        for wanted in all_wanted {
+            let base = base_model_of(&wanted.name);
+            if !is_adapter(&wanted.name) || class.model(base).is_none() {
                 continue;
             }
             let is_held = self.engines.values().any(|engine| {
-                engine.usable && engine.has_adapter(&adapter) && engine.has_ready_base(base)
+                engine.usable
+                    && is_of_version(engine, &wanted)
+                    && engine.has_adapter(&wanted.name)
+                    && engine.has_ready_base(base)
             });
-            if is_held || self.order_wanted_adapter(now, service, class, &copies, &adapter) {
-                self.wanted_models.remove(&adapter);
+            if is_held || self.order_wanted_adapter(now, service, class, &copies, &wanted) {
+                self.wanted_models.remove(&wanted);
             }
         }
     }
@@ -72,10 +80,10 @@
         service: &Service,
         class: &EngineClass,
         copies: &BTreeMap<ModelName, usize>,
-        adapter: &ModelName,
+        wanted: &WantedModel,
     ) -> bool {
         let adapter_slots = class.adapter_slots as usize;
-        let base = base_model_of(adapter);
+        let base = base_model_of(&wanted.name);
         let (demand, waits) = (&self.demand, &self.lease_term.waits);
         let cost = |name: &ModelName| {
             if demand.in_flight(now, name) <= 0.0 {
@@ -90,6 +98,7 @@
             .engines
             .values_mut()
             .filter(|engine| engine.record.service == service.name)
+            .filter(|engine| is_of_version(engine, wanted))
             .filter(|engine| engine.can_load_adapters() && engine.has_ready_base(base))
             .filter(|engine| !waits.must_wait(now, &engine.key().id))
             .min_by_key(|engine| {
@@ -112,7 +121,7 @@
         } else {
             None
         };
-        engine.queue_adapter_load(now, adapter.clone(), evict);
+        engine.queue_adapter_load(now, wanted.name.clone(), evict);
         true
     }
 
--- a/crates/residency/tests/common/mod.rs
+++ b/crates/residency/tests/common/mod.rs
@@ -92,6 +92,8 @@
     pub accepted: u64,
     pub fence: u64,
     pub store_loads: Vec<Instant>,
+    /// Software version.
+    pub version: &'static str,
     /// Set when an order needs more memory than the engine has.
     pub overcommitted: bool,
     pending: Option<(OrderKind, ModelName, Instant)>,
@@ -109,6 +111,7 @@
             accepted: 0,
             fence: 0,
             store_loads: Vec::new(),
+            version: "v1",
             overcommitted: false,
             pending: None,
             delayed_orders: Vec::new(),
@@ -126,7 +129,7 @@
             service: ServiceName::new("pool"),
             addr: ([127, 0, 0, 1], 1).into(),
             data_centre: DataCentre::new("dc-1"),
-            version: SoftwareVersion::new("v1"),
+            version: SoftwareVersion::new(self.version),
             slots: 32,
             state: ServerState::Ready,
             warm_up_remaining: Duration::ZERO,
--- a/crates/residency/tests/placement_controller.rs
+++ b/crates/residency/tests/placement_controller.rs
@@ -4,7 +4,7 @@
 
 use {
     common::{ADAPTER_SLOTS, FakeEngine, catalog, demand, model, spec},
-    glade_catalog::{Catalog, OrderAnswer},
+    glade_catalog::{Catalog, OrderAnswer, WantedModel},
     glade_residency::{Action, LeaseTerm, OrderWaits, PlacementController},
     glade_types::VmId,
     quickcheck::{Gen, QuickCheck},
@@ -47,6 +47,12 @@
         Self { now: start, catalog, engines, controller, faults, rng }
     }
 
+    /// Reports that a request for a model or adapter waits, which any engine may run.
+    fn want(&mut self, name: &str) {
+        let wanted = WantedModel { name: model(name), software_version: None };
+        self.controller.on_model_wanted(self.now, wanted);
+    }
+
     /// Makes another node the lease holder.
     fn change_holder(&mut self, fence: u64) {
         self.controller = PlacementController::begin(self.now, lease_term("vm-2", fence, self.now));
@@ -157,7 +163,7 @@
 #[test]
 fn a_wanted_adapter_is_loaded_within_100_ms() {
     let mut simulation = settled_simulation();
-    simulation.controller.on_model_wanted(simulation.now, &model("m3/a2"));
+    simulation.want("m3/a2");
     simulation.run(Duration::from_millis(100), |_| {});
     assert!(
         simulation.engines[1].adapters.contains(&model("m3/a2")),
@@ -166,12 +172,38 @@
     );
 }
 
+#[test]
+fn an_adapter_wanted_at_a_software_version_is_loaded_there_though_another_version_holds_it() {
+    let mut simulation = settled_simulation();
+    simulation.engines[2].version = "v2";
+    simulation.want("m0/a1");
+    simulation.run(Duration::from_millis(100), |_| {});
+    let holds = |simulation: &Simulation| {
+        simulation.engines.iter().position(|engine| engine.adapters.contains(&model("m0/a1")))
+    };
+    let holder = holds(&simulation).expect("an engine holds it");
+    let other = if holder == 2 { 0 } else { 2 };
+    let wanted = WantedModel {
+        name: model("m0/a1"),
+        software_version: Some(simulation.engines[other].record().version_hash()),
+    };
+    simulation.controller.on_model_wanted(simulation.now, wanted);
+    simulation.run(Duration::from_millis(100), |_| {});
+    let version = simulation.engines[other].version;
+    let mut of_version = simulation.engines.iter().filter(|engine| engine.version == version);
+    assert!(
+        of_version.any(|engine| engine.adapters.contains(&model("m0/a1"))),
+        "{:?}",
+        simulation.engines
+    );
+}
+
 /// In a larger deployment 150 requests for adapters of one model were refused, because
 /// each adapter was on only one of the engines that held the model.
 #[test]
 fn an_adapter_in_demand_is_loaded_beside_every_copy_of_its_base_model() {
     let mut simulation = settled_simulation();
-    simulation.controller.on_model_wanted(simulation.now, &model("m0/a1"));
+    simulation.want("m0/a1");
     // One of the engines first has to complete a load of three seconds.
     simulation.run_with_demand(Duration::from_secs(5), "m0/a1", 4);
     assert_eq!(simulation.adapter_copies("m0/a1"), 3, "{:?}", simulation.engines);
@@ -180,7 +212,7 @@
 #[test]
 fn an_adapter_with_little_demand_has_one_copy() {
     let mut simulation = settled_simulation();
-    simulation.controller.on_model_wanted(simulation.now, &model("m0/a1"));
+    simulation.want("m0/a1");
     simulation.run_with_demand(Duration::from_secs(2), "m0/a1", 0);
     assert_eq!(simulation.adapter_copies("m0/a1"), 1);
 }
@@ -189,10 +221,10 @@
 fn replication_leaves_a_slot_for_an_adapter_without_a_copy() {
     let mut simulation = settled_simulation();
     for adapter in ["m0/a1", "m0/a2"] {
-        simulation.controller.on_model_wanted(simulation.now, &model(adapter));
+        simulation.want(adapter);
         simulation.run_with_demand(Duration::from_secs(1), adapter, 4);
     }
-    simulation.controller.on_model_wanted(simulation.now, &model("m3/a1"));
+    simulation.want("m3/a1");
     simulation.run(Duration::from_millis(100), |_| {});
     assert!(
         simulation.engines[1].adapters.contains(&model("m3/a1")),
@@ -205,7 +237,7 @@
 fn an_adapter_without_a_free_slot_replaces_the_least_recently_requested() {
     let mut simulation = settled_simulation();
     for adapter in ["m3/a1", "m3/a2", "m4/a1"] {
-        simulation.controller.on_model_wanted(simulation.now, &model(adapter));
+        simulation.want(adapter);
         simulation.run(Duration::from_millis(400), |_| {});
     }
     let adapters = &simulation.engines[1].adapters;
@@ -250,11 +282,11 @@
     for engine in &mut simulation.engines {
         engine.fence = 9;
     }
-    simulation.controller.on_model_wanted(simulation.now, &model("m3/a2"));
+    simulation.want("m3/a2");
     simulation.run(Duration::from_secs(1), |_| {});
     assert!(simulation.controller.is_fenced());
     let accepted: u64 = simulation.engines.iter().map(|engine| engine.accepted).sum();
-    simulation.controller.on_model_wanted(simulation.now, &model("m4/a1"));
+    simulation.want("m4/a1");
     simulation.run(Duration::from_secs(2), |_| {});
     assert_eq!(accepted, simulation.engines.iter().map(|engine| engine.accepted).sum::<u64>());
 }
@@ -263,7 +295,7 @@
 fn no_order_is_sent_shortly_before_the_lease_ends() {
     let mut simulation = settled_simulation();
     simulation.controller.renew(simulation.now + Duration::from_millis(100));
-    simulation.controller.on_model_wanted(simulation.now, &model("m3/a2"));
+    simulation.want("m3/a2");
     simulation.run(Duration::from_millis(300), |_| {});
     assert!(simulation.engines[1].adapters.is_empty(), "{:?}", simulation.engines[1]);
 }
@@ -276,10 +308,10 @@
     let mut rng = fastrand::Rng::with_seed(seed);
     for round in 0..24 {
         let busy = format!("m{}", rng.u8(0..8));
-        let wanted = model(&format!("m{}/a{}", rng.u8(0..8), rng.u8(1..4)));
+        let wanted = format!("m{}/a{}", rng.u8(0..8), rng.u8(1..4));
         simulation.run(Duration::from_millis(1000), |simulation| {
             simulation.controller.on_demand(simulation.now, &VmId::new("a"), &demand(&busy, 6));
-            simulation.controller.on_model_wanted(simulation.now, &wanted);
+            simulation.want(&wanted);
         });
         if rng.u8(0..6) == 0 {
             simulation.change_holder(2 + round);
