A node that has just started knows which software versions there were

Cause: the log in the store had records only while a service had several versions. The new nodes knew one version, and found no record of another, so that they took it for the one that had begun the stream.

Change: a row of the log has the software versions of each service, written when they change. A node that reads the log counts these as versions that the service has had.

--- a/crates/node/src/control/stream_handlers.rs
+++ b/crates/node/src/control/stream_handlers.rs
@@ -33,12 +33,10 @@
     fn write_stream_log(&mut self, now: Instant) {
         let new = self.streams.take_new_records();
         let is_writer = *self.read_role.borrow() == ReadRole::Primary && self.network.mesh.is_core;
-        let several_versions = self.streams.has_several_versions();
         let (me, rng) = (&self.network.me, &mut self.rng);
         let name = || format!("{}-{}-{:08x}", me.vm, me.incarnation, rng.u32(..));
-        let records = self.streams.records();
         self.stream_store.add(new);
-        if self.stream_store.follow(now, is_writer, several_versions, name, records) {
+        if self.stream_store.follow(now, is_writer, name, &self.streams) {
             StreamStore::read(now, &self.store, &self.events);
         }
         self.stream_store.write(now, &self.store, &self.events);
@@ -66,13 +64,13 @@
         now: Instant,
         answer: Result<Snapshot, StoreError>,
     ) {
-        let groups = answer
+        let logged = answer
             .inspect_err(|err| {
                 log::info!(reason = err.to_string().as_str(); "stream_log_read_failed");
             })
             .ok()
             .map(|snapshot| self.stream_store.on_read(now, &snapshot));
-        self.streams.on_log_read(now, groups, &mut self.network);
+        self.streams.on_log_read(now, logged, &mut self.network);
         self.act_on_streams(now);
     }
 
--- a/crates/node/src/stream_exchange.rs
+++ b/crates/node/src/stream_exchange.rs
@@ -8,6 +8,7 @@
     crate::{
         peer_message::{PeerInfo, PeerMessage},
         peer_network::PeerNetwork,
+        stream_store::LoggedStreams,
     },
     glade_streams::{
         Asker, KnownVersions, LogState, LookupAction, NodeState, OriginLookups, StreamAnswer,
@@ -67,6 +68,11 @@
         &self.records
     }
 
+    /// Software versions of servers.
+    pub(crate) fn versions(&self) -> &KnownVersions {
+        &self.versions
+    }
+
     /// True if a service has had several software versions lately.
     pub(crate) fn has_several_versions(&self) -> bool {
         self.versions.has_several(self.records.versions())
@@ -207,15 +213,17 @@
         std::mem::take(&mut self.wants_log)
     }
 
-    /// Adds the records of the log; `None` if it couldn't be read.
+    /// Adds what the log has; `None` if it couldn't be read.
     pub(crate) fn on_log_read(
         &mut self,
         now: Instant,
-        groups: Option<Vec<VersionStreams>>,
+        logged: Option<LoggedStreams>,
         network: &mut PeerNetwork,
     ) {
-        self.log = if groups.is_some() { LogState::Read } else { LogState::Unread };
-        for (stream, version) in VersionStreams::records(&groups.unwrap_or_default()) {
+        self.log = if logged.is_some() { LogState::Read } else { LogState::Unread };
+        let LoggedStreams { groups, versions } = logged.unwrap_or_default();
+        self.versions.update(now, versions.into_iter());
+        for (stream, version) in VersionStreams::records(&groups) {
             if self.records.get(stream).is_none() {
                 self.records.add(now, stream, version);
             }
--- a/crates/node/src/stream_store.rs
+++ b/crates/node/src/stream_store.rs
@@ -1,12 +1,12 @@
 //! Keeps the log of streams in a table of the store while a service has several software versions.
 
 use {
-    crate::{control_task::spawn_task, event::Event},
+    crate::{control_task::spawn_task, event::Event, stream_exchange::StreamExchange},
     glade_adapter::platform_store::PlatformStore,
     glade_platform::{
         ChangeFeed, Key, Snapshot, StoreError, StoredRow, TableService, Txn, TxnAnswer, Write,
     },
-    glade_streams::{LogWrite, StreamLog, StreamRecords, VersionStreams},
+    glade_streams::{LogWrite, StreamLog, VersionStreams},
     std::{
         rc::Rc,
         time::{Duration, Instant},
@@ -20,6 +20,14 @@
 /// Pause after the table couldn't be read, until it is read again.
 const READ_RETRY_PAUSE: Duration = Duration::from_secs(5);
 
+/// What the table has.
+#[derive(Debug, Default)]
+pub(crate) struct LoggedStreams {
+    pub(crate) groups: Vec<VersionStreams>,
+    /// Software versions that services have had, each with its service.
+    pub(crate) versions: Vec<(u32, u32)>,
+}
+
 /// The log, while this node writes it.
 #[derive(Debug, Default)]
 pub(crate) struct StreamStore {
@@ -32,15 +40,14 @@
 }
 
 impl StreamStore {
-    /// Begins to write the log, or ends that. A node that `is_writer` removes old rows, and writes records
-    /// while there are `several_versions`. Returns true if the table is to be read.
+    /// Begins to write the log, or ends that. A node that `is_writer` removes old rows, and writes the
+    /// software versions, and new records while there are several. Returns true if the table is to be read.
     pub(crate) fn follow(
         &mut self,
         now: Instant,
         is_writer: bool,
-        several_versions: bool,
         name: impl FnOnce() -> String,
-        records: &StreamRecords,
+        streams: &StreamExchange,
     ) -> bool {
         if !is_writer {
             // Another node writes and removes from now on.
@@ -48,8 +55,13 @@
             return false;
         }
         let log = self.log.get_or_insert_with(|| StreamLog::new(now, &name()));
+        let several_versions = streams.has_several_versions();
         if several_versions && !self.writes_records {
-            records.iter().for_each(|(stream, version)| log.add(stream, version));
+            streams.records().iter().for_each(|(stream, version)| log.add(stream, version));
+        }
+        // Those that the writer before has left there count as well.
+        if self.has_read {
+            log.set_versions(streams.versions().all());
         }
         self.writes_records = several_versions;
         let is_recent = |at: Instant| now.saturating_duration_since(at) < READ_RETRY_PAUSE;
@@ -109,19 +121,31 @@
     }
 
     /// Decodes all rows, and has those of other processes removed later if this node writes the log.
-    pub(crate) fn on_read(&mut self, now: Instant, snapshot: &Snapshot) -> Vec<VersionStreams> {
+    pub(crate) fn on_read(&mut self, now: Instant, snapshot: &Snapshot) -> LoggedStreams {
         self.has_read = true;
         if let Some(log) = &mut self.log {
             let names = snapshot.rows.iter().filter_map(|row| row.key.as_str().split_once('/'));
             log.add_rows(now, names.map(|(_, name)| name));
         }
-        let decode = |row: &StoredRow| {
-            StreamLog::decode_row(&row.value).inspect_err(|reason| {
+        let mut logged = LoggedStreams::default();
+        for row in &snapshot.rows {
+            if let Err(reason) = logged.add(row) {
                 let key = row.key.as_str();
                 log::warn!(key = key, reason = reason.as_str(); "stream_row_unreadable");
-            })
-        };
-        snapshot.rows.iter().filter_map(|row| decode(row).ok()).flatten().collect()
+            }
+        }
+        logged
+    }
+}
+
+impl LoggedStreams {
+    fn add(&mut self, row: &StoredRow) -> Result<(), String> {
+        if row.key == Key::new(&format!("{TABLE}/{}", StreamLog::VERSIONS_ROW)) {
+            self.versions = StreamLog::decode_versions(&row.value)?;
+        } else {
+            self.groups.extend(StreamLog::decode_row(&row.value)?);
+        }
+        Ok(())
     }
 }
 
--- a/crates/streams/src/known_versions.rs
+++ b/crates/streams/src/known_versions.rs
@@ -1,7 +1,7 @@
 //! Which software versions servers of each service have had lately.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 
@@ -35,6 +35,14 @@
         self.count(service) == 1 && recorded.into_iter().all(is_known)
     }
 
+    /// All versions, each with its service.
+    pub fn all(&self) -> BTreeSet<(u32, u32)> {
+        let of_service = |(service, versions): (&u32, &HashMap<u32, Instant>)| {
+            versions.keys().map(|version| (*service, *version)).collect::<Vec<_>>()
+        };
+        self.seen_at.iter().flat_map(of_service).collect()
+    }
+
     /// Number of versions that `service` has had.
     pub fn count(&self, service: u32) -> usize {
         self.seen_at.get(&service).map_or(0, HashMap::len)
--- a/crates/system/tests/software_versions.rs
+++ b/crates/system/tests/software_versions.rs
@@ -262,3 +262,21 @@
     restart_all(&mut site);
     assert_go_on(&site, 1, &[stream]);
 }
+
+#[test]
+fn a_stream_isnt_continued_at_a_software_version_that_came_while_all_nodes_were_down() {
+    let mut site = Site::start(2, &[&["m0"], &["m0"]]);
+    let id = site.request_id();
+    let terms = caller_terms(&id, Some("m0"), LONG_EVENTS, &[]);
+    let sent = site.begin_with_body(Caller::default(), 0, CHAT, terms, "body");
+    site.eventually("the stream runs", || !site.log.runs_of(&id).is_empty());
+    site.pause(REPORT_TIME);
+    site.kill_node(0);
+    site.kill_node(1);
+    let stream = Interrupted { reply: site.finish(sent).expect("an answer"), id };
+    (0..2).for_each(|_| site.add_engine_of(NEWER, &["m0"]));
+    site.engines.drain(..2).for_each(|engine| engine.unregister());
+    restart_all(&mut site);
+    let replies = take_up(&site, 1, &[stream]);
+    assert_eq!(replies[0].status, 503, "{:?}", replies[0]);
+}
