A backup of the store doesn't bring back a server's earlier process

What callers could see: the store goes back to a backup with the entry that an engine had before it was upgraded in place. Until the engine has written its entry again, for which servers have two seconds, its streams count as ones of the old version, and those of the old version go on there.

Cause: an entry of a later era replaced the known one whatever process it was of.

Change: an entry of a later era and of an earlier process means that the known one is missing from the backup.

--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -61,6 +61,12 @@
     pending_loads: HashMap<ServerKey, Vec<(ModelName, Instant)>>,
 }
 
+/// True if `entry` is of an earlier process than the `known` one, and came back with a backup of the store.
+fn is_from_backup(entry: &ServerEntry, known: &Entry) -> bool {
+    entry.revision.era > known.revision.era
+        && entry.record.key.start_time_ms < known.record.key.start_time_ms
+}
+
 impl Registry {
     /// Applies an update. Returns false if changes are missing between the known revision and the
     /// update.
@@ -83,9 +89,14 @@
         }
         update.removed.iter().for_each(|id| self.remove_or_lapse(now, id, store_was_unreachable));
         for entry in update.written {
-            self.lapsed.remove(&entry.record.key.id);
             let known = self.entries.get(&entry.record.key.id);
-            if known.is_none_or(|known| known.revision < entry.revision) {
+            if known.is_some_and(|known| is_from_backup(&entry, known)) {
+                self.mark_lapsed(&entry.record.key.id, now);
+                continue;
+            }
+            let is_new = known.is_none_or(|known| known.revision < entry.revision);
+            self.lapsed.remove(&entry.record.key.id);
+            if is_new {
                 self.insert(entry.revision, entry.record);
             }
         }
--- a/crates/node/src/registry/tests.rs
+++ b/crates/node/src/registry/tests.rs
@@ -219,3 +219,33 @@
     let known: Vec<_> = registry.records(now).map(|(record, _)| record.on_disk.len()).collect();
     assert_eq!(known, [1], "the entry has its copies of weights, and the removed server is gone");
 }
+
+#[test]
+fn a_backup_of_the_store_doesnt_bring_back_a_servers_earlier_process() {
+    let now = Instant::now();
+    let mut registry = one_server(now);
+    let mut later = record("e1", ServerState::Ready, &["m"]);
+    (later.key.start_time_ms, later.version) = (2, SoftwareVersion::new("v2"));
+    registry.apply(now, written(5, 6, later.clone()));
+    let restored = |number| Revision::in_era(glade_platform::Era(1), number);
+    let all = |number, record| {
+        let entry = ServerEntry { revision: restored(number), record };
+        let update = written(0, 0, later.clone());
+        RegistryUpdate { after: None, revision: restored(number), written: vec![entry], ..update }
+    };
+    let versions = |registry: &Registry| -> Vec<String> {
+        registry.records(now).map(|(record, _)| record.version.to_string()).collect()
+    };
+    registry.apply(now, all(5, record("e1", ServerState::Ready, &["m"])));
+    assert_eq!(
+        (usable(&registry, now), versions(&registry)),
+        (vec!["e1".into()], vec!["v2".into()])
+    );
+    assert!(registry.expire_lapsed(now + LAPSE_TIME), "unless it writes its entry again");
+    let mut registry = one_server(now);
+    registry.apply(now, written(5, 6, later.clone()));
+    registry.apply(now, all(5, record("e1", ServerState::Ready, &["m"])));
+    registry.apply(now, all(6, later.clone()));
+    assert!(!registry.expire_lapsed(now + LAPSE_TIME));
+    assert_eq!(versions(&registry), ["v2"]);
+}
