A stream that goes on isn't refused because of an estimate

Cause: a request whose estimated wait exceeds the time for which its caller waits is refused at once. For streams that go on, the estimate is a rate of slots that become free less that of more urgent arrivals, right after several engines have ended. A new request can be sent elsewhere or later; here the part that the caller has is lost.

Change: such a stream waits until its caller is assumed to leave. Among requests of its rank it goes first already.

Result: a_continued_stream_isnt_refused_for_an_estimate_while_its_caller_waits failed before.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -272,7 +272,7 @@
     }
 
     /// Like [`Self::refuse_if_late`], but refuses no request whose caller still waits while there is
-    /// much room.
+    /// much room, or has a part of the answer: the estimate may be wrong, and the part would be lost.
     fn refuse_if_overloaded(
         &self,
         now: Instant,
@@ -281,7 +281,8 @@
     ) -> Option<Verdict> {
         let refusal = self.refuse_if_late(now, request, predicted_first_byte_s)?;
         let is_awaited = now < request.first_byte_deadline;
-        (!is_awaited || !self.has_much_room(now, request)).then_some(refusal)
+        let may_wait = request.is_continuation || self.has_much_room(now, request);
+        (!is_awaited || !may_wait).then_some(refusal)
     }
 
     /// Decides for a request whose model or adapter is on no usable server: it waits if the model
--- a/crates/dispatch/tests/software_versions.rs
+++ b/crates/dispatch/tests/software_versions.rs
@@ -122,3 +122,19 @@
         WantedModel { name: common::model("m/a1"), software_version: spec.software_version };
     assert!(actions.contains(&CoordinatorAction::ModelMissing(wanted)), "{actions:?}");
 }
+
+#[test]
+fn a_continued_stream_isnt_refused_for_an_estimate_while_its_caller_waits() {
+    let mut fixture = engines(&[("v1", &["m"])]);
+    let server = fixture.chosen_server(&fixture.request("m", 500));
+    for _ in 0..fixture.view.servers[0].record.slots {
+        let long = fixture.request("m", 40_000);
+        fixture.dispatcher.begin_request(fixture.now, &long, server);
+    }
+    let refused = fixture.decide(&fixture.request("m", 500), &[]);
+    assert!(matches!(refused, Verdict::Refuse { reason: Refusal::Overloaded, .. }), "{refused:?}");
+    let mut request = continuation(&fixture, "m", 0);
+    assert_eq!(fixture.decide(&request, &[]), Verdict::Wait { missing: false });
+    request.first_byte_deadline = fixture.now;
+    assert!(matches!(fixture.decide(&request, &[]), Verdict::Refuse { .. }), "the caller has left");
+}
