Soak: releases of the engines' software, and callers that take streams up

A seed draws releases (engines of another version take the place of some, or some are upgraded under their names) and ends of all nodes. Callers with streams of one to four seconds come back to any node with `Resumes`. No stream may hold events of two versions, in one answer or over its attempts; a stream that is taken up goes on after its last event.

A stand-in that starts again with another version holds no models, as a release replaces its process. A restored store gets the entries of engines that leave again. plan_releases is drawn from a generator of its own, so that other seeds play what they did.

--- a/crates/soak/src/harm.rs
+++ b/crates/soak/src/harm.rs
@@ -33,6 +33,8 @@
             | Fault::StoreLink { .. }
             | Fault::Store(_)
             | Fault::Engine { .. }
+            | Fault::Replace { .. }
+            | Fault::Upgrade { .. }
             | Fault::Plain { .. }
             | Fault::EngineStall { .. }
             | Fault::PlainStall { .. }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! A seed draws which faults come when: proxies that delay, reset, cut one way or silence
 //! connections; signals that kill, end, pause and reload nodes; a store and servers that misbehave;
-//! engines that pause, and that don't take what they seemed to take; a part of prompts that crashes engines.
+//! engines that pause, and that don't take what they seemed to take; a part of prompts that crashes engines;
+//! releases of the engines' software.
 //! They come in series and overlap, while callers go on. What must hold is checked from what callers
 //! got and servers ran. Ends only processes that it started itself.
 
@@ -17,7 +18,9 @@
 mod oddities;
 mod plan;
 mod proxy;
+mod releases;
 mod restarts;
+mod resuming_callers;
 mod sent_request;
 mod series;
 mod server_faults;
@@ -29,6 +32,7 @@
     oddities::{OddKey, OddValue, plan_oddities, plan_spoiled_streams},
     plan::{Fault, Planned, Stalls, Targets, plan, plan_stalls},
     proxy::{Link, Proxy},
+    releases::{Releases, plan_releases},
     series::{Series, plan_series},
     soak::{Report, Size, Soak},
 };
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,7 +3,7 @@
 use {
     bpaf::Bpaf,
     glade_clock::SystemClock,
-    glade_soak::{Series, Size, Soak, Stalls},
+    glade_soak::{Releases, Series, Size, Soak, Stalls},
     std::{path::PathBuf, process::ExitCode, sync::Arc, time::Duration},
 };
 
@@ -53,6 +53,13 @@
     /// Mean milliseconds between two odd rows or repeated answers; 0 for none
     #[bpaf(argument("MS"), fallback(0))]
     odd_gap_ms: u64,
+    /// Mean milliseconds between two releases of the engines' software, or ends of all nodes; 0 for none.
+    /// Engines that start again count as crashed by a part
+    #[bpaf(argument("MS"), fallback(0))]
+    release_gap_ms: u64,
+    /// Callers that take their streams up, if there are releases
+    #[bpaf(argument("N"), fallback(24))]
+    resuming_callers: usize,
     /// Teams with keys and quotas; one in twelve requests has an unknown key, and keys are revoked.
     /// No callers keep their connections then
     teams: bool,
@@ -83,6 +90,10 @@
             callers: args.kept_callers,
         }),
         odd_gap: (args.odd_gap_ms > 0).then(|| Duration::from_millis(args.odd_gap_ms)),
+        releases: (args.release_gap_ms > 0).then(|| Releases {
+            gap: Duration::from_millis(args.release_gap_ms),
+            callers: args.resuming_callers,
+        }),
         teams: args.teams,
         hostile_clients: args.hostile_clients,
     };
@@ -97,6 +108,9 @@
             report.faults,
             report.violations.len()
         );
+        if report.taken_up > 0 {
+            println!("  {} streams taken up, {} went on", report.taken_up, report.went_on);
+        }
         report.violations.iter().for_each(|violation| println!("  {violation}"));
         report.logs.iter().for_each(|folder| println!("  logs in {}", folder.display()));
         broken += report.violations.len();
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -117,6 +117,20 @@
     },
     /// The store garbles the row of the configuration in its answers.
     ConfigurationRow(RowFault),
+    /// An engine with another version of its software takes the place of one, which leaves.
+    Replace {
+        /// The engine.
+        engine: usize,
+        /// Number of the version.
+        version: u32,
+    },
+    /// An engine starts again under its name with another version of its software.
+    Upgrade {
+        /// The engine.
+        engine: usize,
+        /// Number of the version.
+        version: u32,
+    },
     /// A copy of the store is made, and the store goes back to it at the end.
     Restore,
 }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -14,7 +14,9 @@
         oddities::{plan_oddities, plan_spoiled_streams},
         plan::{Fault, Planned, Stalls, Targets, plan, plan_restores, plan_stalls},
         proxy::{Link, Proxy},
+        releases::{Releases, plan_releases},
         restarts::{Restarts, Told},
+        resuming_callers::ResumingCallers,
         sent_request::SentRequest,
         series::{Series, plan_series},
         server_faults::ServerFaults,
@@ -67,6 +69,8 @@
     pub series: Option<Series>,
     /// Mean time between two odd rows or repeated answers; `None` without any.
     pub odd_gap: Option<Duration>,
+    /// Releases of the engines' software, with callers that take streams up; `None` without any.
+    pub releases: Option<Releases>,
     /// Whether callers are of teams with keys and quotas.
     pub teams: bool,
     /// Whether a crowd of callers holds bodies at nodes of small VMs.
@@ -82,6 +86,10 @@
     pub served: usize,
     /// Faults that came.
     pub faults: usize,
+    /// Streams that callers took up, by attempt.
+    pub taken_up: usize,
+    /// Those of them that brought further events.
+    pub went_on: usize,
     /// Promises that were broken.
     pub violations: Vec<Violation>,
     /// Where the nodes' logs are, if a promise was broken.
@@ -94,6 +102,16 @@
     reply: JoinHandle<Option<Reply>>,
 }
 
+/// An engine that leaves.
+struct FormerEngine {
+    position: usize,
+    /// Number of the version of the engine in its place.
+    replaced_by: u32,
+    server: SiteServer,
+    /// Passes its connections on as long as it is kept.
+    _link: Proxy,
+}
+
 /// A running soak.
 pub struct Soak {
     site: Site,
@@ -104,6 +122,9 @@
     now: Duration,
     store_links: Vec<Proxy>,
     engine_links: Vec<Proxy>,
+    /// Names of the engines at each position, those that were replaced included.
+    engine_ids: Vec<Vec<String>>,
+    former_engines: Vec<FormerEngine>,
     engine_faults: Vec<ServerFaults>,
     plain_faults: Vec<ServerFaults>,
     /// Faults that are on, with the time at which they end.
@@ -118,6 +139,7 @@
     crashing_part: Option<CrashingPart>,
     named_limits: Option<NamedLimits>,
     kept_callers: Option<KeptCallers>,
+    resuming_callers: Option<ResumingCallers>,
     teams: Option<Teams>,
     hostile_clients: Option<HostileClients>,
     restarts: Restarts,
@@ -138,9 +160,7 @@
         clock: Arc<dyn Clock>,
         other_node: Option<PathBuf>,
     ) -> Self {
-        let models: [&[&str]; 3] = [&["m0", "m1"], &["m1", "m2"], &["m0", "m2"]];
-        let holds: Vec<&[&str]> =
-            (0..size.engines).map(|engine| models[engine % models.len()]).collect();
+        let holds: Vec<&[&str]> = (0..size.engines).map(models_at).collect();
         let mut site = Site::start_limited(0, &holds, size.hostile_clients.then_some(VM_LIMITS));
         other_node.into_iter().for_each(|program| site.set_other_node(program));
         let bind = |site: &Site, addr| site.runtime().block_on(Proxy::bind(addr));
@@ -173,14 +193,22 @@
             .series
             .filter(|_| !size.teams)
             .map(|series| KeptCallers::new(series.callers, &mut of_callers, Arc::clone(&clock)));
+        let mut of_streams = of_callers.fork();
+        let resuming_callers = size
+            .releases
+            .filter(|_| !size.teams)
+            .map(|releases| ResumingCallers::new(releases.callers, &mut of_streams));
         Self {
             kept_callers,
+            resuming_callers,
             teams,
             hostile_clients,
             restarts: Restarts::new(size.nodes),
             crashing_part: size.crashing_from.map(|from| CrashingPart::new(of_parts, from)),
             named_limits: size.limits_from.map(|from| NamedLimits::new(of_limits, from)),
             fences: vec![(0, 0); site.engines.len()],
+            engine_ids: site.engines.iter().map(|engine| vec![engine.id().to_owned()]).collect(),
+            former_engines: Vec::new(),
             engine_faults: vec![ServerFaults::default(); site.engines.len()],
             plain_faults: vec![ServerFaults::default(); PLAIN],
             site,
@@ -225,6 +253,9 @@
             if let Some(callers) = &mut self.kept_callers {
                 callers.send_due(&self.site, self.now);
             }
+            if let Some(callers) = &mut self.resuming_callers {
+                self.report.violations.extend(callers.play(&self.site, self.now));
+            }
             self.site.pause(TICK);
             self.now += TICK;
         }
@@ -239,7 +270,7 @@
     /// generators of their own, so that a seed's other faults and its requests are the same with and
     /// without them.
     fn plan(&mut self) -> Vec<Planned> {
-        let Size { nodes, engines, time, gap, stalls, series, odd_gap, .. } = self.size;
+        let Size { nodes, engines, time, gap, stalls, series, odd_gap, releases, .. } = self.size;
         let targets = Targets { nodes, engines, plain: PLAIN };
         let (mut of_restores, mut of_stalls) = (self.rng.clone(), self.rng.clone().fork());
         let mut of_series = of_stalls.clone().fork();
@@ -252,6 +283,10 @@
         if let Some(series) = series {
             planned.extend(plan_series(&mut of_series, targets, time, series));
         }
+        if let Some(releases) = releases {
+            let mut of_releases = of_oddities.clone().fork();
+            planned.extend(plan_releases(&mut of_releases, targets, time, releases));
+        }
         if let Some(gap) = odd_gap {
             let mut of_streams = of_oddities.fork();
             planned.extend(plan_oddities(&mut of_oddities, targets, time, gap));
@@ -286,6 +321,11 @@
                 self.put_configuration();
             }
             Fault::Restore => self.site.store.copy(),
+            Fault::Replace { engine, version } => self.replace_engine(engine, version),
+            Fault::Upgrade { engine, version } => {
+                self.site.engines[engine].set_version(&version_name(version));
+                self.site.crash_engine(engine);
+            }
             Fault::Restart { node } => self.restart(node),
             Fault::ReloadChanged { node } => self.site.reload_node(node, changed_settings),
             Fault::OddEntry { key, value } => odd_store::put_entry(&self.site, key, value),
@@ -318,8 +358,10 @@
                 Fault::EngineStall { engine, fault } => self.engine_faults[engine].end_stall(fault),
                 Fault::PlainStall { server, fault } => self.plain_faults[server].end_stall(fault),
                 Fault::Restore => self.restore(),
+                Fault::Replace { engine, version } => self.end_former(engine, version),
                 Fault::Reload { .. }
                 | Fault::Configuration
+                | Fault::Upgrade { .. }
                 | Fault::Restart { .. }
                 | Fault::ReloadChanged { .. } => {}
                 Fault::OddEntry { key, .. } => odd_store::remove_entry(&self.site, key),
@@ -335,6 +377,34 @@
         }
     }
 
+    /// Starts an engine with another version of its software in place of one, which leaves.
+    fn replace_engine(&mut self, engine: usize, version: u32) {
+        let name = format!("engine-{engine}-{version}");
+        let models = models_at(engine);
+        let former = self.site.replace_engine_of(engine, &name, &version_name(version), models);
+        former.leave();
+        let server = &self.site.engines[engine];
+        let link = self.site.runtime().block_on(Proxy::bind(server.addr()));
+        server.advertise(link.addr());
+        let former_link = std::mem::replace(&mut self.engine_links[engine], link);
+        former_link.set(Link::Open);
+        self.former_engines.push(FormerEngine {
+            position: engine,
+            replaced_by: version,
+            server: former,
+            _link: former_link,
+        });
+        self.engine_ids[engine].push(name);
+        self.fences[engine] = (0, 0);
+    }
+
+    /// Ends the engine that was replaced by one of `version`.
+    fn end_former(&mut self, engine: usize, version: u32) {
+        let is_it =
+            |former: &mut FormerEngine| former.position == engine && former.replaced_by == version;
+        self.former_engines.extract_if(.., is_it).for_each(|former| former.server.end());
+    }
+
     fn put_server_faults(&self) {
         for (engine, faults) in self.engine_faults.iter().enumerate() {
             self.site.engine_fault(engine, faults.present());
@@ -361,7 +431,8 @@
         self.site.store.restore();
         self.put_configuration();
         let servers = self.site.engines.iter().chain(&self.site.plain);
-        servers.for_each(SiteServer::register);
+        let former = self.former_engines.iter().map(|former| &former.server);
+        servers.chain(former).for_each(SiteServer::register);
     }
 
     /// Starts a node that was killed or told to end; the platform kills one that takes too long.
@@ -540,7 +611,9 @@
     fn is_calm(&self, request: &SentRequest) -> bool {
         let SentRequest { id, node, sent_at, began_at, places_before, .. } = request;
         let servers = self.site.log.servers_of(id, *places_before);
-        let is_on_way = |position: &usize| servers.contains(self.site.engines[*position].id());
+        let is_on_way = |position: &usize| {
+            self.engine_ids[*position].iter().any(|id| servers.contains(id.as_str()))
+        };
         let links = (0..self.size.engines).filter(is_on_way).map(Harmed::EngineLink);
         let mut way = links.chain([Harmed::Node(*node)]);
         let is_at_work = self.site.log.runs_of(id).iter().any(|run| !run.ended);
@@ -571,6 +644,10 @@
             self.check_kept(request, outcome);
         }
         std::mem::take(&mut self.sent).into_iter().for_each(|sent| self.check(sent));
+        if let Some(callers) = &mut self.resuming_callers {
+            self.report.violations.extend(callers.finish(&self.site, self.now));
+            (self.report.taken_up, self.report.went_on) = callers.counts();
+        }
         self.site.all_serve();
         let site = &self.site;
         for node in 0..self.size.nodes {
@@ -611,6 +688,16 @@
     }
 }
 
+/// Models that the engine at a position holds when it starts.
+fn models_at(position: usize) -> &'static [&'static str] {
+    const MODELS: [&[&str]; 3] = [&["m0", "m1"], &["m1", "m2"], &["m0", "m2"]];
+    MODELS[position % MODELS.len()]
+}
+
+fn version_name(number: u32) -> String {
+    format!("v{number}")
+}
+
 /// A settings file with another of two values of a setting that a reload takes over.
 fn changed_settings(text: &str) -> String {
     let (one, other) = ("directory_ttl_s: 1", "directory_ttl_s: 2");
--- a/crates/standins/src/site/caller.rs
+++ b/crates/standins/src/site/caller.rs
@@ -48,13 +48,18 @@
 
     /// Software versions of the servers whose events a stream holds.
     pub fn versions(&self) -> BTreeSet<&str> {
-        let data = self.body.lines().filter_map(|line| line.strip_prefix("data: "));
-        let words = data.filter_map(|line| Some(line.rsplit_once('-')?.0));
-        let version = |word| if word == FIRST_VERSION_WORD { FIRST_VERSION } else { word };
-        words.map(version).collect()
+        stream_versions(&self.body)
     }
 }
 
+/// Software versions of the servers whose events `body` holds.
+pub fn stream_versions(body: &str) -> BTreeSet<&str> {
+    let data = body.lines().filter_map(|line| line.strip_prefix("data: "));
+    let words = data.filter_map(|line| Some(line.rsplit_once('-')?.0));
+    let version = |word| if word == FIRST_VERSION_WORD { FIRST_VERSION } else { word };
+    words.map(version).collect()
+}
+
 /// The lines of a request's head by which its caller sets `terms`.
 pub fn terms_lines(terms: &RequestMetadata) -> String {
     let mut headers = HeaderMap::new();
--- a/crates/standins/src/site/engine.rs
+++ b/crates/standins/src/site/engine.rs
@@ -280,7 +280,7 @@
         self.shared.lock().rejections
     }
 
-    /// Has it run another version of its software from its next start on.
+    /// Has it run another version of its software from its next start on, after which it holds no models.
     pub fn set_version(&self, version: &str) {
         self.shared.lock().next_version = SoftwareVersion::new(version);
     }
@@ -314,6 +314,12 @@
         self.shared.store.delete(&format!("{}/{}", registry::TABLE, self.shared.spec.id));
     }
 
+    /// Ends it for good: its connections break, and its entry is removed.
+    pub fn end(self) {
+        self.unregister();
+        self.shared.log.crash(&self.shared.spec.id);
+    }
+
     /// Models and adapters that it holds.
     pub fn holds(&self) -> Vec<String> {
         let state = self.shared.lock();
@@ -397,13 +403,14 @@
                 return;
             }
             state.record.key.start_time_ms += 1;
+            let is_upgraded = state.record.version != state.next_version;
             state.record.version = state.next_version.clone();
             state.is_down = false;
             state.orders_accepted = 0;
             state.fence = 0;
             state.loading = false;
-            state.bases =
-                self.spec.models.iter().map(|name| (ModelName::new(name), Vec::new())).collect();
+            let models = self.spec.models.iter().filter(|_| !is_upgraded);
+            state.bases = models.map(|name| (ModelName::new(name), Vec::new())).collect();
         }
         self.register();
         self.serve_on(listener);
--- a/crates/standins/src/site/mod.rs
+++ b/crates/standins/src/site/mod.rs
@@ -20,7 +20,7 @@
 mod work;
 
 pub use self::{
-    caller::{Caller, Reply, terms_lines},
+    caller::{Caller, Reply, stream_versions, terms_lines},
     cut_head::{CutHead, CutHeadServer},
     earlier_answer::{EarlierAnswer, RepeatedAt},
     endless::{EndlessPart, EndlessServer, Pace, marks},
--- a/crates/system/src/site.rs
+++ b/crates/system/src/site.rs
@@ -499,6 +499,20 @@
         self.engines.push(server);
     }
 
+    /// Starts a model engine in place of one, under a name of its own, and returns the one before.
+    pub fn replace_engine_of(
+        &mut self,
+        position: usize,
+        name: &str,
+        version: &str,
+        models: &[&str],
+    ) -> SiteServer {
+        let spec =
+            ServerSpec { version: version.to_owned(), ..server_spec(name, "pool", Some(models)) };
+        let server = self.runtime.block_on(SiteServer::spawn(spec, &self.store, &self.log));
+        std::mem::replace(&mut self.engines[position], server)
+    }
+
     /// Starts a server whose answers end with their connections, and which nobody knows yet.
     pub fn spawn_unframed(&self, pieces: Vec<String>, end: UnframedEnd) -> UnframedServer {
         self.runtime.block_on(UnframedServer::spawn(pieces, end))
@@ -557,6 +571,12 @@
         self.engines[position].set_fault(fault);
     }
 
+    /// Ends the process of an engine, which starts again after a while.
+    pub fn crash_engine(&self, position: usize) {
+        let _guard = self.runtime.enter();
+        self.engines[position].crash();
+    }
+
     /// Gives a plain server a fault.
     pub fn plain_fault(&self, position: usize, fault: EngineFault) {
         self.plain[position].set_fault(fault);
