Leaves check sooner whether the store answers them

Cause: while no core reads, leaves check the store in turns, one at a time, 150 ms apart, and from the ninth on 400 ms. Where one leaf in ten reaches the store, the first of them often comes after the eighth: here 4.2 s after the cores had noticed.

Evidence: in the log, store_readers_lost at 21.4 s, leaf_reads at 25.6 s, and configuration_in_force at all nodes within 0.2 s after.

If none reaches the store, they check one every 0.4 s, as before.

--- a/crates/node/src/control/tests/roles.rs
+++ b/crates/node/src/control/tests/roles.rs
@@ -154,6 +154,29 @@
     leaves_take_over_and_cores_take_back(1, 100);
 }
 
+/// All cores and nine in ten leaves lose the store.
+fn leaves_read_where_one_in_ten_reaches_the_store(offset: usize, nodes_each: u8) {
+    let mut deployment = settled(1, nodes_each);
+    let leaves = deployment.leaves();
+    let reaching: BTreeSet<usize> = leaves.into_iter().skip(offset).step_by(10).collect();
+    let all = deployment.cores().into_iter().chain(deployment.leaves());
+    let cut_off = all.filter(|position| !reaching.contains(position)).collect();
+    store(&mut deployment).cut_off = cut_off;
+    store(&mut deployment).write_config(3);
+    run_with_one_holder(&mut deployment, UPDATE_TIME);
+    assert_eq!(outdated(&deployment, 3), Vec::<usize>::new(), "offset {offset}");
+}
+
+#[test]
+fn new_versions_are_in_force_in_time_where_one_in_ten_of_60_nodes_reaches_the_store() {
+    (0..10).for_each(|offset| leaves_read_where_one_in_ten_reaches_the_store(offset, 20));
+}
+
+#[test]
+fn new_versions_are_in_force_in_time_where_one_in_ten_of_300_nodes_reaches_the_store() {
+    [0, 5].iter().for_each(|offset| leaves_read_where_one_in_ten_reaches_the_store(*offset, 100));
+}
+
 /// The readers alone lose the store: other cores reach it, and no leaf may read.
 #[test]
 fn other_cores_read_in_place_of_readers_that_lose_the_store() {
--- a/crates/node/src/store_access.rs
+++ b/crates/node/src/store_access.rs
@@ -28,13 +28,16 @@
 const REPORT_AGE_MAX: Duration = Duration::from_secs(2);
 /// Number of readers that reports name; other leaves stop reading.
 const READERS_MAX: usize = 2;
-/// Time between the checks of two leaves in the order of turns: the store gets at most seven more
-/// calls a second until one of them reads, and the next core hears of that within three turns.
+/// Time between two turns, in which leaves check the store. The next core hears within three turns of a
+/// leaf that reads.
 const TURN: Duration = Duration::from_millis(150);
-/// Number of turns of this length. If none of these leaves reaches the store, it has probably failed
-/// for all nodes.
-const SHORT_TURNS: u32 = 8;
-/// Time between the checks of two leaves from then on.
+/// Number of turns of one leaf each. From then on most leaves are probably cut off, and each turn has
+/// twice as many leaves as the one before.
+const SINGLE_TURNS: usize = 4;
+/// Most leaves of a turn.
+const LEAVES_PER_TURN_MAX: usize = 32;
+/// Time between the checks of two leaves after all have checked once: the store has probably failed for
+/// all nodes.
 const LONG_TURN: Duration = Duration::from_millis(400);
 /// Time that a leaf that has begun to read waits for its core's report to name it.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
@@ -299,8 +302,8 @@
                 false
             }
             LeafState::Receiving => {
-                let (turn, _) = turns(network);
-                self.leaf = LeafState::Waiting { check_at: now + turn, checked_at: None };
+                let check_at = now + Turns::of(network).first();
+                self.leaf = LeafState::Waiting { check_at, checked_at: None };
                 false
             }
             LeafState::Waiting { checked_at: Some(at), .. }
@@ -313,9 +316,13 @@
             LeafState::Waiting { check_at, checked_at } => {
                 let is_due = now >= check_at;
                 if is_due {
-                    let (_, round) = turns(network);
+                    let turns = Turns::of(network);
+                    let pause = match checked_at {
+                        None => turns.first_pause(),
+                        Some(_) => turns.period(),
+                    };
                     self.leaf =
-                        LeafState::Waiting { check_at: check_at + round, checked_at: Some(now) };
+                        LeafState::Waiting { check_at: check_at + pause, checked_at: Some(now) };
                 } else {
                     self.leaf = LeafState::Waiting { check_at, checked_at };
                 }
@@ -325,23 +332,61 @@
     }
 }
 
-/// Times until this leaf's turn to check the store, and until its next one. Leaves of different data
-/// centres alternate, so that the turns of one data centre, whose cores alone may lack readers, come
-/// early too.
-fn turns(network: &PeerNetwork) -> (Duration, Duration) {
-    let me = &network.me;
-    let leaves =
-        || network.peers.infos().chain([me]).filter(|info| !network.mesh.cores.contains(&info.vm));
-    let data_centres: BTreeSet<&str> = leaves().map(|info| info.data_centre.as_str()).collect();
-    let local = leaves().filter(|info| info.data_centre == me.data_centre);
-    let order = rendezvous_order("readers", local.map(|info| info.vm.as_str()));
-    let rank = order.iter().take_while(|vm| **vm != me.vm.as_str()).count();
-    let own = data_centres.iter().take_while(|name| **name != me.data_centre.as_str()).count();
-    let turn = rank * data_centres.len() + own;
-    (time_of_turn(turn), time_of_turn(leaves().count().max(SHORT_TURNS as usize)))
+/// The turns of a leaf to check the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Turns {
+    /// Place of the leaf in the order of all.
+    position: usize,
+    leaves: usize,
+}
+
+impl Turns {
+    /// Returns the turns of this node, a leaf. Leaves of different data centres alternate, so that the
+    /// turns of one data centre, whose cores alone may lack readers, come early too.
+    fn of(network: &PeerNetwork) -> Self {
+        let me = &network.me;
+        let leaves = || {
+            let all = network.peers.infos().chain([me]);
+            all.filter(|info| !network.mesh.cores.contains(&info.vm))
+        };
+        let data_centres: BTreeSet<&str> = leaves().map(|info| info.data_centre.as_str()).collect();
+        let local = leaves().filter(|info| info.data_centre == me.data_centre);
+        let order = rendezvous_order("readers", local.map(|info| info.vm.as_str()));
+        let rank = order.iter().take_while(|vm| **vm != me.vm.as_str()).count();
+        let own = data_centres.iter().take_while(|name| **name != me.data_centre.as_str()).count();
+        Self { position: rank * data_centres.len() + own, leaves: leaves().count() }
+    }
+
+    /// Time until the first check.
+    fn first(self) -> Duration {
+        turn_of(self.position)
+    }
+
+    /// Time from the first check to the second one.
+    fn first_pause(self) -> Duration {
+        let round_end = turn_of(self.leaves).max(self.first() + TURN);
+        round_end - self.first() + times(LONG_TURN, self.position)
+    }
+
+    /// Time between later checks.
+    fn period(self) -> Duration {
+        times(LONG_TURN, self.leaves.max(SINGLE_TURNS))
+    }
+}
+
+/// Time until the turn of the leaf at `position`.
+fn turn_of(position: usize) -> Duration {
+    let (mut turn, mut before, mut size) = (0, 0, 1);
+    while position >= before + size {
+        before += size;
+        turn += 1;
+        if turn >= SINGLE_TURNS {
+            size = (size * 2).min(LEAVES_PER_TURN_MAX);
+        }
+    }
+    times(TURN, turn)
 }
 
-fn time_of_turn(turn: usize) -> Duration {
-    let turn = u32::try_from(turn).unwrap_or(u32::MAX);
-    TURN * turn.min(SHORT_TURNS) + LONG_TURN.saturating_mul(turn.saturating_sub(SHORT_TURNS))
+fn times(time: Duration, count: usize) -> Duration {
+    time.saturating_mul(u32::try_from(count).unwrap_or(u32::MAX))
 }
