--- a/crates/node/src/catalog_fetch/tests.rs
+++ b/crates/node/src/catalog_fetch/tests.rs
@@ -1,3 +1,5 @@
+//! Whom a node asks for a later configuration, and when.
+
 use {
     super::*,
     glade_clock::{Clock, ManualClock},
--- a/crates/system/tests/software_versions.rs
+++ b/crates/system/tests/software_versions.rs
@@ -111,6 +111,11 @@
     }
 }
 
+fn kill_two(site: &mut Site) {
+    site.kill_node(0);
+    site.kill_node(1);
+}
+
 fn restart_all(site: &mut Site) {
     (0..site.node_count()).for_each(|node| site.start_node(node));
     site.all_serve();
@@ -198,10 +203,7 @@
 #[test]
 fn a_stream_that_is_taken_up_at_a_node_that_has_just_started_goes_on_at_its_software_version() {
     let mut site = two_versions(3);
-    let streams = interrupted(&mut site, 0, |site| {
-        site.kill_node(0);
-        site.kill_node(1);
-    });
+    let streams = interrupted(&mut site, 0, kill_two);
     restart_all(&mut site);
     assert_go_on(&site, 1, &streams);
 }
@@ -209,10 +211,7 @@
 #[test]
 fn streams_go_on_at_their_software_versions_after_all_nodes_were_killed() {
     let mut site = two_versions(2);
-    let streams = interrupted(&mut site, 0, |site| {
-        site.kill_node(0);
-        site.kill_node(1);
-    });
+    let streams = interrupted(&mut site, 0, kill_two);
     restart_all(&mut site);
     assert_go_on(&site, 1, &streams);
 }
@@ -236,10 +235,7 @@
 #[test]
 fn a_stream_of_a_software_version_that_has_left_isnt_continued_after_all_nodes_were_killed() {
     let mut site = two_versions(2);
-    let streams = interrupted(&mut site, 0, |site| {
-        site.kill_node(0);
-        site.kill_node(1);
-    });
+    let streams = interrupted(&mut site, 0, kill_two);
     site.engines[..2].iter().for_each(|engine| engine.unregister());
     site.engines.drain(..2);
     restart_all(&mut site);
@@ -248,32 +244,29 @@
     }
 }
 
-#[test]
-fn streams_go_on_after_all_nodes_were_killed_where_there_is_one_software_version() {
+/// A site with engines of one version, and a stream that broke as its two nodes were killed.
+fn one_version_with_all_nodes_killed() -> (Site, Interrupted) {
     let mut site = Site::start(2, &[&["m0"], &["m0"]]);
     let id = site.request_id();
     let terms = caller_terms(&id, Some("m0"), LONG_EVENTS, &[]);
     let sent = site.begin_with_body(Caller::default(), 0, CHAT, terms, "body");
     site.eventually("the stream runs", || !site.log.runs_of(&id).is_empty());
     site.pause(REPORT_TIME);
-    site.kill_node(0);
-    site.kill_node(1);
-    let stream = Interrupted { reply: site.finish(sent).expect("an answer"), id };
+    kill_two(&mut site);
+    let reply = site.finish(sent).expect("an answer");
+    (site, Interrupted { reply, id })
+}
+
+#[test]
+fn streams_go_on_after_all_nodes_were_killed_where_there_is_one_software_version() {
+    let (mut site, stream) = one_version_with_all_nodes_killed();
     restart_all(&mut site);
     assert_go_on(&site, 1, &[stream]);
 }
 
 #[test]
 fn a_stream_isnt_continued_at_a_software_version_that_came_while_all_nodes_were_down() {
-    let mut site = Site::start(2, &[&["m0"], &["m0"]]);
-    let id = site.request_id();
-    let terms = caller_terms(&id, Some("m0"), LONG_EVENTS, &[]);
-    let sent = site.begin_with_body(Caller::default(), 0, CHAT, terms, "body");
-    site.eventually("the stream runs", || !site.log.runs_of(&id).is_empty());
-    site.pause(REPORT_TIME);
-    site.kill_node(0);
-    site.kill_node(1);
-    let stream = Interrupted { reply: site.finish(sent).expect("an answer"), id };
+    let (mut site, stream) = one_version_with_all_nodes_killed();
     (0..2).for_each(|_| site.add_engine_of(NEWER, &["m0"]));
     site.engines.drain(..2).for_each(|engine| engine.unregister());
     restart_all(&mut site);
