Logs say on what grounds missing entries count as lapsed

The logs showed that the entry had lapsed, but neither at whose word nor how old the failure was that the belief rests on.

New: the line removals_lapse, with told_by, answered_ms and failed_ms, and failed_ms of store_regained. No change of logic.

--- a/crates/node/src/control/peer_handlers.rs
+++ b/crates/node/src/control/peer_handlers.rs
@@ -293,6 +293,7 @@
     fn on_peer_registry(&mut self, now: Instant, from: &PeerInfo, update: RegistryUpdate) {
         let update = update.reject_invalid();
         let is_known = update.revision <= self.registry.revision();
+        self.log_lapses(now, Some(&from.vm), &update);
         if !self.apply_registry(now, update.clone()) {
             self.registry_fetch.on_report(now, update.revision, from.peer_addr);
             self.fetch_registry(now);
--- a/crates/node/src/control/store_handlers.rs
+++ b/crates/node/src/control/store_handlers.rs
@@ -16,6 +16,7 @@
     glade_catalog::Catalog,
     glade_observe::LIFECYCLE,
     glade_platform::{ChangeFeed, Era, Key, Revision, StoredRow},
+    glade_types::VmId,
     std::{
         net::SocketAddr,
         rc::Rc,
@@ -138,6 +139,7 @@
     /// the other cores.
     pub(super) fn on_registry_read(&mut self, now: Instant, update: RegistryUpdate) {
         let is_known = update.revision <= self.registry.revision();
+        self.log_lapses(now, None, &update);
         if self.apply_registry(now, update.clone()) && !is_known && !update.is_empty() {
             for message in self.registry_messages(update) {
                 self.network.send_to_cores(now, &message);
@@ -145,6 +147,26 @@
         }
     }
 
+    /// Logs on what grounds entries that `update` lacks count as lapsed. `from` is the node that has
+    /// sent the update; `None` if this node has read it.
+    pub(super) fn log_lapses(&self, now: Instant, from: Option<&VmId>, update: &RegistryUpdate) {
+        let is_new = update.revision > self.registry.revision();
+        let removes_entries = update.after.is_none() || !update.removed.is_empty();
+        if !(is_new && update.store_was_unreachable && removes_entries) {
+            return;
+        }
+        let silence = self.store_health.time_since_answer(now);
+        let failed = self.store_health.time_since_failure(now);
+        let in_ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        log::info!(
+            told_by = from.map(VmId::as_str),
+            removed = update.removed.len(),
+            answered_ms = in_ms(silence),
+            failed_ms = failed.map(in_ms);
+            "removals_lapse"
+        );
+    }
+
     /// Applies an update of the registry. Returns false if earlier changes are missing.
     pub(super) fn apply_registry(&mut self, now: Instant, update: RegistryUpdate) -> bool {
         let is_empty = update.is_empty();
--- a/crates/node/src/store_health.rs
+++ b/crates/node/src/store_health.rs
@@ -46,7 +46,8 @@
         if self.is_unreachable {
             self.is_unreachable = false;
             self.recovered_at = Some(now);
-            log::info!( target: LIFECYCLE, "store_regained");
+            let failed_ms = self.failed_at.map_or(0, |at| (now - at).as_millis() as u64);
+            log::info!( target: LIFECYCLE, failed_ms = failed_ms; "store_regained");
         }
     }
 
@@ -86,6 +87,11 @@
             || self.recovered_at.is_some_and(|at| now.saturating_duration_since(at) < time)
     }
 
+    /// Time since a call last failed; `None` if none has.
+    pub(crate) fn time_since_failure(&self, now: Instant) -> Option<Duration> {
+        self.failed_at.map(|at| now.saturating_duration_since(at))
+    }
+
     /// The status to report to the other nodes.
     pub(crate) fn status(&self, now: Instant) -> StoreStatus {
         let age = |at: Instant| now.saturating_duration_since(at);
