A node that the store turned away once doesn't take it for lost for ever

Cause: a node that isn't a reader makes no call after one has failed.

Change: whether the store was away is judged by all answers and failures that a node knows of, its own and those in other nodes' heartbeats. It was away if no node was answered for at least a server's heartbeat interval, in which a call failed; a shorter outage can't make entries expire.

Why this works: a failure counts only until the next answer to any node, and while the store turns some nodes away, others are answered within a second, as the holder of the lease has them check it.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -44,6 +44,7 @@
         start_exchange::StartExchange,
         store_access::StoreAccess,
         store_health::StoreHealth,
+        store_outage::StoreOutage,
         stream_exchange::StreamExchange,
         stream_store::StreamStore,
         table_watcher::{LONG_POLL_WAIT, TableWatcher, WatchPosition},
@@ -96,6 +97,7 @@
     events: Sender<Event>,
     store: Rc<PlatformStore>,
     store_health: StoreHealth,
+    store_outage: StoreOutage,
     /// Other nodes' access to the store.
     access: StoreAccess,
     isolation: Isolation,
@@ -219,6 +221,7 @@
         };
         let lease = StoredLease { store: Rc::clone(&store), events: events.clone() };
         let leadership = Leadership::new(now, config, Box::new(lease), events.clone(), rng.fork());
+        let store_outage = StoreOutage::new(settings.timing.registry_heartbeat_interval);
         Self {
             settings,
             clock,
@@ -226,6 +229,7 @@
             events,
             store,
             store_health: StoreHealth::default(),
+            store_outage,
             access: StoreAccess::new(startup_ends_at),
             isolation: Isolation::default(),
             prompts: PromptExchange::new(&network.me),
@@ -418,16 +422,14 @@
                 }
             }
             Event::Snapshot(WatchedTable::Registry, snapshot) => {
-                self.on_registry_read(
-                    now,
-                    RegistryUpdate::from_snapshot(&snapshot, self.store_was_unreachable(now)),
-                );
+                let may_hide_servers = self.store_outage.may_hide_servers(now);
+                let update = RegistryUpdate::from_snapshot(&snapshot, may_hide_servers);
+                self.on_registry_read(now, update);
             }
             Event::Changes(WatchedTable::Registry, after, changes) => {
-                self.on_registry_read(
-                    now,
-                    RegistryUpdate::from_changes(after, &changes, self.store_was_unreachable(now)),
-                );
+                let may_hide_servers = self.store_outage.may_hide_servers(now);
+                let update = RegistryUpdate::from_changes(after, &changes, may_hide_servers);
+                self.on_registry_read(now, update);
             }
             Event::Snapshot(WatchedTable::Quarantine, snapshot) => {
                 self.on_quarantine_snapshot(now, &snapshot);
--- a/crates/node/src/control/peer_handlers.rs
+++ b/crates/node/src/control/peer_handlers.rs
@@ -182,6 +182,7 @@
             self.observe_era(now, heartbeat.registry_revision.era);
         }
         self.leadership.on_heartbeat(now, &heartbeat);
+        self.store_outage.on_peer_status(now, heartbeat.store);
         if let Some(claim) = heartbeat.holder {
             self.access.on_claim(now, claim);
         }
--- a/crates/node/src/control/store_handlers.rs
+++ b/crates/node/src/control/store_handlers.rs
@@ -25,8 +25,6 @@
     },
 };
 
-/// Time after the store's recovery during which missing entries count as lapsed instead of removed.
-const LAPSE_DETECTION_TIME: Duration = Duration::from_millis(1500);
 /// Greatest age of a backup that the store is restored from. Rows that were written earlier survive
 /// a restore.
 const BACKUP_AGE_MAX: Duration = Duration::from_secs(60);
@@ -41,23 +39,32 @@
             | Event::StreamLogRead(_, Ok(_))
             | Event::StreamLogWritten(_, _, Ok(_))
             | Event::LeaseRead(_, Ok(_))
-            | Event::LeaseWritten(_, Ok(_)) => self.store_health.record_answer(now),
+            | Event::LeaseWritten(_, Ok(_)) => {
+                self.store_health.record_answer(now);
+                self.store_outage.on_answer(now);
+            }
             Event::StoreCallFailed(began_at, reason) => {
-                self.store_health.record_failure(now, *began_at, reason)
+                self.on_store_failure(now, *began_at, reason)
             }
             Event::LeaseRead(began_at, Err(err)) | Event::LeaseWritten(began_at, Err(err)) => {
-                self.store_health.record_failure(now, *began_at, &err.to_string());
+                self.on_store_failure(now, *began_at, &err.to_string());
             }
             Event::StreamLogRead(began_at, Err(err))
             | Event::StreamLogWritten(began_at, _, Err(err))
             | Event::QuarantineWritten(began_at, _, Err(err))
             | Event::TrialClaimed(began_at, _, TrialClaim::Failed(err)) => {
-                self.store_health.record_failure(now, *began_at, &err.to_string());
+                self.on_store_failure(now, *began_at, &err.to_string());
             }
             _ => {}
         }
     }
 
+    fn on_store_failure(&mut self, now: Instant, began_at: Instant, reason: &str) {
+        if self.store_health.record_failure(now, began_at, reason) {
+            self.store_outage.on_failure(now);
+        }
+    }
+
     /// Handles an `era` that the store or another node has reported. A new era means that the store
     /// was restored from a backup and has lost the writes that it acknowledged shortly before,
     /// which may include this node's own row.
@@ -72,7 +79,7 @@
             return;
         }
         log::warn!( target: LIFECYCLE, era = era.0, version = self.catalog_version(); "store_restored");
-        self.store_health.record_restore(now);
+        self.store_outage.on_restore(now);
         self.next_heartbeat_at = now;
         if now.saturating_duration_since(self.started_at) < BACKUP_AGE_MAX {
             let discovery = self.node_discovery();
@@ -129,12 +136,6 @@
         self.next_heartbeat_at = now;
     }
 
-    /// True if entries that are missing from a read at `now` may be missing only because the store
-    /// was unreachable.
-    pub(super) fn store_was_unreachable(&self, now: Instant) -> bool {
-        self.store_health.was_unreachable_within(now, LAPSE_DETECTION_TIME)
-    }
-
     /// Applies an update of the registry that this node has read from the store, and sends it to
     /// the other cores.
     pub(super) fn on_registry_read(&mut self, now: Instant, update: RegistryUpdate) {
--- a/crates/node/src/control/tests.rs
+++ b/crates/node/src/control/tests.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod quarantine;
 mod quotas;
+mod removals;
 mod restarts;
 mod roles;
 mod sim_store;
--- a/crates/node/src/control/tests/sim_store.rs
+++ b/crates/node/src/control/tests/sim_store.rs
@@ -12,6 +12,7 @@
     glade_platform::{
         Change, Changes, Key, MemoryTable, Revision, Snapshot, StoreError, Txn, TxnAnswer, Write,
     },
+    glade_types::BackendId,
     std::{
         cell::RefCell,
         collections::{BTreeSet, VecDeque},
@@ -79,6 +80,8 @@
 pub(super) struct SimStore {
     rows: MemoryTable,
     latest: Revision,
+    /// Rows that were removed, with the revisions of that.
+    removed: Vec<(Key, Revision)>,
     pub(super) cut_off: BTreeSet<usize>,
     /// Nodes half of whose calls are lost.
     pub(super) lossy: BTreeSet<usize>,
@@ -102,6 +105,14 @@
         self.write(&key, registry::encode(record));
     }
 
+    /// Removes the entry of a backend server.
+    pub(super) fn remove_server(&mut self, id: &BackendId) {
+        let key = Key::new(&format!("{}/{id}", registry::TABLE));
+        let write = Write::Delete { key: key.clone() };
+        self.transact(&Txn { conditions: Vec::new(), writes: vec![write] });
+        self.removed.push((key, self.latest));
+    }
+
     fn write(&mut self, key: &str, value: Vec<u8>) {
         let write = Write::Put { key: Key::new(key), value };
         self.transact(&Txn { conditions: Vec::new(), writes: vec![write] });
@@ -186,17 +197,22 @@
             let failed = Event::StoreCallFailed(call.began_at, "no answer".to_owned());
             return (time >= timeout).then_some((failed, PAUSE));
         }
-        let rows = match table {
-            WatchedTable::Configuration => self.rows.scan(&format!("{}/", config::TABLE)),
-            WatchedTable::Registry => self.rows.scan(&format!("{}/", registry::TABLE)),
-            WatchedTable::Quarantine => Vec::new(),
+        let prefix = match table {
+            WatchedTable::Configuration => format!("{}/", config::TABLE),
+            WatchedTable::Registry => format!("{}/", registry::TABLE),
+            WatchedTable::Quarantine => return None,
         };
+        let rows = self.rows.scan(&prefix);
         let Some(after) = call.content else {
             let snapshot = Event::Snapshot(table, Snapshot { rows, revision: self.latest });
             return (time >= call.answer_time).then_some((snapshot, PAUSE));
         };
-        let changed = rows.into_iter().filter(|row| row.revision > after);
-        let changes: Vec<Change> = changed.map(Change::Written).collect();
+        let written = rows.into_iter().filter(|row| row.revision > after).map(Change::Written);
+        let is_removal =
+            |(key, at): &&(Key, Revision)| *at > after && key.as_str().starts_with(&prefix);
+        let removed = self.removed.iter().filter(is_removal);
+        let removed = removed.map(|(key, _)| Change::Removed(key.clone()));
+        let changes: Vec<Change> = removed.chain(written).collect();
         let wait = if changes.is_empty() { LONG_POLL_WAIT } else { Duration::ZERO };
         let pause = if changes.is_empty() { Duration::ZERO } else { PAUSE };
         let changes = Event::Changes(table, after, Changes { changes, revision: self.latest });
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -52,6 +52,7 @@
 mod status_page;
 mod store_access;
 mod store_health;
+mod store_outage;
 mod stream_exchange;
 mod stream_store;
 mod table_watcher;
--- a/crates/node/src/store_health.rs
+++ b/crates/node/src/store_health.rs
@@ -35,8 +35,6 @@
     answered_at: Option<Instant>,
     failed_at: Option<Instant>,
     is_unreachable: bool,
-    /// When the store last became reachable again or was restored from a backup.
-    recovered_at: Option<Instant>,
 }
 
 impl StoreHealth {
@@ -45,23 +43,17 @@
         self.answered_at = Some(now);
         if self.is_unreachable {
             self.is_unreachable = false;
-            self.recovered_at = Some(now);
             let failed_ms = self.failed_at.map_or(0, |at| (now - at).as_millis() as u64);
             log::info!( target: LIFECYCLE, failed_ms = failed_ms; "store_regained");
         }
     }
 
-    /// Records that the store was restored from a backup. Clients of the store then write again
-    /// whatever they had written since the backup was taken.
-    pub(crate) fn record_restore(&mut self, now: Instant) {
-        self.recovered_at = Some(now);
-    }
-
     /// Records that a call that began at `began_at` has failed. The failure is ignored if the store
-    /// has answered another call since `began_at`, because it is then out of date.
-    pub(crate) fn record_failure(&mut self, now: Instant, began_at: Instant, reason: &str) {
+    /// has answered another call since `began_at`, because it is then out of date. Returns whether it
+    /// counts.
+    pub(crate) fn record_failure(&mut self, now: Instant, began_at: Instant, reason: &str) -> bool {
         if self.answered_at.is_some_and(|at| at > began_at) {
-            return;
+            return false;
         }
         self.failed_at = Some(now);
         if !self.is_unreachable {
@@ -69,6 +61,7 @@
             let silent_ms = self.answered_at.map_or(0, |at| (now - at).as_millis() as u64);
             log::warn!( target: LIFECYCLE, reason = reason, silent_ms = silent_ms; "store_lost");
         }
+        true
     }
 
     /// True if the latest call has failed.
@@ -81,12 +74,6 @@
         self.answered_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
     }
 
-    /// True if the store is unreachable, or recovered less than `time` ago.
-    pub(crate) fn was_unreachable_within(&self, now: Instant, time: Duration) -> bool {
-        self.is_unreachable
-            || self.recovered_at.is_some_and(|at| now.saturating_duration_since(at) < time)
-    }
-
     /// Time since a call last failed; `None` if none has.
     pub(crate) fn time_since_failure(&self, now: Instant) -> Option<Duration> {
         self.failed_at.map(|at| now.saturating_duration_since(at))
