Nodes don't take over another's belief that the store was away

A node that was cut off from the store and from all other nodes takes the store for just returned when it is back. If it reads a removal first, its update said that the entry may only have lapsed, and all others went on using the server for 1.6 s, though the store had answered them all along.

Cause: the update's flag and its lapsed entries are beliefs of the sender, but receivers took them as facts.

Change: a receiver that has known of answers of the store for long enough makes removals of them. One that has just started, or knows of an outage itself, goes on believing the sender.

--- a/crates/node/src/control/peer_handlers.rs
+++ b/crates/node/src/control/peer_handlers.rs
@@ -5,6 +5,7 @@
     crate::{
         leaf_digest::LeafDigest,
         peer_message::{Heartbeat, PeerBatch, PeerInfo, PeerMessage},
+        registry::LAPSE_TIME,
         registry_fetch::RegistrySource,
         registry_update::{RegistryUpdate, ServerVersion},
     },
@@ -292,7 +293,10 @@
     /// Applies an update of the registry from another node, and forwards it. Requests the complete
     /// registry if earlier changes are missing.
     fn on_peer_registry(&mut self, now: Instant, from: &PeerInfo, update: RegistryUpdate) {
-        let update = update.reject_invalid();
+        let mut update = update.reject_invalid();
+        if self.store_outage.rules_out_hidden_servers(now, LAPSE_TIME) {
+            update = update.without_lapses();
+        }
         let is_known = update.revision <= self.registry.revision();
         self.log_lapses(now, Some(&from.vm), &update);
         if !self.apply_registry(now, update.clone()) {
--- a/crates/node/src/control/tests/removals.rs
+++ b/crates/node/src/control/tests/removals.rs
@@ -132,6 +132,29 @@
     }
 }
 
+/// A node that was cut off from the store and from the others takes the store for just returned. Its update said
+/// so to nodes that the store had answered all along.
+#[test]
+fn a_removed_server_isnt_used_for_longer_because_a_node_was_cut_off_from_all() {
+    for (seed, node) in (0..SEEDS).flat_map(|seed| (0..6).map(move |node| (seed, node))) {
+        let mut deployment = deployment(seed, 2);
+        let readers: BTreeSet<usize> = deployment.readers().into_iter().collect();
+        if readers.contains(&node) {
+            continue;
+        }
+        let away = BTreeSet::from([node]);
+        turn_away(&mut deployment, &away);
+        deployment.cut_links = (0..6).flat_map(|other| [(node, other), (other, node)]).collect();
+        deployment.run_for(Duration::from_secs(4));
+        deployment.cut_links.clear();
+        turn_away(&mut deployment, &readers);
+        deployment.run_for(REMOVED_AFTER);
+        let except = readers.union(&away).copied().collect();
+        let time = time_in_use_after_removal(&mut deployment, &except);
+        assert!(time <= LEAVING_TIME, "seed {seed}, node {node}: {time:?}");
+    }
+}
+
 /// The entries of live servers expire while the store is down, and are back within two seconds of its return.
 #[test]
 fn a_live_server_stays_in_use_while_its_entry_is_missing_after_an_outage() {
--- a/crates/node/src/registry.rs
+++ b/crates/node/src/registry.rs
@@ -24,7 +24,7 @@
 /// Time for which a server whose entry disappeared during an outage of the store stays in use. Live
 /// servers write their entries again within two seconds of the store's return; a server that has
 /// left for good mustn't get requests for longer than that.
-const LAPSE_TIME: Duration = Duration::from_millis(1600);
+pub(crate) const LAPSE_TIME: Duration = Duration::from_millis(1600);
 
 #[derive(Clone, Debug)]
 struct Entry {
--- a/crates/node/src/registry_update.rs
+++ b/crates/node/src/registry_update.rs
@@ -118,6 +118,14 @@
         self
     }
 
+    /// Makes removals of all entries that the sender takes for lapsed.
+    pub(crate) fn without_lapses(mut self) -> Self {
+        self.store_was_unreachable = false;
+        let lapsed = std::mem::take(&mut self.lapsed).into_iter();
+        self.removed.extend(lapsed.map(|lapsed| lapsed.entry.record.key.id));
+        self
+    }
+
     /// True if the update consists of changes and has none.
     pub(crate) fn is_empty(&self) -> bool {
         self.after.is_some()
--- a/crates/node/src/store_outage.rs
+++ b/crates/node/src/store_outage.rs
@@ -72,7 +72,18 @@
 
     /// True if entries that are missing from a read at `now` may be those of live servers.
     pub(crate) fn may_hide_servers(&self, now: Instant) -> bool {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < EXPIRY_TIME;
+        self.may_have_hidden_servers(now, Duration::ZERO)
+    }
+
+    /// True if entries that were missing at `now`, or up to `time` before, were not those of live servers,
+    /// whatever another node says: this node has known for long enough that the store answers.
+    pub(crate) fn rules_out_hidden_servers(&self, now: Instant, time: Duration) -> bool {
+        let has_known = |(first, _)| now.saturating_duration_since(first) >= EXPIRY_TIME + time;
+        self.answered.is_some_and(has_known) && !self.may_have_hidden_servers(now, time)
+    }
+
+    fn may_have_hidden_servers(&self, now: Instant, time: Duration) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < EXPIRY_TIME + time;
         self.ended_at.is_some_and(is_recent) || self.is_out(now)
     }
 
--- a/crates/node/src/store_outage/tests.rs
+++ b/crates/node/src/store_outage/tests.rs
@@ -43,6 +43,7 @@
     }
     outage.on_answer(after(start, 3000));
     assert!(!outage.may_hide_servers(after(start, 3000)));
+    assert!(outage.rules_out_hidden_servers(after(start, 3000), Duration::from_secs(1)));
 }
 
 #[test]
@@ -64,6 +65,16 @@
     assert!(outage.may_hide_servers(after(start, 2500)));
 }
 
+#[test]
+fn a_node_that_has_just_started_rules_nothing_out() {
+    let start = Instant::now();
+    let mut outage = StoreOutage::new(SHORTEST);
+    assert!(!outage.rules_out_hidden_servers(start, Duration::ZERO));
+    outage.on_answer(start);
+    assert!(!outage.rules_out_hidden_servers(after(start, 1000), Duration::ZERO));
+    assert!(outage.rules_out_hidden_servers(after(start, 2000), Duration::ZERO));
+}
+
 #[test]
 fn servers_may_be_hidden_after_a_backup_was_restored() {
     let start = Instant::now();
@@ -71,5 +82,6 @@
     outage.on_answer(start);
     outage.on_restore(after(start, 5000));
     assert!(outage.may_hide_servers(after(start, 6000)));
+    assert!(!outage.rules_out_hidden_servers(after(start, 6000), Duration::ZERO));
     assert!(!outage.may_hide_servers(after(start, 7000)));
 }
