A second node reads the tables after nodes were turned away

A core whose last call had failed, however long ago, doesn't read. The others forget its failure after 1.5 s, and leave the second reader's role to it if it is first in the order.

Change: a core whose latest call failed reads the lease's row again after a second, until it is answered. The others go by the latest call too, whatever its age: it is never much older than a second now.

--- a/crates/node/src/control/role_handlers.rs
+++ b/crates/node/src/control/role_handlers.rs
@@ -25,6 +25,10 @@
             }
             return;
         }
+        // The other cores rely on it that one whose latest call failed doesn't read, and that others do.
+        if self.store_health.needs_check(now) && !self.read_role.borrow().is_reader() {
+            self.leadership.check_store();
+        }
         let lost_before = self.access.cores_lost_store(now);
         let own_silence = self.reads_tables().then(|| self.store_health.time_since_answer(now));
         self.access.update_core(now, own_silence, &self.network.peers);
--- a/crates/node/src/control/tests/roles.rs
+++ b/crates/node/src/control/tests/roles.rs
@@ -19,6 +19,8 @@
 const UPDATE_TIME: Duration = Duration::from_secs(3);
 /// Duration of the lease in these deployments plus two seconds.
 const HOLDER_TIME: Duration = Duration::from_millis(2010 + 2000);
+/// Time within which another node reads in place of one that has ended.
+const READER_TIME: Duration = Duration::from_secs(4);
 const STEP: Duration = Duration::from_millis(25);
 /// Calls a second that the store receives beyond those of an undisturbed second. The few nodes that
 /// find out at the same time that they reach the store each read two tables.
@@ -310,3 +312,23 @@
         assert_eq!(sending, Vec::<usize>::new(), "seed {seed}, {lossy:?}");
     }
 }
+
+/// A node that the store had turned away once took it for lost until its next call, which it never made: the
+/// others left it to that node to read beside the holder, and a single node read the tables.
+#[test]
+fn a_second_node_reads_the_tables_after_nodes_were_turned_away() {
+    for seed in 0..10 {
+        let mut deployment = settled(seed, 2);
+        let readers: BTreeSet<usize> = deployment.readers().into_iter().collect();
+        assert_eq!(readers.len(), 2);
+        let others: Vec<usize> = (0..6).filter(|node| !readers.contains(node)).collect();
+        for node in &others {
+            let failed = Event::StoreCallFailed(deployment.now(), "no answer".to_owned());
+            deployment.handle(*node, failed);
+        }
+        let standby = readers.into_iter().find(|node| !deployment.holders().contains(node));
+        deployment.kill(standby.expect("a reader that isn't the holder"));
+        deployment.run_for(READER_TIME);
+        assert_eq!(deployment.readers().len(), 2, "seed {seed}");
+    }
+}
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -116,7 +116,7 @@
     /// This node is to read the lease's row at once: the holder has asked for a check of the store,
     /// or has resigned.
     probe: bool,
-    /// This node, a leaf, is to read the lease's row at once, to find out whether the store answers.
+    /// This node is to read the lease's row at once, to find out whether the store answers it.
     check_store: bool,
     probed_at: Option<Instant>,
     repeat_at: Instant,
--- a/crates/node/src/read_role.rs
+++ b/crates/node/src/read_role.rs
@@ -74,7 +74,7 @@
         return ReadRole::Primary;
     }
     let candidates = others().filter(|(_, heartbeat)| {
-        heartbeat.core && !heartbeat.store.is_unreachable() && heartbeat.holder.is_none()
+        heartbeat.core && !heartbeat.store.has_failed() && heartbeat.holder.is_none()
     });
     let names = candidates.map(|(info, _)| info.vm.as_str());
     let order = rendezvous_order("readers", names.chain([me.as_str()]));
--- a/crates/node/src/store_health.rs
+++ b/crates/node/src/store_health.rs
@@ -9,6 +9,8 @@
 
 /// Age up to which a reported failure counts as evidence that the store is unreachable now.
 const FAILURE_AGE_MAX: Duration = Duration::from_millis(1500);
+/// Time after a failure at which a core that makes no calls otherwise checks the store again.
+const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What a node reports about the store in its heartbeats.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,11 +23,15 @@
 }
 
 impl StoreStatus {
-    /// True if the node's latest attempt to call the store is recent and failed.
-    pub(crate) fn is_unreachable(&self) -> bool {
+    /// True if the node's latest call to the store has failed.
+    pub(crate) fn has_failed(&self) -> bool {
         let Some(failed) = self.failed else { return false };
-        let answered_since = self.answered.is_some_and(|answered| answered < failed);
-        !answered_since && failed < FAILURE_AGE_MAX
+        self.answered.is_none_or(|answered| answered >= failed)
+    }
+
+    /// True if the node's latest call to the store is recent and failed.
+    pub(crate) fn is_unreachable(&self) -> bool {
+        self.has_failed() && self.failed.is_some_and(|failed| failed < FAILURE_AGE_MAX)
     }
 }
 
@@ -69,6 +75,12 @@
         self.is_unreachable
     }
 
+    /// True if the latest call has failed, so long ago that the store may have come back since.
+    pub(crate) fn needs_check(&self, now: Instant) -> bool {
+        let is_old = |at| now.saturating_duration_since(at) >= RECHECK_INTERVAL;
+        self.is_unreachable && self.failed_at.is_some_and(is_old)
+    }
+
     /// Time since the store last answered; the maximum if it never has.
     pub(crate) fn time_since_answer(&self, now: Instant) -> Duration {
         self.answered_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
