A node asks before it takes a software version for the only one

Cause: a node that had run for 40 s and knew one version concluded by itself that it had begun every stream (stream_taken_up, origin "only"). It had a log of versions seen, but none of whether it was in touch while it saw them. A log of streams that it had read counted for ever in the same way.

Change: a lookup ends with "only" if all cores that the node has known lately have answered the question, or after a read of the servers' entries and the log of streams that began after it came. A node that was out of touch with the store and the others, or stood still, counts as one that has just started (Contact). A leaf concludes nothing itself. If the store has just failed to answer the node, it refuses at once; its caller comes back elsewhere.

Why this works: a stream that began at another version began before its caller came, so the version is in the store by then, and some core knows it.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -29,6 +29,7 @@
         limit_exchange::LimitExchange,
         load_exchange::LoadExchange,
         node_discovery::{FIRST_START_JITTER_MAX, NodeDiscovery},
+        origin_store::{OriginStore, StoredOrigins},
         peer_message::{Heartbeat, PeerMessage},
         peer_network::PeerNetwork,
         peers::HeartbeatReceivers,
@@ -140,6 +141,7 @@
     quotas: QuotaExchange,
     streams: StreamExchange,
     stream_store: StreamStore,
+    origin_store: Box<dyn OriginStore>,
     demand: DemandAggregator,
     endpoints: EndpointExchange,
     is_shutting_down: bool,
@@ -220,6 +222,7 @@
             engines_check_fences: settings.engines_check_fences,
         };
         let lease = StoredLease { store: Rc::clone(&store), events: events.clone() };
+        let origin_store = StoredOrigins { store: Rc::clone(&store), events: events.clone() };
         let leadership = Leadership::new(now, config, Box::new(lease), events.clone(), rng.fork());
         let store_outage = StoreOutage::new(settings.timing.registry_heartbeat_interval);
         Self {
@@ -240,6 +243,7 @@
             quotas: QuotaExchange::default(),
             streams: StreamExchange::new(now),
             stream_store: StreamStore::default(),
+            origin_store: Box::new(origin_store),
             network,
             leadership,
             catalog: None,
@@ -495,6 +499,9 @@
                 self.on_origin_wanted(now, number, question);
             }
             Event::StreamLogRead(_, answer) => self.on_stream_log_read(now, answer),
+            Event::OriginTablesRead(began_at, answer) => {
+                self.on_origin_tables_read(now, began_at, answer);
+            }
             Event::StreamLogWritten(_, write, answer) => {
                 self.on_stream_log_written(now, write, &answer);
             }
--- a/crates/node/src/control/store_handlers.rs
+++ b/crates/node/src/control/store_handlers.rs
@@ -37,6 +37,7 @@
             | Event::NodesRead(_)
             | Event::QuarantineWritten(_, _, Ok(_))
             | Event::StreamLogRead(_, Ok(_))
+            | Event::OriginTablesRead(_, Ok(_))
             | Event::StreamLogWritten(_, _, Ok(_))
             | Event::LeaseRead(_, Ok(_))
             | Event::LeaseWritten(_, Ok(_)) => {
@@ -50,6 +51,7 @@
                 self.on_store_failure(now, *began_at, &err.to_string());
             }
             Event::StreamLogRead(began_at, Err(err))
+            | Event::OriginTablesRead(began_at, Err(err))
             | Event::StreamLogWritten(began_at, _, Err(err))
             | Event::QuarantineWritten(began_at, _, Err(err))
             | Event::TrialClaimed(began_at, _, TrialClaim::Failed(err)) => {
--- a/crates/node/src/control/stream_handlers.rs
+++ b/crates/node/src/control/stream_handlers.rs
@@ -2,7 +2,10 @@
 
 use {
     super::Control,
-    crate::{read_role::ReadRole, stream_store::StreamStore},
+    crate::{
+        origin_store::OriginTables, read_role::ReadRole, registry_update::RegistryUpdate,
+        stream_exchange::StoreContact, stream_store::StreamStore,
+    },
     glade_platform::{Snapshot, StoreError, TxnAnswer},
     glade_streams::{LogWrite, StreamQuestion},
     glade_types::{SoftwareVersion, stable_hash},
@@ -12,7 +15,11 @@
 impl Control {
     /// Does the periodic work for streams.
     pub(super) fn tick_streams(&mut self, now: Instant) {
-        self.streams.on_mesh(now, &self.network);
+        let store = StoreContact {
+            silence: self.store_outage.time_since_answer(now),
+            has_just_failed: self.store_health.has_just_failed(now),
+        };
+        self.streams.check_contact(now, store, &self.network);
         self.write_stream_log(now);
         self.act_on_streams(now);
     }
@@ -42,15 +49,15 @@
         self.stream_store.write(now, &self.store, &self.events);
     }
 
-    /// Sends what is due, passes answers to the relay, and reads the log if a lookup wants it.
+    /// Sends what is due, passes answers to the relay, and reads the store if a lookup wants that.
     pub(super) fn act_on_streams(&mut self, now: Instant) {
         self.streams.run_due(now, &mut self.network);
         let origins = self.streams.take_origins();
         if !origins.is_empty() && self.published.origins.try_send(origins).is_err() {
             log::debug!("traffic_behind");
         }
-        if self.streams.take_log_wish() {
-            StreamStore::read(now, &self.store, &self.events);
+        if self.streams.take_read_wish() {
+            self.origin_store.read(now);
         }
     }
 
@@ -64,13 +71,34 @@
         now: Instant,
         answer: Result<Snapshot, StoreError>,
     ) {
-        let logged = answer
-            .inspect_err(|err| {
-                log::info!(reason = err.to_string().as_str(); "stream_log_read_failed");
-            })
-            .ok()
-            .map(|snapshot| self.stream_store.on_read(now, &snapshot));
-        self.streams.on_log_read(now, logged, &mut self.network);
+        match answer {
+            Ok(log) => {
+                let logged = self.stream_store.on_read(now, &log);
+                self.streams.on_log_read(now, logged, &mut self.network);
+            }
+            Err(err) => log::info!(reason = err.to_string().as_str(); "stream_log_read_failed"),
+        }
+        self.act_on_streams(now);
+    }
+
+    pub(super) fn on_origin_tables_read(
+        &mut self,
+        now: Instant,
+        began_at: Instant,
+        answer: Result<OriginTables, StoreError>,
+    ) {
+        let is_answered = answer.is_ok();
+        match answer {
+            Ok(OriginTables { registry, stream_log }) => {
+                let may_hide_servers = self.store_outage.may_hide_servers(now);
+                let update = RegistryUpdate::from_snapshot(&registry, may_hide_servers);
+                self.on_registry_read(now, update);
+                let logged = self.stream_store.on_read(now, &stream_log);
+                self.streams.on_log_read(now, logged, &mut self.network);
+            }
+            Err(err) => log::info!(reason = err.to_string().as_str(); "origin_tables_read_failed"),
+        }
+        self.streams.on_store_read(now, began_at, is_answered, &mut self.network);
         self.act_on_streams(now);
     }
 
--- a/crates/node/src/control/tests/deployment.rs
+++ b/crates/node/src/control/tests/deployment.rs
@@ -161,6 +161,7 @@
         control.contact_seeds(now);
         let store_calls = NodeStoreCalls::default();
         control.leadership.lease_service = Box::new(store_calls.lease_service());
+        control.origin_store = Box::new(store_calls.origin_store());
         let writes_row_at = now + self.store_call_time();
         let reads_rows_at = writes_row_at + self.store_call_time();
         RunningNode {
--- a/crates/node/src/control/tests/sim_store.rs
+++ b/crates/node/src/control/tests/sim_store.rs
@@ -4,6 +4,7 @@
     crate::{
         event::{Event, WatchedTable},
         lease::{LEASE_KEY, LeaseService},
+        origin_store::{OriginStore, OriginTables},
         read_role::ReadRole,
     },
     glade_adapter::{config, registry},
@@ -14,7 +15,7 @@
     },
     glade_types::BackendId,
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         collections::{BTreeSet, VecDeque},
         rc::Rc,
         time::{Duration, Instant},
@@ -61,15 +62,31 @@
     }
 }
 
+/// Number of reads of the tables that tell where streams began that a node has decided on.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RecordedOriginReads(Rc<Cell<usize>>);
+
+impl OriginStore for RecordedOriginReads {
+    fn read(&self, _now: Instant) {
+        self.0.set(self.0.get() + 1);
+    }
+}
+
 /// The calls of one node.
 #[derive(Clone, Debug, Default)]
 pub(super) struct NodeStoreCalls {
     watchers: [Watcher; TABLES.len()],
     decided: RecordedLease,
     lease: Option<Call<LeaseAction>>,
+    decided_origin_reads: RecordedOriginReads,
+    origin_reads: Vec<Call<()>>,
 }
 
 impl NodeStoreCalls {
+    pub(super) fn origin_store(&self) -> RecordedOriginReads {
+        self.decided_origin_reads.clone()
+    }
+
     pub(super) fn lease_service(&self) -> RecordedLease {
         self.decided.clone()
     }
@@ -165,6 +182,16 @@
                 events.push(event);
             }
         }
+        for _ in 0..calls.decided_origin_reads.0.take() {
+            calls.origin_reads.push(self.begin(now, position, (), rng));
+        }
+        calls.origin_reads.iter_mut().for_each(|call| call.is_lost |= is_cut_off);
+        calls.origin_reads.retain(|call| {
+            let event = self.end_origin_read(now, call);
+            let is_over = event.is_some();
+            events.extend(event);
+            !is_over
+        });
         events
     }
 
@@ -219,6 +246,23 @@
         (time >= wait + call.answer_time).then_some((changes, pause))
     }
 
+    /// The outcome of a read of the tables that tell where streams began, if it has ended. The log of streams
+    /// is empty here.
+    fn end_origin_read(&self, now: Instant, call: &Call<()>) -> Option<Event> {
+        let time = now - call.began_at;
+        if call.is_lost {
+            let err = StoreError::Unknown { reason: "no answer".to_owned() };
+            return (time >= CALL_TIMEOUT)
+                .then_some(Event::OriginTablesRead(call.began_at, Err(err)));
+        }
+        (time >= call.answer_time).then(|| {
+            let snapshot = |rows| Snapshot { rows, revision: self.latest };
+            let registry = snapshot(self.rows.scan(&format!("{}/", registry::TABLE)));
+            let tables = OriginTables { registry, stream_log: snapshot(Vec::new()) };
+            Event::OriginTablesRead(call.began_at, Ok(tables))
+        })
+    }
+
     fn end_lease_call(&mut self, now: Instant, call: Call<LeaseAction>) -> Option<Event> {
         let time = now - call.began_at;
         let key = Key::new(LEASE_KEY);
--- a/crates/node/src/control/tests/streams.rs
+++ b/crates/node/src/control/tests/streams.rs
@@ -9,7 +9,7 @@
     glade_relay::TrafficUpdate,
     glade_streams::{StreamOrigin, StreamQuestion},
     glade_types::{SoftwareVersion, stable_hash},
-    std::time::Duration,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// Time after which a deployment has its topology, and has run for longer than records are kept.
@@ -18,6 +18,10 @@
 const REPORT_TIME: Duration = Duration::from_millis(300);
 /// Time within which a question is answered.
 const ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Time for which a caller waits for the rest of a stream.
+const CALLER_PATIENCE: Duration = Duration::from_secs(2);
+/// Time within which streams begin at a server that has registered.
+const RELEASE_TIME: Duration = Duration::from_millis(600);
 const STREAM: u64 = 77;
 
 fn server(number: usize, version: &str) -> ServerRecord {
@@ -46,7 +50,37 @@
     deployment.run_for(REPORT_TIME);
 }
 
-/// What `node` answers a request for the rest of `stream`.
+/// Registers a server of another version, and lets it run for long enough that streams can begin there.
+fn release(deployment: &mut Deployment) {
+    deployment.store.as_mut().expect("a store").write_server(&server(2, "v2"));
+    deployment.run_for(RELEASE_TIME);
+}
+
+/// Cuts `nodes` off from the store and from all others.
+fn cut_off(deployment: &mut Deployment, nodes: &[usize], count: usize) {
+    let cut: BTreeSet<usize> = nodes.iter().copied().collect();
+    let links = (0..count).flat_map(|from| (0..count).map(move |to| (from, to)));
+    deployment.cut_links =
+        links.filter(|(from, to)| cut.contains(from) != cut.contains(to)).collect();
+    deployment.store.as_mut().expect("a store").cut_off = cut;
+}
+
+fn heal(deployment: &mut Deployment) {
+    cut_off(deployment, &[], 0);
+}
+
+/// What `node` answers a request for the rest of `stream` while its caller waits.
+fn origin_in_the_end(
+    deployment: &mut Deployment,
+    node: usize,
+    stream: u64,
+) -> Option<StreamOrigin> {
+    let origin = origin(deployment, node, stream);
+    deployment.run_for(CALLER_PATIENCE);
+    origin.or(deployment.take_origins(node).first().map(|(_, origin)| *origin))
+}
+
+/// What `node` answers a request for the rest of `stream` soon.
 fn origin(deployment: &mut Deployment, node: usize, stream: u64) -> Option<StreamOrigin> {
     let service = stable_hash(record(1).service.as_str().as_bytes()) as u32;
     let question = StreamQuestion { stream, service };
@@ -112,3 +146,113 @@
         }
     }
 }
+
+/// A node that is cut off from the store and from the others knew one version, concluded that it had begun every
+/// stream, and let streams of another go on there.
+#[test]
+fn a_node_that_is_cut_off_doesnt_take_its_version_for_the_only_one() {
+    for each in [2, 20] {
+        for ms in [0, 100, 500, 2000, 10_000, 35_000, 80_000] {
+            let mut deployment = deployment(each, &["v1"]);
+            let count = usize::from(each) * 3;
+            let node = deployment.cores()[0];
+            cut_off(&mut deployment, &[node], count);
+            release(&mut deployment);
+            deployment.run_for(Duration::from_millis(ms));
+            let origin = origin_in_the_end(&mut deployment, node, STREAM);
+            assert_eq!(origin, Some(StreamOrigin::Unanswered), "{count} nodes, after {ms} ms");
+        }
+    }
+}
+
+#[test]
+fn nodes_that_are_cut_off_together_dont_take_their_version_for_the_only_one() {
+    for each in [2, 20] {
+        for ms in [0, 100, 500, 2000, 10_000, 35_000, 80_000] {
+            let mut deployment = deployment(each, &["v1"]);
+            let count = usize::from(each) * 3;
+            let data_centre: Vec<usize> = (0..count).step_by(3).collect();
+            cut_off(&mut deployment, &data_centre, count);
+            release(&mut deployment);
+            deployment.run_for(Duration::from_millis(ms));
+            for node in data_centre {
+                let origin = origin_in_the_end(&mut deployment, node, STREAM);
+                assert_ne!(origin, Some(StreamOrigin::Only), "{node} of {count}, after {ms} ms");
+            }
+        }
+    }
+}
+
+/// The same after a node has stood still: it hadn't looked, and didn't know that.
+#[test]
+fn a_node_that_stood_still_doesnt_take_its_version_for_the_only_one() {
+    for each in [2, 20] {
+        for ms in [0, 5, 50, 300, 1000] {
+            let mut deployment = deployment(each, &["v1"]);
+            let nodes = [deployment.cores()[0], deployment.leaves().first().copied().unwrap_or(1)];
+            deployment.frozen_nodes.extend(nodes);
+            deployment.run_for(Duration::from_secs(3));
+            release(&mut deployment);
+            deployment.frozen_nodes.clear();
+            deployment.run_for(Duration::from_millis(ms));
+            for node in nodes {
+                let origin = origin_in_the_end(&mut deployment, node, STREAM);
+                assert_eq!(origin, Some(StreamOrigin::Unknown), "{node}, after {ms} ms");
+            }
+        }
+    }
+}
+
+/// A version that came and went while the node was cut off.
+#[test]
+fn a_node_that_was_cut_off_is_told_by_others_of_versions_that_it_has_missed() {
+    for each in [2, 20] {
+        for ms in [0, 20, 300, 1000, 5000] {
+            let mut deployment = deployment(each, &["v1"]);
+            let count = usize::from(each) * 3;
+            let node = deployment.cores()[0];
+            cut_off(&mut deployment, &[node], count);
+            release(&mut deployment);
+            let store = deployment.store.as_mut().expect("a store");
+            store.remove_server(&server(2, "v2").key.id);
+            deployment.run_for(Duration::from_secs(6));
+            heal(&mut deployment);
+            deployment.run_for(Duration::from_millis(ms));
+            let origin = origin_in_the_end(&mut deployment, node, STREAM);
+            assert!(
+                matches!(origin, Some(StreamOrigin::Unknown | StreamOrigin::Unanswered)),
+                "{count} nodes, after {ms} ms: {origin:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn streams_of_the_only_version_go_on_while_the_store_is_away() {
+    for each in [2, 20] {
+        let mut deployment = deployment(each, &["v1"]);
+        let count = usize::from(each) * 3;
+        let store = deployment.store.as_mut().expect("a store");
+        store.cut_off = (0..count).collect();
+        for _ in 0..5 {
+            deployment.run_for(Duration::from_secs(4));
+            for node in [0, 1] {
+                assert_eq!(origin(&mut deployment, node, STREAM), Some(StreamOrigin::Only));
+            }
+        }
+    }
+}
+
+#[test]
+fn streams_of_the_only_version_go_on_after_another_node_was_killed() {
+    for each in [2, 20] {
+        for ms in [0, 500, 3000] {
+            let mut deployment = deployment(each, &["v1"]);
+            let cores = deployment.cores();
+            deployment.kill(cores[1]);
+            deployment.run_for(Duration::from_millis(ms));
+            let origin = origin(&mut deployment, cores[0], STREAM);
+            assert_eq!(origin, Some(StreamOrigin::Only), "after {ms} ms");
+        }
+    }
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        origin_store::OriginTables,
         peer_message::{PeerBatch, PeerInfo, PeerMessage},
         quarantine_store::TrialClaim,
     },
@@ -59,6 +60,8 @@
     TrialClaimed(Instant, Entry, TrialClaim),
     /// A read of the log of streams, which began at this time, has ended.
     StreamLogRead(Instant, Result<Snapshot, StoreError>),
+    /// A read of the tables that tell where streams began, which began at this time, has ended.
+    OriginTablesRead(Instant, Result<OriginTables, StoreError>),
     /// A write of the log of streams, which began at this time, has ended.
     StreamLogWritten(Instant, LogWrite, Result<TxnAnswer, StoreError>),
     /// An engine has answered an order, or the order has failed.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod catalog_announcer;
 mod catalog_fetch;
+mod contact;
 mod control;
 mod control_metrics;
 mod control_task;
@@ -32,6 +33,7 @@
 mod node_discovery;
 mod order_log;
 mod order_right;
+mod origin_store;
 mod peer_message;
 mod peer_network;
 mod peer_prompt;
--- a/crates/node/src/store_health.rs
+++ b/crates/node/src/store_health.rs
@@ -9,7 +9,8 @@
 
 /// Age up to which a reported failure counts as evidence that the store is unreachable now.
 const FAILURE_AGE_MAX: Duration = Duration::from_millis(1500);
-/// Time after a failure at which a core that makes no calls otherwise checks the store again.
+/// Time after a failure from which on the store may answer again. A core that makes no calls otherwise
+/// checks it then.
 const RECHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What a node reports about the store in its heartbeats.
@@ -75,6 +76,11 @@
         self.is_unreachable
     }
 
+    /// True if the latest call has failed, so lately that another would fail too.
+    pub(crate) fn has_just_failed(&self, now: Instant) -> bool {
+        self.is_unreachable && !self.needs_check(now)
+    }
+
     /// True if the latest call has failed, so long ago that the store may have come back since.
     pub(crate) fn needs_check(&self, now: Instant) -> bool {
         let is_old = |at| now.saturating_duration_since(at) >= RECHECK_INTERVAL;
--- a/crates/node/src/store_outage.rs
+++ b/crates/node/src/store_outage.rs
@@ -70,6 +70,11 @@
         self.ended_at = Some(now);
     }
 
+    /// Time since the store last answered any node, as far as is known; the maximum if it never has.
+    pub(crate) fn time_since_answer(&self, now: Instant) -> Duration {
+        self.answered.map_or(Duration::MAX, |(_, latest)| now.saturating_duration_since(latest))
+    }
+
     /// True if entries that are missing from a read at `now` may be those of live servers.
     pub(crate) fn may_hide_servers(&self, now: Instant) -> bool {
         self.may_have_hidden_servers(now, Duration::ZERO)
--- a/crates/node/src/stream_exchange.rs
+++ b/crates/node/src/stream_exchange.rs
@@ -6,12 +6,13 @@
 
 use {
     crate::{
+        contact::Contact,
         peer_message::{PeerInfo, PeerMessage},
         peer_network::PeerNetwork,
         stream_store::LoggedStreams,
     },
     glade_streams::{
-        Asker, KnownVersions, LogState, LookupAction, NodeState, OriginLookups, StreamAnswer,
+        Asker, KnownVersions, LookupAction, NodeState, OriginLookups, Place, StreamAnswer,
         StreamOrigin, StreamQuestion, StreamRecords, VersionStreams,
     },
     std::{
@@ -25,6 +26,24 @@
 /// Period at which lookups are checked for those that have waited for long enough.
 const LOOKUP_PERIOD: Duration = Duration::from_millis(20);
 
+/// How the store answers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StoreContact {
+    /// Time since it answered any node known of.
+    pub(crate) silence: Duration,
+    /// A call of this node has just failed.
+    pub(crate) has_just_failed: bool,
+}
+
+/// The latest read of the store for lookups.
+#[derive(Clone, Copy, Debug, Default)]
+struct StoreRead {
+    is_wanted: bool,
+    is_under_way: bool,
+    /// When the latest one that was answered began.
+    answered_from: Option<Instant>,
+}
+
 /// Records of streams, and lookups of them.
 #[derive(Debug)]
 pub(crate) struct StreamExchange {
@@ -38,9 +57,9 @@
     new: Vec<(u64, u32)>,
     check_at: Option<Instant>,
     started_at: Instant,
-    core_since: Option<Instant>,
-    log: LogState,
-    wants_log: bool,
+    contact: Contact,
+    store_is_lost: bool,
+    store_read: StoreRead,
     /// Answers to this node's requests.
     origins: Vec<(u32, StreamOrigin)>,
 }
@@ -56,9 +75,9 @@
             new: Vec::new(),
             check_at: None,
             started_at: now,
-            core_since: None,
-            log: LogState::Unread,
-            wants_log: false,
+            contact: Contact::new(now),
+            store_is_lost: false,
+            store_read: StoreRead::default(),
             origins: Vec::new(),
         }
     }
@@ -140,15 +159,20 @@
         }
     }
 
-    /// Follows whether this node is a core.
-    pub(crate) fn on_mesh(&mut self, now: Instant, network: &PeerNetwork) {
-        if !network.mesh.is_core {
-            self.core_since = None;
-        } else if self.core_since.is_none() {
-            self.core_since = Some(now);
-            // What a leaf has read doesn't have the records since.
-            self.log = LogState::Unread;
+    /// Follows whether this node, if it is a core, is in touch with the store and the other cores.
+    pub(crate) fn check_contact(
+        &mut self,
+        now: Instant,
+        store: StoreContact,
+        network: &PeerNetwork,
+    ) {
+        let mesh = &network.mesh;
+        if mesh.is_core {
+            self.contact.check(now, store.silence, mesh.cores.iter(), &network.peers);
+        } else {
+            self.contact.reset(now);
         }
+        self.store_is_lost = store.has_just_failed;
         self.records.drop_outdated(now);
     }
 
@@ -178,8 +202,8 @@
             }
             return;
         }
-        let (upstream, cores) = neighbours(now, network);
-        let node = self.state(upstream, &cores);
+        let neighbours = self.neighbours(now, network);
+        let node = self.state(&neighbours);
         let answers: Vec<StreamAnswer> = questions
             .into_iter()
             .map(|question| OriginLookups::answer_core(question, &node))
@@ -199,29 +223,30 @@
             if let StreamOrigin::Version(version) = answer.origin {
                 self.add(now, answer.question.stream, version);
             }
-            let (upstream, cores) = neighbours(now, network);
+            let neighbours = self.neighbours(now, network);
             let mut lookups = std::mem::take(&mut self.lookups);
-            let node = self.state(upstream, &cores);
+            let node = self.state(&neighbours);
             let actions = lookups.on_answer(now, from.peer_addr, answer, &node);
             self.lookups = lookups;
             self.carry_out(now, actions, network);
         }
     }
 
-    /// True, once, if the log of streams in the store is to be read.
-    pub(crate) fn take_log_wish(&mut self) -> bool {
-        std::mem::take(&mut self.wants_log)
+    /// True, once, if the tables that tell where streams began are to be read from the store.
+    pub(crate) fn take_read_wish(&mut self) -> bool {
+        let is_due = self.store_read.is_wanted && !self.store_read.is_under_way;
+        self.store_read.is_under_way |= is_due;
+        self.store_read.is_wanted &= !is_due;
+        is_due
     }
 
-    /// Adds what the log has; `None` if it couldn't be read.
+    /// Adds what the log of streams has.
     pub(crate) fn on_log_read(
         &mut self,
         now: Instant,
-        logged: Option<LoggedStreams>,
+        LoggedStreams { groups, versions }: LoggedStreams,
         network: &mut PeerNetwork,
     ) {
-        self.log = if logged.is_some() { LogState::Read } else { LogState::Unread };
-        let LoggedStreams { groups, versions } = logged.unwrap_or_default();
         self.versions.update(now, versions.into_iter());
         for (stream, version) in VersionStreams::records(&groups) {
             if self.records.get(stream).is_none() {
@@ -231,20 +256,53 @@
         self.advance(now, network);
     }
 
+    /// Handles the end of a read for lookups, which began at `began_at`. What was read has been added.
+    pub(crate) fn on_store_read(
+        &mut self,
+        now: Instant,
+        began_at: Instant,
+        is_answered: bool,
+        network: &mut PeerNetwork,
+    ) {
+        self.store_read.is_under_way = false;
+        if is_answered {
+            self.store_read.answered_from = Some(began_at);
+        } else {
+            self.store_is_lost = true;
+        }
+        self.advance(now, network);
+    }
+
     /// Takes the answers to this node's requests, each with the number of its request.
     pub(crate) fn take_origins(&mut self) -> Vec<(u32, StreamOrigin)> {
         std::mem::take(&mut self.origins)
     }
 
-    fn state<'a>(&'a self, upstream: Option<SocketAddr>, cores: &'a [SocketAddr]) -> NodeState<'a> {
+    /// Where this node can ask.
+    fn neighbours(&self, now: Instant, network: &PeerNetwork) -> Neighbours {
+        if network.mesh.is_core {
+            let all_are_live = self.contact.all_cores_are_live(now, &network.peers);
+            return Neighbours::Cores { live: network.live_core_addrs(now), all_are_live };
+        }
+        let upstream = network.upstream_core(now).and_then(|vm| network.peers.addr(vm));
+        Neighbours::Upstream(upstream)
+    }
+
+    fn state<'a>(&'a self, neighbours: &'a Neighbours) -> NodeState<'a> {
+        let place = match neighbours {
+            Neighbours::Cores { live, all_are_live } => {
+                Place::Core { others: live, all_are_live: *all_are_live }
+            }
+            Neighbours::Upstream(upstream) => Place::Leaf { upstream: *upstream },
+        };
         NodeState {
             records: &self.records,
             versions: &self.versions,
-            log: self.log,
             started_at: self.started_at,
-            core_since: self.core_since,
-            upstream,
-            cores,
+            in_touch_since: self.contact.since(),
+            read_at: self.store_read.answered_from,
+            store_is_lost: self.store_is_lost,
+            place,
         }
     }
 
@@ -255,9 +313,9 @@
         question: StreamQuestion,
         network: &mut PeerNetwork,
     ) {
-        let (upstream, cores) = neighbours(now, network);
+        let neighbours = self.neighbours(now, network);
         let mut lookups = std::mem::take(&mut self.lookups);
-        let actions = lookups.ask(now, asker, question, &self.state(upstream, &cores));
+        let actions = lookups.ask(now, asker, question, &self.state(&neighbours));
         self.lookups = lookups;
         self.carry_out(now, actions, network);
     }
@@ -266,9 +324,9 @@
         if !self.lookups.are_open() {
             return;
         }
-        let (upstream, cores) = neighbours(now, network);
+        let neighbours = self.neighbours(now, network);
         let mut lookups = std::mem::take(&mut self.lookups);
-        let actions = lookups.advance_all(now, &self.state(upstream, &cores));
+        let actions = lookups.advance_all(now, &self.state(&neighbours));
         self.lookups = lookups;
         self.carry_out(now, actions, network);
     }
@@ -285,21 +343,18 @@
                 LookupAction::Tell { asker: Asker::Node(to), answer } => {
                     network.send(now, to, &PeerMessage::StreamAnswers(vec![answer]));
                 }
-                LookupAction::ReadLog => {
-                    self.log = LogState::Reading;
-                    self.wants_log = true;
-                }
+                LookupAction::ReadStore => self.store_read.is_wanted = true,
             }
         }
         self.check_at = self.lookups.are_open().then_some(now + LOOKUP_PERIOD);
     }
 }
 
-/// The core that answers for this node, if it is a leaf, and the other live cores.
-fn neighbours(now: Instant, network: &PeerNetwork) -> (Option<SocketAddr>, Vec<SocketAddr>) {
-    if network.mesh.is_core {
-        return (None, network.live_core_addrs(now));
-    }
-    let upstream = network.upstream_core(now).and_then(|vm| network.peers.addr(vm));
-    (upstream, Vec::new())
+/// Other nodes that this node can ask.
+#[derive(Clone, Debug)]
+enum Neighbours {
+    /// The other live cores, and whether those are all that this node, a core, has known lately.
+    Cores { live: Vec<SocketAddr>, all_are_live: bool },
+    /// The core that answers for this node, a leaf.
+    Upstream(Option<SocketAddr>),
 }
--- a/crates/streams/src/known_versions.rs
+++ b/crates/streams/src/known_versions.rs
@@ -27,12 +27,14 @@
         self.seen_at.retain(|_, versions| !versions.is_empty());
     }
 
-    /// True if `service` has had one version only, and `recorded`, the versions that began streams lately,
-    /// are all known ones: another may have left before this node knew any server.
-    pub fn is_single(&self, service: u32, recorded: impl Iterator<Item = u32>) -> bool {
+    /// The only version that `service` has had, if `recorded`, the versions that began streams lately, are
+    /// all known ones: another may have left before this node knew any server.
+    pub fn single(&self, service: u32, mut recorded: impl Iterator<Item = u32>) -> Option<u32> {
         let is_known =
             |version: u32| self.seen_at.values().any(|versions| versions.contains_key(&version));
-        self.count(service) == 1 && recorded.into_iter().all(is_known)
+        let mut versions = self.seen_at.get(&service)?.keys();
+        let single = versions.next().filter(|_| versions.next().is_none());
+        single.copied().filter(|_| recorded.all(is_known))
     }
 
     /// All versions, each with its service.
--- a/crates/streams/src/lib.rs
+++ b/crates/streams/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use crate::{
     known_versions::KnownVersions,
-    origin_lookups::{Asker, LogState, LookupAction, NodeState, OriginLookups},
+    origin_lookups::{Asker, LookupAction, NodeState, OriginLookups, Place},
     stream_log::{LogWrite, StreamLog},
     stream_origin::{StreamAnswer, StreamOrigin, StreamQuestion},
     stream_records::StreamRecords,
--- a/crates/streams/src/origin_lookups.rs
+++ b/crates/streams/src/origin_lookups.rs
@@ -19,7 +19,7 @@
 /// Time for which a core waits for the other cores' answers.
 const CORES_WAIT: Duration = Duration::from_millis(80);
 /// Time for which a node waits for the store's answer.
-const LOG_WAIT: Duration = Duration::from_secs(1);
+const STORE_WAIT: Duration = Duration::from_secs(1);
 /// Time after the start of a node until which it may not know yet which other nodes there are.
 const SETTLING_TIME: Duration = Duration::from_millis(700);
 
@@ -32,16 +32,21 @@
     Node(SocketAddr),
 }
 
-/// Whether a node has read the log of streams in the store.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum LogState {
-    /// It hasn't, and isn't reading it.
-    #[default]
-    Unread,
-    /// It is reading it.
-    Reading,
-    /// It has read all rows that were there after its start.
-    Read,
+/// Place of a node in the mesh.
+#[derive(Clone, Copy, Debug)]
+pub enum Place<'a> {
+    /// A node that gets the records of all streams.
+    Core {
+        /// The other live cores.
+        others: &'a [SocketAddr],
+        /// Each core that this node has known lately is live.
+        all_are_live: bool,
+    },
+    /// A node that has the records of its own streams alone.
+    Leaf {
+        /// The core that answers for it.
+        upstream: Option<SocketAddr>,
+    },
 }
 
 /// What a node knows when it looks for the origin of a stream.
@@ -51,16 +56,17 @@
     pub records: &'a StreamRecords,
     /// Software versions of servers.
     pub versions: &'a KnownVersions,
-    /// Whether the node has read the log.
-    pub log: LogState,
     /// When the node started.
     pub started_at: Instant,
-    /// Since when the node has been a core, which gets the records of all streams; `None` on a leaf.
-    pub core_since: Option<Instant>,
-    /// The core that answers for this node, if it is a leaf.
-    pub upstream: Option<SocketAddr>,
-    /// The other live cores.
-    pub cores: &'a [SocketAddr],
+    /// Since when the node has been a core that was in touch with the store or with all other cores;
+    /// `None` if it isn't.
+    pub in_touch_since: Option<Instant>,
+    /// When the latest read of the servers' entries and of the log of streams began that was answered.
+    pub read_at: Option<Instant>,
+    /// The store doesn't answer this node.
+    pub store_is_lost: bool,
+    /// The node's place in the mesh.
+    pub place: Place<'a>,
 }
 
 impl NodeState<'_> {
@@ -68,26 +74,34 @@
         self.records.get(question.stream).map(StreamOrigin::Version)
     }
 
-    /// True if the node was there when each stream that can still go on began.
-    fn has_seen_all(&self, now: Instant) -> bool {
-        self.core_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= KnownVersions::COUNTED_FOR)
+    /// True if the node knows of all versions at which a stream can have begun that can still go on, up to
+    /// when it was last in touch.
+    fn knows_past(&self, now: Instant) -> bool {
+        self.in_touch_since.is_some_and(|since| {
+            let has_seen_all = now.saturating_duration_since(since) >= KnownVersions::COUNTED_FOR;
+            has_seen_all || self.read_at.is_some_and(|at| at >= since)
+        })
     }
 
-    /// True if all streams of the service are known to have begun at one version.
-    fn is_single(&self, service: u32) -> bool {
-        self.versions.is_single(service, self.records.versions())
+    /// True if a read that was answered began after `asked_at`. Whatever version a stream had begun at by
+    /// then was in the store.
+    fn has_read_since(&self, asked_at: Instant) -> bool {
+        self.read_at.is_some_and(|at| at >= asked_at)
     }
 
-    /// What this node concludes about a stream of which nobody has a record.
+    /// What this node concludes about a stream of which nobody has a record, if it knows all versions.
     fn conclusion(&self, question: &StreamQuestion) -> StreamOrigin {
         match self.versions.count(question.service) {
             // The node doesn't know the servers yet.
             0 => StreamOrigin::Unanswered,
-            1 if self.is_single(question.service) => StreamOrigin::Only,
+            _ if self.only_version(question.service).is_some() => StreamOrigin::Only,
             _ => StreamOrigin::Unknown,
         }
     }
+
+    fn only_version(&self, service: u32) -> Option<u32> {
+        self.versions.single(service, self.records.versions())
+    }
 }
 
 /// What is to be done for the lookups.
@@ -107,8 +121,8 @@
         /// The answer.
         answer: StreamAnswer,
     },
-    /// Read the log of streams in the store.
-    ReadLog,
+    /// Read the servers' entries and the log of streams from the store.
+    ReadStore,
 }
 
 /// Whose answer a lookup waits for.
@@ -116,13 +130,15 @@
 enum Stage {
     Upstream,
     Cores,
-    Log,
+    Store,
 }
 
 #[derive(Clone, Debug)]
 struct Lookup {
-    askers: Vec<Asker>,
+    /// Those who want to know, and since when.
+    askers: Vec<(Asker, Instant)>,
     stage: Stage,
+    /// End of the wait for other nodes' answers.
     until: Instant,
     /// The nodes that were asked.
     asked: BTreeSet<SocketAddr>,
@@ -155,27 +171,24 @@
         if let Some(origin) = node.known(&question) {
             return vec![tell(asker, question, origin)];
         }
-        if node.has_seen_all(now) && node.is_single(question.service) {
-            return vec![tell(asker, question, StreamOrigin::Only)];
-        }
         if let Some(lookup) = self.by_question.get_mut(&question) {
-            lookup.askers.push(asker);
-            return Vec::new();
+            lookup.join(now, asker, &question);
+        } else {
+            let settled_at = node.started_at + SETTLING_TIME;
+            let (stage, until) = match node.place {
+                Place::Leaf { .. } => (Stage::Upstream, now + UPSTREAM_WAIT),
+                Place::Core { .. } => (Stage::Cores, (now + CORES_WAIT).max(settled_at)),
+            };
+            let lookup = Lookup {
+                askers: vec![(asker, now)],
+                stage,
+                until,
+                asked: BTreeSet::new(),
+                unanswered: BTreeSet::new(),
+                has_several: false,
+            };
+            self.by_question.insert(question, lookup);
         }
-        let settled_at = node.started_at + SETTLING_TIME;
-        let (stage, until) = match node.upstream {
-            Some(_) => (Stage::Upstream, now + UPSTREAM_WAIT),
-            None => (Stage::Cores, (now + CORES_WAIT).max(settled_at)),
-        };
-        let lookup = Lookup {
-            askers: vec![asker],
-            stage,
-            until,
-            asked: BTreeSet::new(),
-            unanswered: BTreeSet::new(),
-            has_several: false,
-        };
-        self.by_question.insert(question, lookup);
         self.advance(now, question, node)
     }
 
@@ -219,49 +232,106 @@
         if let Some(origin) = node.known(&question) {
             return self.end(question, origin);
         }
-        let mut actions = Vec::new();
-        let Some(lookup) = self.by_question.get_mut(&question) else { return actions };
-        let is_over = now >= lookup.until;
+        let Some(lookup) = self.by_question.get_mut(&question) else { return Vec::new() };
         match lookup.stage {
-            Stage::Upstream => {
-                if is_over {
-                    return self.end(question, StreamOrigin::Unanswered);
-                }
-                actions.extend(lookup.ask_new(question, node.upstream.as_slice()));
-            }
-            Stage::Cores => {
-                actions.extend(lookup.ask_new(question, node.cores));
-                let is_settled = now >= node.started_at + SETTLING_TIME;
-                if is_over || is_settled && lookup.unanswered.is_empty() {
-                    (lookup.stage, lookup.until) = (Stage::Log, now + LOG_WAIT);
-                    actions.extend(self.advance(now, question, node));
-                }
-            }
-            Stage::Log => {
-                let has_several = lookup.has_several;
-                if node.log == LogState::Read || node.has_seen_all(now) {
-                    let conclusion = node.conclusion(&question);
-                    let origin = if has_several { StreamOrigin::Unknown } else { conclusion };
-                    return self.end(question, origin);
-                }
-                if is_over {
-                    return self.end(question, StreamOrigin::Unanswered);
-                }
-                if node.log == LogState::Unread {
-                    actions.push(LookupAction::ReadLog);
-                }
-            }
+            Stage::Upstream => self.advance_upstream(now, question, node),
+            Stage::Cores => self.advance_cores(now, question, node),
+            Stage::Store => self.advance_store(now, question, node),
+        }
+    }
+
+    fn advance_upstream(
+        &mut self,
+        now: Instant,
+        question: StreamQuestion,
+        node: &NodeState<'_>,
+    ) -> Vec<LookupAction> {
+        let Some(lookup) = self.by_question.get_mut(&question) else { return Vec::new() };
+        if now >= lookup.until {
+            return self.end(question, StreamOrigin::Unanswered);
+        }
+        match &node.place {
+            Place::Leaf { upstream } => lookup.ask_new(question, upstream.as_slice()),
+            Place::Core { .. } => Vec::new(),
+        }
+    }
+
+    fn advance_cores(
+        &mut self,
+        now: Instant,
+        question: StreamQuestion,
+        node: &NodeState<'_>,
+    ) -> Vec<LookupAction> {
+        let Some(lookup) = self.by_question.get_mut(&question) else { return Vec::new() };
+        let (others, all_are_live) = match node.place {
+            Place::Core { others, all_are_live } => (others, all_are_live),
+            Place::Leaf { .. } => (&[][..], false),
+        };
+        let mut actions = lookup.ask_new(question, others);
+        let is_settled = now >= node.started_at + SETTLING_TIME;
+        let is_answered = is_settled && lookup.unanswered.is_empty();
+        if !is_answered && now < lookup.until {
+            return actions;
+        }
+        let all_have_answered = is_answered && all_are_live && !lookup.asked.is_empty();
+        let origin = lookup.origin(node.conclusion(&question));
+        if node.knows_past(now) && (all_have_answered || origin == StreamOrigin::Unknown) {
+            return self.end(question, origin);
+        }
+        lookup.stage = Stage::Store;
+        actions.extend(self.advance_store(now, question, node));
+        actions
+    }
+
+    fn advance_store(
+        &mut self,
+        now: Instant,
+        question: StreamQuestion,
+        node: &NodeState<'_>,
+    ) -> Vec<LookupAction> {
+        let Some(lookup) = self.by_question.get_mut(&question) else { return Vec::new() };
+        let origin = lookup.origin(node.conclusion(&question));
+        let mut actions = Vec::new();
+        lookup.askers.retain(|(asker, asked_at)| {
+            let is_over = now.saturating_duration_since(*asked_at) >= CORES_WAIT + STORE_WAIT;
+            let origin = match node.has_read_since(*asked_at) {
+                true => origin,
+                false if is_over || node.store_is_lost => StreamOrigin::Unanswered,
+                false => return true,
+            };
+            actions.push(tell(*asker, question, origin));
+            false
+        });
+        if lookup.askers.is_empty() {
+            self.by_question.remove(&question);
+        } else {
+            actions.push(LookupAction::ReadStore);
         }
         actions
     }
 
     fn end(&mut self, question: StreamQuestion, origin: StreamOrigin) -> Vec<LookupAction> {
         let Some(lookup) = self.by_question.remove(&question) else { return Vec::new() };
-        lookup.askers.into_iter().map(|asker| tell(asker, question, origin)).collect()
+        lookup.askers.into_iter().map(|(asker, _)| tell(asker, question, origin)).collect()
     }
 }
 
 impl Lookup {
+    /// Adds one who wants to know. A stream that its caller doesn't name may have begun after the others
+    /// were asked.
+    fn join(&mut self, now: Instant, asker: Asker, question: &StreamQuestion) {
+        self.askers.push((asker, now));
+        if !question.is_named() {
+            self.asked.clear();
+            self.unanswered.clear();
+        }
+    }
+
+    /// The origin by the answers of others and the `conclusion` of this node.
+    fn origin(&self, conclusion: StreamOrigin) -> StreamOrigin {
+        if self.has_several { StreamOrigin::Unknown } else { conclusion }
+    }
+
     /// Asks those of `nodes` that weren't asked yet.
     fn ask_new(&mut self, question: StreamQuestion, nodes: &[SocketAddr]) -> Vec<LookupAction> {
         let new: Vec<SocketAddr> =
--- a/crates/streams/src/stream_origin.rs
+++ b/crates/streams/src/stream_origin.rs
@@ -12,6 +12,13 @@
     pub service: u32,
 }
 
+impl StreamQuestion {
+    /// True if the caller names the stream.
+    pub fn is_named(&self) -> bool {
+        self.stream != 0
+    }
+}
+
 /// Which software version began a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/streams/tests/records.rs
+++ b/crates/streams/tests/records.rs
@@ -48,21 +48,21 @@
     let begin = Instant::now();
     let mut versions = KnownVersions::default();
     let none = || std::iter::empty();
-    assert!(!versions.is_single(SERVICE, none()), "no server is known");
+    assert!(versions.single(SERVICE, none()).is_none(), "no server is known");
     versions.update(begin, [(SERVICE, 1), (8, 5)].into_iter());
-    assert!(versions.is_single(SERVICE, none()) && !versions.has_several(none()));
-    assert!(versions.is_single(SERVICE, [1, 5].into_iter()));
+    assert!(versions.single(SERVICE, none()).is_some() && !versions.has_several(none()));
+    assert!(versions.single(SERVICE, [1, 5].into_iter()).is_some());
     assert!(
-        !versions.is_single(SERVICE, [9].into_iter()),
+        versions.single(SERVICE, [9].into_iter()).is_none(),
         "a version that has left began a stream"
     );
     assert!(versions.has_several([9].into_iter()));
     versions.update(begin, [(SERVICE, 2)].into_iter());
-    assert!(!versions.is_single(SERVICE, none()) && versions.has_several(none()));
+    assert!(versions.single(SERVICE, none()).is_none() && versions.has_several(none()));
     versions.update(begin + SECOND * 39, [(SERVICE, 2)].into_iter());
-    assert!(!versions.is_single(SERVICE, none()), "streams of version 1 may go on");
+    assert!(versions.single(SERVICE, none()).is_none(), "streams of version 1 may go on");
     versions.update(begin + SECOND * 40, [(SERVICE, 2)].into_iter());
-    assert!(versions.is_single(SERVICE, none()));
+    assert!(versions.single(SERVICE, none()).is_some());
 }
 
 #[test]
