A stream that is taken up at the only version is bound to that version

A caller took up a stream where the service had one software version, and waited for a place.

Cause: the answer "only" set no version; it let the request go anywhere, also to servers that the node learns of while it waits.

Change: the node resolves "only" to the version that it knows when it concludes, and the request goes to servers of that version alone, as one with a record. A leaf that knows more versions than its core refuses.

--- a/crates/node/src/control/tests/deployment.rs
+++ b/crates/node/src/control/tests/deployment.rs
@@ -19,7 +19,7 @@
     glade_dispatch::ClusterView,
     glade_limit::{PermitGrant, QuotaGrant},
     glade_settings::{NodeListen, NodeSettings, NodeTiming, RetryLimits, VmLimits},
-    glade_streams::StreamOrigin,
+    glade_streams::OriginReply,
     glade_types::Incarnation,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -210,7 +210,7 @@
     }
 
     /// Takes the answers to a running node's questions about streams.
-    pub(super) fn take_origins(&mut self, position: usize) -> Vec<(u32, StreamOrigin)> {
+    pub(super) fn take_origins(&mut self, position: usize) -> Vec<OriginReply> {
         let Some(node) = &mut self.nodes[position] else { return Vec::new() };
         std::iter::from_fn(|| node.updates.origins.try_recv().ok()).flatten().collect()
     }
--- a/crates/node/src/control/tests/streams.rs
+++ b/crates/node/src/control/tests/streams.rs
@@ -77,7 +77,7 @@
 ) -> Option<StreamOrigin> {
     let origin = origin(deployment, node, stream);
     deployment.run_for(CALLER_PATIENCE);
-    origin.or(deployment.take_origins(node).first().map(|(_, origin)| *origin))
+    origin.or(deployment.take_origins(node).first().map(|reply| reply.origin))
 }
 
 /// What `node` answers a request for the rest of `stream` soon.
@@ -87,8 +87,8 @@
     deployment.handle(node, Event::TrafficUpdate(TrafficUpdate::OriginWanted(5, question)));
     deployment.run_for(ANSWER_TIME);
     let origins = deployment.take_origins(node);
-    assert!(origins.len() < 2 && origins.iter().all(|(number, _)| *number == 5), "{origins:?}");
-    origins.first().map(|(_, origin)| *origin)
+    assert!(origins.len() < 2 && origins.iter().all(|reply| reply.number == 5), "{origins:?}");
+    origins.first().map(|reply| reply.origin)
 }
 
 fn version(name: &str) -> Option<StreamOrigin> {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -25,7 +25,7 @@
     glade_process::{EndSignals, keep_running},
     glade_relay::{Relay, RelayDependencies, RelayHandle, TrafficUpdate},
     glade_settings::{NodeSettings, NodeTiming},
-    glade_streams::StreamOrigin,
+    glade_streams::OriginReply,
     glade_types::Incarnation,
     http_body_util::Full,
     hyper::{
@@ -423,7 +423,7 @@
 
 /// Passes to traffic which software versions began streams.
 async fn receive_origins(
-    receiver: &mut Receiver<Vec<(u32, StreamOrigin)>>,
+    receiver: &mut Receiver<Vec<OriginReply>>,
     relay: &RelayHandle<PlatformDialect>,
 ) {
     while let Some(origins) = receiver.recv().await {
--- a/crates/node/src/published_state.rs
+++ b/crates/node/src/published_state.rs
@@ -4,7 +4,7 @@
     arc_swap::ArcSwap,
     glade_dispatch::{ClusterView, PromptSent, StartReply},
     glade_limit::{PermitGrant, QuotaGrant},
-    glade_streams::StreamOrigin,
+    glade_streams::OriginReply,
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc},
     tokio::sync::{
@@ -58,7 +58,7 @@
     /// Replies of the issuers of quotas.
     pub(crate) quota_grants: Receiver<Vec<QuotaGrant>>,
     /// Which software versions began streams, by the numbers of the requests that asked.
-    pub(crate) origins: Receiver<Vec<(u32, StreamOrigin)>>,
+    pub(crate) origins: Receiver<Vec<OriginReply>>,
 }
 
 /// State and channels by which the control thread publishes to the traffic thread.
@@ -77,7 +77,7 @@
     /// Replies of the issuers of quotas.
     pub(crate) quota_grants: Sender<Vec<QuotaGrant>>,
     /// Which software versions began streams, by the numbers of the requests that asked.
-    pub(crate) origins: Sender<Vec<(u32, StreamOrigin)>>,
+    pub(crate) origins: Sender<Vec<OriginReply>>,
     /// Notified after each change of the view.
     pub(crate) view_changed: Arc<Notify>,
 }
--- a/crates/node/src/stream_exchange.rs
+++ b/crates/node/src/stream_exchange.rs
@@ -12,8 +12,8 @@
         stream_store::LoggedStreams,
     },
     glade_streams::{
-        Asker, KnownVersions, LookupAction, NodeState, OriginLookups, Place, StreamAnswer,
-        StreamOrigin, StreamQuestion, StreamRecords, VersionStreams,
+        Asker, KnownVersions, LookupAction, NodeState, OriginLookups, OriginReply, Place,
+        StreamAnswer, StreamOrigin, StreamQuestion, StreamRecords, VersionStreams,
     },
     std::{
         net::SocketAddr,
@@ -61,7 +61,7 @@
     store_is_lost: bool,
     store_read: StoreRead,
     /// Answers to this node's requests.
-    origins: Vec<(u32, StreamOrigin)>,
+    origins: Vec<OriginReply>,
 }
 
 impl StreamExchange {
@@ -273,8 +273,8 @@
         self.advance(now, network);
     }
 
-    /// Takes the answers to this node's requests, each with the number of its request.
-    pub(crate) fn take_origins(&mut self) -> Vec<(u32, StreamOrigin)> {
+    /// Takes the answers to this node's requests.
+    pub(crate) fn take_origins(&mut self) -> Vec<OriginReply> {
         std::mem::take(&mut self.origins)
     }
 
@@ -331,6 +331,22 @@
         self.carry_out(now, actions, network);
     }
 
+    fn reply(&self, number: u32, answer: StreamAnswer) -> OriginReply {
+        let (origin, version) = match answer.origin {
+            StreamOrigin::Version(version) => (answer.origin, Some(version)),
+            StreamOrigin::Only => {
+                let service = answer.question.service;
+                match self.versions.single(service, self.records.versions()) {
+                    Some(version) => (answer.origin, Some(version)),
+                    // This node, a leaf, knows more versions than its core did.
+                    None => (StreamOrigin::Unknown, None),
+                }
+            }
+            StreamOrigin::Unknown | StreamOrigin::Unanswered => (answer.origin, None),
+        };
+        OriginReply { number, origin, version }
+    }
+
     fn carry_out(&mut self, now: Instant, actions: Vec<LookupAction>, network: &mut PeerNetwork) {
         for action in actions {
             match action {
@@ -338,7 +354,8 @@
                     network.send(now, to, &PeerMessage::StreamQuestions(vec![question]));
                 }
                 LookupAction::Tell { asker: Asker::Own(number), answer } => {
-                    self.origins.push((number, answer.origin));
+                    let reply = self.reply(number, answer);
+                    self.origins.push(reply);
                 }
                 LookupAction::Tell { asker: Asker::Node(to), answer } => {
                     network.send(now, to, &PeerMessage::StreamAnswers(vec![answer]));
--- a/crates/relay/src/origin_client.rs
+++ b/crates/relay/src/origin_client.rs
@@ -6,7 +6,7 @@
         traffic_update::TrafficUpdate, wait_queue::Refused,
     },
     glade_dispatch::Refusal,
-    glade_streams::{StreamOrigin, StreamQuestion},
+    glade_streams::{OriginReply, StreamOrigin, StreamQuestion},
     glade_types::{RequestId, stable_hash},
     std::{
         cell::{Cell, RefCell},
@@ -25,20 +25,20 @@
 #[derive(Debug, Default)]
 pub(crate) struct OriginClient {
     next_number: Cell<u32>,
-    pending: RefCell<HashMap<u32, oneshot::Sender<StreamOrigin>>>,
+    pending: RefCell<HashMap<u32, oneshot::Sender<OriginReply>>>,
 }
 
 impl OriginClient {
-    /// Handles the answer to the question of the request with this number.
-    pub(crate) fn on_origin(&self, number: u32, origin: StreamOrigin) {
-        let sender = self.pending.borrow_mut().remove(&number);
+    /// Handles the answer to a question.
+    pub(crate) fn on_origin(&self, reply: OriginReply) {
+        let sender = self.pending.borrow_mut().remove(&reply.number);
         // The caller may have left.
         sender.into_iter().for_each(|sender| {
-            let _ = sender.send(origin);
+            let _ = sender.send(reply);
         });
     }
 
-    fn register(&self) -> (u32, oneshot::Receiver<StreamOrigin>) {
+    fn register(&self) -> (u32, oneshot::Receiver<OriginReply>) {
         let number = self.next_number.get();
         self.next_number.set(number.wrapping_add(1));
         let (sender, receiver) = oneshot::channel();
@@ -89,16 +89,20 @@
         let _pending = PendingQuestion { client: &self.origin_client, number };
         (self.on_update)(TrafficUpdate::OriginWanted(number, question));
         let answer = timeout(ANSWER_TIMEOUT, receiver).await;
-        let origin = answer.ok().and_then(Result::ok).unwrap_or(StreamOrigin::Unanswered);
+        let (origin, version) = match answer {
+            Ok(Ok(reply)) => (reply.origin, reply.version),
+            Ok(Err(_)) | Err(_) => (StreamOrigin::Unanswered, None),
+        };
         self.log_taken_up(admitted, origin);
-        let refused = |retry_after| Refused { reason: Refusal::VersionUnknown, retry_after };
-        match origin {
-            StreamOrigin::Version(version) => admitted.require_version(version),
-            StreamOrigin::Only => {}
-            StreamOrigin::Unknown => return Err(refused(Duration::ZERO)),
-            StreamOrigin::Unanswered => return Err(refused(UNANSWERED_RETRY_AFTER)),
+        if let Some(version) = version {
+            admitted.require_version(version);
+            return Ok(());
         }
-        Ok(())
+        let retry_after = match origin {
+            StreamOrigin::Unanswered => UNANSWERED_RETRY_AFTER,
+            _ => Duration::ZERO,
+        };
+        Err(Refused { reason: Refusal::VersionUnknown, retry_after })
     }
 
     /// Reports that the stream of `admitted` has an event of the software version with this hash.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -33,7 +33,7 @@
     },
     glade_limit::{PermitGrant, PermitWish, QuotaAsk, QuotaGrant},
     glade_process::{catch_panic, keep_running},
-    glade_streams::StreamOrigin,
+    glade_streams::OriginReply,
     hyper::{
         Request, Response,
         body::{Body, Incoming},
@@ -223,12 +223,9 @@
         self.relay.quota_client.on_grants(grants);
     }
 
-    /// Applies answers to the questions of requests, by their numbers, which software versions began
-    /// streams.
-    pub fn on_origins(&self, origins: &[(u32, StreamOrigin)]) {
-        for (number, origin) in origins {
-            self.relay.origin_client.on_origin(*number, *origin);
-        }
+    /// Applies answers to the questions of requests which software versions began streams.
+    pub fn on_origins(&self, replies: &[OriginReply]) {
+        replies.iter().for_each(|reply| self.relay.origin_client.on_origin(*reply));
     }
 
     /// Replaces the limit on retried requests.
--- a/crates/streams/src/lib.rs
+++ b/crates/streams/src/lib.rs
@@ -17,7 +17,7 @@
     known_versions::KnownVersions,
     origin_lookups::{Asker, LookupAction, NodeState, OriginLookups, Place},
     stream_log::{LogWrite, StreamLog},
-    stream_origin::{StreamAnswer, StreamOrigin, StreamQuestion},
+    stream_origin::{OriginReply, StreamAnswer, StreamOrigin, StreamQuestion},
     stream_records::StreamRecords,
     version_streams::VersionStreams,
 };
--- a/crates/streams/src/stream_origin.rs
+++ b/crates/streams/src/stream_origin.rs
@@ -54,3 +54,14 @@
     /// The answer.
     pub origin: StreamOrigin,
 }
+
+/// Answer to the question of one of this node's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OriginReply {
+    /// Number of the request.
+    pub number: u32,
+    /// What is known of the stream.
+    pub origin: StreamOrigin,
+    /// Hash of the version at which the stream may go on; `None` if it may at none.
+    pub version: Option<u32>,
+}
--- a/crates/system/tests/software_versions.rs
+++ b/crates/system/tests/software_versions.rs
@@ -17,6 +17,8 @@
 const REPORT_TIME: Duration = Duration::from_millis(800);
 /// Streams of one test. Half of them would go on at another version by chance.
 const STREAMS: usize = 10;
+/// More than an engine runs at once.
+const REQUESTS_TO_FILL_AN_ENGINE: usize = 200;
 
 /// A stream that its node didn't finish.
 struct Interrupted {
@@ -273,3 +275,30 @@
     let replies = take_up(&site, 1, &[stream]);
     assert_eq!(replies[0].status, 503, "{:?}", replies[0]);
 }
+
+/// A stream that was taken up waited for a place at the engine of the only version, and went on at one of another
+/// version that joined meanwhile.
+#[test]
+fn a_stream_of_the_only_software_version_doesnt_go_on_at_one_that_joins_while_it_waits() {
+    let mut site = Site::start(1, &[&["m0"]]);
+    let begin = |terms| site.begin_with_body(Caller::default(), 0, CHAT, terms, "body");
+    let long_stream = || caller_terms(&site.request_id(), Some("m0"), LONG_EVENTS, &[]);
+    let running: Vec<_> = (0..REQUESTS_TO_FILL_AN_ENGINE).map(|_| begin(long_stream())).collect();
+    site.pause(REPORT_TIME);
+    let id = site.request_id();
+    let terms = RequestMetadata {
+        last_event_id: Some(4),
+        resumes: Some(RequestId::new("unrecorded")),
+        ..caller_terms(&id, Some("m0"), LONG_EVENTS, &[])
+    };
+    let sent = begin(terms);
+    site.eventually("the request waits", || {
+        let log = site.node_log(0);
+        log.lines().any(|line| line.contains("request_waits") && line.contains(&id))
+    });
+    site.add_engine_of(NEWER, &["m0"]);
+    let reply = site.finish(sent).expect("an answer");
+    running.into_iter().for_each(|sent| sent.abort());
+    let runs = site.log.runs_of(&id);
+    assert!(runs.iter().all(|run| run.version == FIRST_VERSION), "{reply:?} {runs:?}");
+}
