--- a/crates/system/tests/software_versions.rs
+++ b/crates/system/tests/software_versions.rs
@@ -307,3 +307,33 @@
     let runs = site.log.runs_of(&id);
     assert!(runs.iter().all(|run| run.version == FIRST_VERSION), "{reply:?} {runs:?}");
 }
+
+/// A node stood still while a release went on. Streams of the new version that were taken up there right afterwards went
+/// on at the old one.
+#[test]
+fn a_stream_isnt_continued_at_another_software_version_at_a_node_that_stood_still() {
+    let mut site = Site::start(2, &[&["m0"], &["m0"]]);
+    take_up_unrecorded(&site, 0);
+    site.pause_node(0);
+    (0..2).for_each(|_| site.add_engine_of(NEWER, &["m0"]));
+    site.eventually("a stream begins at the newer version", || {
+        let id = site.request_id();
+        let reply = site.send(1, CHAT, Some("m0"), &id).expect("an answer");
+        reply.versions().contains(NEWER)
+    });
+    let streams = interrupted(&mut site, 1, |site| site.kill_node(1));
+    site.resume_node(0);
+    take_up(&site, 0, &streams);
+}
+
+/// Takes up a stream that no node knows, so that the node reads what the store has of streams.
+fn take_up_unrecorded(site: &Site, node: usize) {
+    let id = site.request_id();
+    let terms = RequestMetadata {
+        last_event_id: Some(4),
+        resumes: Some(RequestId::new("unrecorded")),
+        ..caller_terms(&id, Some("m0"), EVENTS, &[])
+    };
+    let sent = site.begin_with_body(Caller::default(), node, CHAT, terms, "body");
+    assert_eq!(site.finish(sent).expect("an answer").status, 200);
+}
