A node that stood still catches up before it sends requests

Callers of a node that had stood still for some seconds got streams of an engine that had been upgraded under its name meanwhile.

Cause: the traffic thread goes on by the view from before it stood still, while the control thread has yet to read what has come since.

Change: the traffic thread notices that it stood still, for a second or more, and holds requests back until the control thread has caught up, at most for 0.6 s. It has caught up once another node that has received a heartbeat sent since knows no later change of the registry. What was in the sockets may have been sent long before, so that alone proves nothing.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -16,6 +16,7 @@
     crate::{
         catalog_announcer::CatalogAnnouncer,
         catalog_fetch::CatalogFetch,
+        catch_up::CatchUp,
         control_metrics::ControlMetrics,
         control_task::spawn_task,
         demand_aggregator::DemandAggregator,
@@ -144,6 +145,7 @@
     origin_store: Box<dyn OriginStore>,
     demand: DemandAggregator,
     endpoints: EndpointExchange,
+    catch_up: CatchUp,
     is_shutting_down: bool,
     next_tick_at: Instant,
     next_heartbeat_at: Instant,
@@ -264,6 +266,7 @@
             loads: LoadExchange::new(now),
             demand: DemandAggregator::new(now),
             endpoints: EndpointExchange::new(now),
+            catch_up: CatchUp::new(now),
             is_shutting_down: false,
             next_tick_at: now,
             next_heartbeat_at: now,
@@ -342,8 +345,14 @@
     /// Does the work that is due at `now`.
     fn run_due_work(&mut self, now: Instant) {
         if now >= self.next_tick_at {
+            if self.catch_up.notice_standstill(now, &self.network) {
+                self.next_heartbeat_at = now;
+            }
             self.on_tick(now);
             self.act_on_state(now);
+            if self.catch_up.is_done(now, &self.network, self.registry.revision()) {
+                self.published.view_check.record(now);
+            }
             self.next_tick_at = now + self.tick_period();
         }
         self.prompts.forward(now, &mut self.network);
--- a/crates/node/src/control/tests/deployment.rs
+++ b/crates/node/src/control/tests/deployment.rs
@@ -119,7 +119,7 @@
     /// Starts the process of a node. Its seeds are the nodes before it.
     pub(super) fn start(&mut self, position: usize) {
         let now = self.clock.now();
-        let mut node = self.new_node(position, PublishedState::new());
+        let mut node = self.new_node(position, PublishedState::new(now));
         let catalog = Catalog::new(1, CallerLimits::default(), Vec::new(), Vec::new());
         node.control.apply_catalog(now, catalog, "store");
         self.nodes[position] = Some(node);
--- a/crates/node/src/control_thread/tests.rs
+++ b/crates/node/src/control_thread/tests.rs
@@ -75,7 +75,7 @@
     let peers = free.expect("a free port");
     let (metrics, control_metrics) = (Metrics::open("test"), ControlMetrics::default());
     control_metrics.register(&metrics);
-    let (published, _updates) = PublishedState::new();
+    let (published, _updates) = PublishedState::new(std::time::Instant::now());
     let (settings, clock) = (Arc::new(settings(peers)), Arc::new(BootClock::new()));
     let control = spawn_control(settings, clock, node(1, 1, 250), published, control_metrics);
     let control = control.expect("the control can be started");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod catalog_announcer;
 mod catalog_fetch;
+mod catch_up;
 mod contact;
 mod control;
 mod control_metrics;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -118,7 +118,7 @@
 fn run(signals: Signals, settings: Arc<NodeSettings>, file: PathBuf) -> Result<(), NodeError> {
     let Signals { runtime, end, reload } = signals;
     let clock: Arc<dyn Clock> = Arc::new(BootClock::new());
-    let (published, peer_updates) = PublishedState::new();
+    let (published, peer_updates) = PublishedState::new(clock.now());
     let me = own_info(&settings);
     log::info!( target: LIFECYCLE,
         incarnation = me.incarnation.0,
@@ -189,7 +189,7 @@
     bind_page(listen.metrics, &budget, metrics_page(&metrics))
         .await
         .map_err(bind_error(listen.metrics))?;
-    let view = Arc::clone(&published.view);
+    let (view, view_check) = (Arc::clone(&published.view), Arc::clone(&published.view_check));
     let events = control.clone();
     let on_update = Box::new(move |update| {
         events.send(Event::TrafficUpdate(update));
@@ -197,8 +197,17 @@
     let (retry_limit, hedge_share) = (retry_limit(&settings), settings.hedge_share);
     let rng = fastrand::Rng::new();
     let meter = metrics.meter();
-    let dependencies =
-        RelayDependencies { clock, view, on_update, retry_limit, hedge_share, budget, meter, rng };
+    let dependencies = RelayDependencies {
+        clock,
+        view,
+        view_check,
+        on_update,
+        retry_limit,
+        hedge_share,
+        budget,
+        meter,
+        rng,
+    };
     let relay = Relay::bind(listen.callers, PlatformDialect, dependencies)
         .await
         .map_err(bind_error(listen.callers))?;
@@ -455,6 +464,7 @@
     let mut last_reported = Vec::new();
     for count in 0_u32.. {
         ticks.tick().await;
+        relay.note_running();
         let present_loads = relay.loads();
         let is_repeated = count.is_multiple_of(LOADS_PER_REPEAT) && !present_loads.is_empty();
         let is_due = is_repeated || present_loads != last_reported;
--- a/crates/node/src/peer_network.rs
+++ b/crates/node/src/peer_network.rs
@@ -213,6 +213,17 @@
         live.filter_map(|vm| self.peers.addr(vm)).collect()
     }
 
+    /// True if a node whose changes of the registry this one receives has received a heartbeat of this node
+    /// after `seq`, and knows no change after `revision`.
+    pub(crate) fn confirms_registry(&self, now: Instant, seq: u64, revision: Revision) -> bool {
+        let confirms = |vm: &VmId| self.peers.confirms_registry(now, vm, seq, revision);
+        if self.mesh.is_core {
+            self.mesh.cores.iter().any(confirms)
+        } else {
+            self.upstream_core(now).is_some_and(confirms)
+        }
+    }
+
     /// Addresses of the other nodes of this data centre that aren't cores.
     pub(crate) fn local_leaf_addrs(&self) -> Vec<SocketAddr> {
         let local = self.peers.infos().filter(|info| info.data_centre == self.me.data_centre);
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -7,6 +7,7 @@
         peer_message::{Heartbeat, HolderClaim, LoadScope, PeerInfo},
     },
     glade_dispatch::ServerLoad,
+    glade_platform::Revision,
     glade_types::{Incarnation, VmId},
     std::{
         collections::BTreeMap,
@@ -198,6 +199,25 @@
             .collect()
     }
 
+    /// Sequence number of the last heartbeats.
+    pub(crate) fn sent_seq(&self) -> u64 {
+        self.sent_seq
+    }
+
+    /// True if the live node on `vm` has received a heartbeat of this node after `seq`, and reports that it
+    /// knows no change of the registry after `revision`.
+    pub(crate) fn confirms_registry(
+        &self,
+        now: Instant,
+        vm: &VmId,
+        seq: u64,
+        revision: Revision,
+    ) -> bool {
+        let peer = self.by_vm.get(vm).filter(|peer| peer.is_live(now) && peer.acked_seq > seq);
+        let heartbeat = peer.and_then(|peer| peer.heartbeat.as_ref());
+        heartbeat.is_some_and(|heartbeat| heartbeat.registry_revision <= revision)
+    }
+
     /// Sequence number of the next heartbeats. All receivers share one sequence, which grows for
     /// the life of this process: a receiver that has restarted may already have received a
     /// heartbeat that was meant for its predecessor.
--- a/crates/node/src/published_state.rs
+++ b/crates/node/src/published_state.rs
@@ -4,9 +4,10 @@
     arc_swap::ArcSwap,
     glade_dispatch::{ClusterView, PromptSent, StartReply},
     glade_limit::{PermitGrant, QuotaGrant},
+    glade_relay::ViewCheck,
     glade_streams::OriginReply,
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, sync::Arc},
+    std::{net::SocketAddr, sync::Arc, time::Instant},
     tokio::sync::{
         Notify,
         mpsc::{Receiver, Sender, channel},
@@ -80,11 +81,13 @@
     pub(crate) origins: Sender<Vec<OriginReply>>,
     /// Notified after each change of the view.
     pub(crate) view_changed: Arc<Notify>,
+    /// When the view was last known to be up to date.
+    pub(crate) view_check: Arc<ViewCheck>,
 }
 
 impl PublishedState {
     /// Returns an empty state and the receivers for the traffic thread.
-    pub(crate) fn new() -> (Self, PeerUpdates) {
+    pub(crate) fn new(now: Instant) -> (Self, PeerUpdates) {
         let (prompts, prompts_receiver) = channel(PROMPTS_CAPACITY);
         let (start_replies, start_replies_receiver) = channel(START_REPLIES_CAPACITY);
         let (trials, trials_receiver) = channel(TRIALS_CAPACITY);
@@ -109,6 +112,7 @@
             quota_grants,
             origins,
             view_changed: Arc::default(),
+            view_check: Arc::new(ViewCheck::new(now)),
         };
         (published, receivers)
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -54,6 +54,7 @@
 mod server_answer;
 mod start_client;
 mod traffic_update;
+mod view_check;
 mod wait_queue;
 
 pub use crate::{
@@ -61,4 +62,5 @@
     relay::{Relay, RelayDependencies, RelayHandle},
     reservation::{Reservation, ReservationParams},
     traffic_update::{OnTrafficUpdate, TrafficUpdate},
+    view_check::ViewCheck,
 };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -21,6 +21,7 @@
         routed_request::RoutedRequest,
         start_client::StartClient,
         traffic_update::OnTrafficUpdate,
+        view_check::{Standstill, ViewCheck},
         wait_queue::WaitQueue,
     },
     arc_swap::ArcSwap,
@@ -66,6 +67,9 @@
 /// node.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval at which requests that are held back check whether they may be sent.
+const VIEW_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Pause after accepting a connection failed, which usually means that file descriptors have run
 /// out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -82,6 +86,8 @@
     pub clock: Arc<dyn Clock>,
     /// The cluster state, as last published by the control thread.
     pub view: Arc<ArcSwap<ClusterView>>,
+    /// When the view was last known to be up to date.
+    pub view_check: Arc<ViewCheck>,
     /// Called when the request path has an update for the control thread.
     pub on_update: OnTrafficUpdate,
     /// Limit on retried requests.
@@ -101,6 +107,8 @@
     pub(crate) dialect: D,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) view: Arc<ArcSwap<ClusterView>>,
+    view_check: Arc<ViewCheck>,
+    standstill: Standstill,
     pub(crate) dispatcher: Rc<RefCell<Dispatcher>>,
     pub(crate) idle_connections: RefCell<IdleConnections>,
     pub(crate) rng: RefCell<fastrand::Rng>,
@@ -148,13 +156,12 @@
 impl<D: Dialect> RelayHandle<D> {
     /// Applies the cluster state that the control thread published last.
     pub fn apply_view(&self) {
-        let view = self.relay.view.load();
-        let now = self.relay.clock.now();
-        self.relay.dispatcher.borrow_mut().update_view(now, &view);
-        self.relay.quarantine.on_view();
-        self.relay.catalog_changed.notify_waiters();
-        self.relay.idle_connections.borrow_mut().close_expired(self.relay.clock.now());
-        self.relay.wait_queue.wake();
+        self.relay.apply_view();
+    }
+
+    /// Records that the traffic thread runs. Called several times a second.
+    pub fn note_running(&self) {
+        self.relay.standstill.note_running(self.relay.clock.now());
     }
 
     /// Requests in flight at each server.
@@ -278,6 +285,7 @@
         let RelayDependencies {
             clock,
             view,
+            view_check,
             on_update,
             retry_limit,
             hedge_share,
@@ -290,8 +298,10 @@
         let quota_client = Rc::new(QuotaClient::new(&clock));
         let relay = Rc::new(Self {
             dialect,
+            standstill: Standstill::new(clock.now()),
             clock,
             view,
+            view_check,
             dispatcher: Rc::new(RefCell::new(dispatcher)),
             idle_connections: RefCell::default(),
             wait_queue: WaitQueue::new(),
@@ -324,6 +334,32 @@
         Ok(RelayHandle { relay })
     }
 
+    fn apply_view(&self) {
+        let view = self.view.load();
+        let now = self.clock.now();
+        self.dispatcher.borrow_mut().update_view(now, &view);
+        self.quarantine.on_view();
+        self.catalog_changed.notify_waiters();
+        self.idle_connections.borrow_mut().close_expired(self.clock.now());
+        self.wait_queue.wake();
+    }
+
+    /// True if no request is to be sent yet, since this process stood still and its view may be outdated.
+    pub(crate) fn view_is_unchecked(&self) -> bool {
+        self.standstill.holds(self.clock.now(), &self.view_check)
+    }
+
+    /// Returns once requests may be sent by the view.
+    pub(crate) async fn until_view_is_checked(&self) {
+        if !self.view_is_unchecked() {
+            return;
+        }
+        while self.view_is_unchecked() {
+            sleep(VIEW_CHECK_INTERVAL).await;
+        }
+        self.apply_view();
+    }
+
     async fn accept(self: Rc<Self>, listener: &TcpListener) {
         loop {
             let accepted = tokio::select! {
--- a/crates/relay/src/server_answer.rs
+++ b/crates/relay/src/server_answer.rs
@@ -112,6 +112,7 @@
         if admitted.time_left(now).is_zero() || (!is_first && !admitted.may_try_again()) {
             return Err(None);
         }
+        self.until_view_is_checked().await;
         self.start_trial_if_due(admitted).await;
         let chosen = tokio::select! {
             biased;
--- a/crates/relay/src/wait_queue.rs
+++ b/crates/relay/src/wait_queue.rs
@@ -15,7 +15,7 @@
     },
     tokio::{
         sync::{Notify, oneshot},
-        time::timeout,
+        time::{sleep, timeout},
     },
 };
 
@@ -147,6 +147,10 @@
                 // The queue is checked after a time-out as well as after a change.
                 let _ = timeout(POLL_INTERVAL, self.wait_queue.changed.notified()).await;
             }
+            if self.view_is_unchecked() {
+                sleep(POLL_INTERVAL).await;
+                continue;
+            }
             let now = self.clock.now();
             let due = self.dispatcher.borrow_mut().poll_waiting(now);
             for (id, verdict, in_flight_id) in due {
--- a/crates/system/tests/software_versions.rs
+++ b/crates/system/tests/software_versions.rs
@@ -337,3 +337,33 @@
     let sent = site.begin_with_body(Caller::default(), node, CHAT, terms, "body");
     assert_eq!(site.finish(sent).expect("an answer").status, 200);
 }
+
+/// A node stood still while an engine was upgraded under its name. Callers that had sent requests meanwhile got streams of
+/// the new version that the node reported as ones of the old.
+#[test]
+fn a_node_that_stood_still_doesnt_take_an_upgraded_engine_for_its_former_version() {
+    let site = Site::start(2, &[&["m0"]]);
+    site.pause_node(0);
+    site.engines[0].set_version(NEWER);
+    site.crash_engine(0);
+    site.eventually("a stream begins at the newer version", || {
+        let id = site.request_id();
+        let reply = site.send(1, CHAT, Some("m0"), &id);
+        reply.is_some_and(|reply| reply.versions().contains(NEWER))
+    });
+    let begin = |id: String| {
+        let terms = caller_terms(&id, Some("m0"), EVENTS, &[]);
+        (id, site.begin_with_body(Caller::default(), 0, CHAT, terms, "body"))
+    };
+    let sent: Vec<_> = (0..STREAMS).map(|_| begin(site.request_id())).collect();
+    site.pause(REPORT_TIME);
+    site.resume_node(0);
+    for (id, sent) in sent {
+        let reply = site.finish(sent).expect("an answer");
+        let log = site.node_log(0);
+        let is_send = |line: &&str| line.contains("request_sent") && line.contains(&id);
+        let sends: Vec<&str> = log.lines().filter(is_send).collect();
+        assert_eq!(reply.status, 200, "{reply:?}");
+        assert!(sends.iter().all(|line| line.contains(r#""version":"v2""#)), "{sends:?}");
+    }
+}
