Soak: nodes that lose touch, and connections that go silent for good

The store turns a share of the nodes away, while the configuration changes and a plain server's entry is removed; a node stands still while an engine is replaced or upgraded; open connections of some nodes to the store, and of all to some engines, go silent for good. They overlap. A removed server must get no requests after 2 s from nodes that were undisturbed for 3 s.

--- a/crates/soak/src/harm.rs
+++ b/crates/soak/src/harm.rs
@@ -15,6 +15,10 @@
     Node(usize),
     /// All nodes' connections to an engine.
     EngineLink(usize),
+    /// A node's connections to the store.
+    StoreLink(usize),
+    /// The store.
+    Store,
 }
 
 /// Until when nodes and connections were harmed, as far as they were.
@@ -26,12 +30,16 @@
     pub(crate) fn begin(&mut self, fault: Fault, until: Duration) {
         match fault {
             Fault::Kill { node } | Fault::Pause { node } => self.note(Harmed::Node(node), until),
-            Fault::EngineLink { engine, .. } => self.note(Harmed::EngineLink(engine), until),
+            Fault::EngineLink { engine, .. } | Fault::SeverEngineLink { engine } => {
+                self.note(Harmed::EngineLink(engine), until);
+            }
+            Fault::StoreLink { node, .. } | Fault::SeverStoreLink { node } => {
+                self.note(Harmed::StoreLink(node), until);
+            }
+            Fault::Store(_) | Fault::Restore => self.note(Harmed::Store, until),
             // One that is told to end finishes what it has; then it is killed.
             Fault::Terminate { .. }
             | Fault::Reload { .. }
-            | Fault::StoreLink { .. }
-            | Fault::Store(_)
             | Fault::Engine { .. }
             | Fault::Replace { .. }
             | Fault::Upgrade { .. }
@@ -44,7 +52,7 @@
             | Fault::OddEntry { .. }
             | Fault::Row { .. }
             | Fault::ConfigurationRow(_)
-            | Fault::Restore => {}
+            | Fault::Removal { .. } => {}
         }
     }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -60,6 +60,10 @@
     /// Callers that take their streams up, if there are releases
     #[bpaf(argument("N"), fallback(24))]
     resuming_callers: usize,
+    /// Mean milliseconds between two losses of touch: the store turns nodes away while a server is removed, a
+    /// node stands still while an engine is released, or open connections go silent for good; 0 for none
+    #[bpaf(argument("MS"), fallback(0))]
+    out_of_touch_gap_ms: u64,
     /// Teams with keys and quotas; one in twelve requests has an unknown key, and keys are revoked.
     /// No callers keep their connections then
     teams: bool,
@@ -94,6 +98,8 @@
             gap: Duration::from_millis(args.release_gap_ms),
             callers: args.resuming_callers,
         }),
+        out_of_touch_gap: (args.out_of_touch_gap_ms > 0)
+            .then(|| Duration::from_millis(args.out_of_touch_gap_ms)),
         teams: args.teams,
         hostile_clients: args.hostile_clients,
     };
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -131,6 +131,21 @@
         /// Number of the version.
         version: u32,
     },
+    /// The entry of a plain server is removed, and the server serves on.
+    Removal {
+        /// The server.
+        server: usize,
+    },
+    /// A node's open connections to the store go silent for good; new ones work.
+    SeverStoreLink {
+        /// The node.
+        node: usize,
+    },
+    /// All nodes' open connections to an engine go silent for good; new ones work.
+    SeverEngineLink {
+        /// The engine.
+        engine: usize,
+    },
     /// A copy of the store is made, and the store goes back to it at the end.
     Restore,
 }
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,7 +1,7 @@
 //! A loopback proxy that spoils connections.
 
 use {
-    std::{net::SocketAddr, time::Duration},
+    std::{future::pending, net::SocketAddr, pin::pin, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{
@@ -50,6 +50,8 @@
 pub struct Proxy {
     addr: SocketAddr,
     link: watch::Sender<Link>,
+    /// Number of times that the open connections were silenced.
+    silenced: watch::Sender<u64>,
 }
 
 impl Proxy {
@@ -58,13 +60,25 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
         let addr = listener.local_addr().expect("a bound socket has an address");
         let (link, seen) = watch::channel(Link::Open);
+        let (silenced, seen_silenced) = watch::channel(0);
         tokio::spawn(async move {
             // Ends with the runtime.
             while let Ok((caller, _)) = listener.accept().await {
-                tokio::spawn(pass(caller, server, seen.clone()));
+                let mut silenced = seen_silenced.clone();
+                let before = *silenced.borrow_and_update();
+                let passing = pass(caller, server, seen.clone());
+                tokio::spawn(async move {
+                    let mut passing = pin!(passing);
+                    tokio::select! {
+                        () = passing.as_mut() => return,
+                        _ = silenced.wait_for(|now| *now != before) => {}
+                    }
+                    // Keeps both connections open, and passes nothing on any more.
+                    pending::<()>().await;
+                });
             }
         });
-        Self { addr, link }
+        Self { addr, link, silenced }
     }
 
     /// Where it listens.
@@ -72,6 +86,11 @@
         self.addr
     }
 
+    /// Silences the open connections for good.
+    pub fn silence_open(&self) {
+        self.silenced.send_modify(|count| *count += 1);
+    }
+
     /// Changes what is done to connections.
     pub fn set(&self, link: Link) {
         self.link.send_replace(link);
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -12,9 +12,11 @@
         named_limits::NamedLimits,
         odd_store,
         oddities::{plan_oddities, plan_spoiled_streams},
+        out_of_touch::plan_out_of_touch,
         plan::{Fault, Planned, Stalls, Targets, plan, plan_restores, plan_stalls},
         proxy::{Link, Proxy},
         releases::{Releases, plan_releases},
+        removals::Removals,
         restarts::{Restarts, Told},
         resuming_callers::ResumingCallers,
         sent_request::SentRequest,
@@ -40,6 +42,8 @@
 const UNDER_WAY_MAX: usize = 200;
 /// Base models that fit on an engine of the stand-ins.
 const BASES_MAX: usize = 3;
+/// One in so many restores of the store is played beside losses of touch.
+const RESTORES_ONE_IN: usize = 6;
 /// Plain servers of a site.
 const PLAIN: usize = 2;
 
@@ -71,6 +75,8 @@
     pub odd_gap: Option<Duration>,
     /// Releases of the engines' software, with callers that take streams up; `None` without any.
     pub releases: Option<Releases>,
+    /// Mean time between two losses of touch; `None` without any.
+    pub out_of_touch_gap: Option<Duration>,
     /// Whether callers are of teams with keys and quotas.
     pub teams: bool,
     /// Whether a crowd of callers holds bodies at nodes of small VMs.
@@ -143,6 +149,7 @@
     teams: Option<Teams>,
     hostile_clients: Option<HostileClients>,
     restarts: Restarts,
+    removals: Removals,
     report: Report,
 }
 
@@ -204,6 +211,7 @@
             teams,
             hostile_clients,
             restarts: Restarts::new(size.nodes),
+            removals: Removals::default(),
             crashing_part: size.crashing_from.map(|from| CrashingPart::new(of_parts, from)),
             named_limits: size.limits_from.map(|from| NamedLimits::new(of_limits, from)),
             fences: vec![(0, 0); site.engines.len()],
@@ -271,12 +279,15 @@
     /// without them.
     fn plan(&mut self) -> Vec<Planned> {
         let Size { nodes, engines, time, gap, stalls, series, odd_gap, releases, .. } = self.size;
+        let out_of_touch_gap = self.size.out_of_touch_gap;
         let targets = Targets { nodes, engines, plain: PLAIN };
         let (mut of_restores, mut of_stalls) = (self.rng.clone(), self.rng.clone().fork());
         let mut of_series = of_stalls.clone().fork();
         let mut of_oddities = of_series.clone().fork();
         let mut planned = plan(&mut self.rng, targets, time, gap);
-        planned.extend(plan_restores(&mut of_restores, time));
+        // A restore excuses what removed servers get for a while.
+        let restores_one_in = if out_of_touch_gap.is_some() { RESTORES_ONE_IN } else { 1 };
+        planned.extend(plan_restores(&mut of_restores, time).into_iter().step_by(restores_one_in));
         if let Some(stalls) = stalls {
             planned.extend(plan_stalls(&mut of_stalls, targets, time, stalls));
         }
@@ -287,6 +298,10 @@
             let mut of_releases = of_oddities.clone().fork();
             planned.extend(plan_releases(&mut of_releases, targets, time, releases));
         }
+        if let Some(gap) = out_of_touch_gap {
+            let mut of_losses = of_oddities.clone().fork().fork();
+            planned.extend(plan_out_of_touch(&mut of_losses, targets, time, gap));
+        }
         if let Some(gap) = odd_gap {
             let mut of_streams = of_oddities.fork();
             planned.extend(plan_oddities(&mut of_oddities, targets, time, gap));
@@ -326,6 +341,9 @@
                 self.site.engines[engine].set_version(&version_name(version));
                 self.site.crash_engine(engine);
             }
+            Fault::Removal { server } => self.remove(server),
+            Fault::SeverStoreLink { node } => self.store_links[node].silence_open(),
+            Fault::SeverEngineLink { engine } => self.engine_links[engine].silence_open(),
             Fault::Restart { node } => self.restart(node),
             Fault::ReloadChanged { node } => self.site.reload_node(node, changed_settings),
             Fault::OddEntry { key, value } => odd_store::put_entry(&self.site, key, value),
@@ -359,9 +377,12 @@
                 Fault::PlainStall { server, fault } => self.plain_faults[server].end_stall(fault),
                 Fault::Restore => self.restore(),
                 Fault::Replace { engine, version } => self.end_former(engine, version),
+                Fault::Removal { server } => self.end_removal(server),
                 Fault::Reload { .. }
                 | Fault::Configuration
                 | Fault::Upgrade { .. }
+                | Fault::SeverStoreLink { .. }
+                | Fault::SeverEngineLink { .. }
                 | Fault::Restart { .. }
                 | Fault::ReloadChanged { .. } => {}
                 Fault::OddEntry { key, .. } => odd_store::remove_entry(&self.site, key),
@@ -405,6 +426,23 @@
         self.former_engines.extract_if(.., is_it).for_each(|former| former.server.end());
     }
 
+    /// Removes the entry of a plain server, unless it is removed already.
+    fn remove(&mut self, server: usize) {
+        if !self.removals.is_removed(server) {
+            let removed = &self.site.plain[server];
+            self.removals.begin(self.now, server, removed.id());
+            removed.unregister();
+        }
+    }
+
+    fn end_removal(&mut self, server: usize) {
+        if self.removals.is_removed(server) {
+            let late = self.removals.end(server, &self.harm, &self.site.log);
+            self.report.violations.extend(late);
+            self.site.plain[server].register();
+        }
+    }
+
     fn put_server_faults(&self) {
         for (engine, faults) in self.engine_faults.iter().enumerate() {
             self.site.engine_fault(engine, faults.present());
@@ -430,7 +468,9 @@
     fn restore(&self) {
         self.site.store.restore();
         self.put_configuration();
-        let servers = self.site.engines.iter().chain(&self.site.plain);
+        let is_there = |(position, _): &(usize, _)| !self.removals.is_removed(*position);
+        let plain = self.site.plain.iter().enumerate().filter(is_there);
+        let servers = self.site.engines.iter().chain(plain.map(|(_, server)| server));
         let former = self.former_engines.iter().map(|former| &former.server);
         servers.chain(former).for_each(SiteServer::register);
     }
@@ -478,6 +518,7 @@
         let caller = teams.map_or_else(Caller::default, |teams| teams.draw(&id, tokens));
         let reply = self.site.begin_with_parts(caller, node, path, model, &id, &parts);
         self.report.requests += 1;
+        self.removals.on_sent(&id, node);
         let events = EVENTS;
         let request = SentRequest { id, path, node, events, sent_at, began_at, places_before };
         self.sent.push(Sent { request, reply });
@@ -486,6 +527,7 @@
     /// Checks the nodes, requests that have ended, and the engines.
     fn look(&mut self) {
         self.look_at_nodes();
+        self.removals.look(self.now, self.clock.now());
         self.check_ended();
         if let Some(part) = &mut self.crashing_part {
             part.watch(self.now, &self.site.engines);
--- a/crates/soak/tests/plans.rs
+++ b/crates/soak/tests/plans.rs
@@ -2,7 +2,8 @@
 
 use {
     glade_soak::{
-        Fault, Releases, Series, Targets, plan, plan_oddities, plan_releases, plan_series,
+        Fault, Releases, Series, Targets, plan, plan_oddities, plan_out_of_touch, plan_releases,
+        plan_series,
     },
     std::time::Duration,
 };
@@ -65,3 +66,19 @@
     let kills = count(|fault| matches!(fault, Fault::Kill { .. }));
     assert!(kills > 0 && kills % targets.nodes == 0, "{kills} kills of nodes");
 }
+
+#[test]
+fn losses_of_touch_are_of_all_kinds() {
+    let targets = Targets { nodes: 5, engines: 4, plain: 2 };
+    let mut rng = fastrand::Rng::with_seed(1);
+    let (time, gap) = (Duration::from_secs(60), Duration::from_secs(1));
+    let planned = plan_out_of_touch(&mut rng, targets, time, gap);
+    let count = |kind: fn(&Fault) -> bool| planned.iter().filter(|one| kind(&one.fault)).count();
+    let removals = count(|fault| matches!(fault, Fault::Removal { .. }));
+    let turned_away = count(|fault| matches!(fault, Fault::StoreLink { .. }));
+    assert!(removals > 5 && turned_away > removals, "some at a time");
+    let changes = count(|fault| matches!(fault, Fault::Replace { .. } | Fault::Upgrade { .. }));
+    assert!(changes > 5 && changes == count(|fault| matches!(fault, Fault::Pause { .. })));
+    assert!(count(|fault| matches!(fault, Fault::SeverStoreLink { .. })) > 10);
+    assert!(count(|fault| matches!(fault, Fault::SeverEngineLink { .. })) > 10);
+}
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -19,6 +19,7 @@
     series: None,
     odd_gap: None,
     releases: None,
+    out_of_touch_gap: None,
     teams: false,
     hostile_clients: false,
 };
@@ -60,6 +61,16 @@
     ..SMALL
 };
 
+const OUT_OF_TOUCH: Size = Size {
+    nodes: 4,
+    engines: 4,
+    time: Duration::from_secs(12),
+    gap: Duration::from_secs(4),
+    out_of_touch_gap: Some(Duration::from_millis(1500)),
+    releases: Some(Releases { gap: Duration::from_secs(3), callers: 16 }),
+    ..SMALL
+};
+
 const TEAMS: Size = Size { time: Duration::from_secs(10), teams: true, ..SMALL };
 const HOSTILE: Size = Size { time: Duration::from_secs(6), hostile_clients: true, ..SMALL };
 
@@ -160,3 +171,15 @@
 fn nodes_stay_within_their_memory_beside_hostile_clients_under_seed_1() {
     assert_eq!(violations(1, HOSTILE), Vec::<String>::new());
 }
+
+/// Guards against requests to servers whose entries were removed, sent by nodes that the store answers while it turns
+/// others away, and against streams of two software versions at nodes that stood still.
+#[test]
+fn nodes_that_lose_touch_mislead_no_others_under_seed_1() {
+    assert_eq!(violations(1, OUT_OF_TOUCH), Vec::<String>::new());
+}
+
+#[test]
+fn nodes_that_lose_touch_mislead_no_others_under_seed_2() {
+    assert_eq!(violations(2, OUT_OF_TOUCH), Vec::<String>::new());
+}
--- a/crates/standins/src/site/run_log.rs
+++ b/crates/standins/src/site/run_log.rs
@@ -63,8 +63,16 @@
     /// Requests that were rejected, each with the server.
     rejections: Vec<(String, String)>,
     places: Vec<Place>,
-    /// Requests that have reached a server, each with the server and the time.
-    arrivals: Vec<(String, Instant)>,
+    /// Requests that have reached a server.
+    arrivals: Vec<Arrival>,
+}
+
+/// A request that has reached a server.
+#[derive(Debug)]
+struct Arrival {
+    request_id: String,
+    server: String,
+    at: Instant,
 }
 
 /// A place that a server has kept.
@@ -112,9 +120,19 @@
 
     /// When requests have reached `server`, in their order.
     pub fn arrival_times(&self, server: &str) -> Vec<Instant> {
+        self.arrivals_at(server).into_iter().map(|(_, at)| at).collect()
+    }
+
+    /// Requests that have reached `server`, with the times, in their order.
+    pub fn arrivals_at(&self, server: &str) -> Vec<(String, Instant)> {
         let entries = self.lock();
-        let at_server = entries.arrivals.iter().filter(|(name, _)| name == server);
-        at_server.map(|(_, at)| *at).collect()
+        let at_server = entries.arrivals.iter().filter(|arrival| arrival.server == server);
+        at_server.map(|arrival| (arrival.request_id.clone(), arrival.at)).collect()
+    }
+
+    /// Records that a request has reached `server` at `at`.
+    pub fn arrive_at(&self, request_id: &str, server: &str, at: Instant) {
+        self.lock().arrive(request_id, server, at);
     }
 
     /// Servers that have run or rejected a request, or kept a place that nobody came for, of those after
@@ -139,7 +157,7 @@
         let mut entries = self.lock();
         let position = entries.runs.len();
         let is_elsewhere = entries.is_worked_on(&run.request_id, position);
-        entries.arrivals.push((run.server.clone(), Instant::now()));
+        entries.arrive(&run.request_id, &run.server, Instant::now());
         entries.runs.push(run);
         if is_elsewhere {
             tokio::spawn(self.clone().watch_overlap(position));
@@ -161,7 +179,7 @@
     /// A server rejects a request.
     pub(crate) fn reject(&self, request_id: &str, server: &str) {
         let mut entries = self.lock();
-        entries.arrivals.push((server.to_owned(), Instant::now()));
+        entries.arrive(request_id, server, Instant::now());
         entries.rejections.push((request_id.to_owned(), server.to_owned()));
     }
 
@@ -196,6 +214,11 @@
 }
 
 impl Entries {
+    fn arrive(&mut self, request_id: &str, server: &str, at: Instant) {
+        let (request_id, server) = (request_id.to_owned(), server.to_owned());
+        self.arrivals.push(Arrival { request_id, server, at });
+    }
+
     /// True if a run of the request that began before the one at `position` hasn't stopped.
     fn is_worked_on(&self, request_id: &str, position: usize) -> bool {
         self.runs[..position].iter().any(|run| !run.stopped && run.request_id == request_id)
