--- a/review/stand-ins-3/src/bin/endless.rs
+++ b/review/stand-ins-3/src/bin/endless.rs
@@ -17,28 +17,32 @@
     },
 };
 
-/// As on the sheet of mvtcu-passport.
+/// As on the sheet of kse-windhoek.
 const ENGINES: usize = 12;
-const ENGINE_SLOTS: u32 = 96;
+const ENGINE_SLOTS: u32 = 64;
 const APP_SERVERS: usize = 3;
 const APP_SLOTS: u32 = 6;
 const MEMORY_MB: u64 = 260;
-const MAX_FDS: u64 = 4100;
-const STREAMS: usize = 900;
-const KEPT_CALLERS: usize = 12;
+const MAX_FDS: u64 = 4200;
+/// Streams asked for in a second: all three kinds together.
+const STREAMS_PER_S: f64 = 97.9;
+/// The sheet's burst: so many times the traffic, for so long.
+const BURST: f64 = 1.7;
+const BURST_TIME: Duration = Duration::from_secs(3);
+const KEPT_CALLERS: usize = 10;
 /// Bytes that an engine in trouble sends at a time, and the pause between.
 const ENDLESS_BYTES: usize = 16 << 10;
-const ENDLESS_PAUSE: Duration = Duration::from_millis(300);
-/// Events of a stream, as many as on the sheet at most, and the pause between.
-const EVENTS: u32 = 45;
-const EVENT_PAUSE: Duration = Duration::from_millis(190);
-/// Time that a sale takes at a server of the application.
+const ENDLESS_PAUSE: Duration = Duration::from_millis(60);
+/// Events of a stream as on the sheet, and the pause between. The sheet allows 300 ms.
+const EVENTS: u32 = 58;
+const EVENT_PAUSE: Duration = Duration::from_millis(95);
+/// Time that a claim takes at a server of the application.
 const APP_WORK: Duration = Duration::from_millis(200);
 
 #[derive(Default)]
 struct Counts {
     streams_begun: AtomicU64,
-    /// Ids of the sales that servers of the application began to run.
+    /// Ids of the claims that servers of the application began to run.
     app_runs: std::sync::Mutex<std::collections::BTreeSet<String>>,
     app_answered: AtomicU64,
     lost_passed_on: AtomicU64,
@@ -61,7 +65,7 @@
                 let request = head.get("request-id").unwrap_or("").to_owned();
                 let ok = match head.path() {
                     "/report" => {
-                        let report = r#"{"Stage":"both","Models":[{"Name":"m0","Version":1,"Adapters":[]}],"Busy":false,"Seq":0,"Queued":0,"Running":0,"KvUsed":0,"KvTotal":135219,"Handles":0,"born":1000}"#;
+                        let report = r#"{"Stage":"both","Models":[{"Name":"m0","Version":1,"Adapters":[]}],"Busy":false,"Seq":0,"Queued":0,"Running":0,"KvUsed":0,"KvTotal":149031,"Handles":0,"born":1000}"#;
                         reader.write(&answer("200 OK", &[("Instance-Id", &id)], report)).await
                     }
                     "/hold-take" => {
@@ -134,26 +138,26 @@
 
 fn configuration() -> String {
     let route = |name: &str, prefix: &str, kind: &str, timeout_ms: u32, slo_ms: u32, service: &str| {
-        let stream = if kind == "streaming" { r#","Sticky":true,"Resumable":false,"GapTargetMs":400"# } else { "" };
+        let stream = if kind == "streaming" { r#","Sticky":true,"Resumable":false,"GapTargetMs":300"# } else { "" };
         format!(
-            r#"{{"Name":"{name}","Host":"passport.example","Prefix":"{prefix}","Kind":"{kind}","TimeoutMs":{timeout_ms},"SloMs":{slo_ms},"Priority":1,"Service":"{service}","Attempts":1{stream}}}"#
+            r#"{{"Name":"{name}","Host":"market.example","Prefix":"{prefix}","Kind":"{kind}","TimeoutMs":{timeout_ms},"SloMs":{slo_ms},"Priority":1,"Service":"{service}","Attempts":1{stream}}}"#
         )
     };
     format!(
-        r#"{{"Version":1,"Routes":[{},{}],"Services":[{{"Name":"lm","HealthPath":"/health","MaxConns":480,"Protocol":"h1","Tls":false,"Engine":{{"Slots":{ENGINE_SLOTS},"KvCapacity":135219,"KvTokenBytes":131072,"LinkMbps":130000.0,"Moves":true,"Backups":true,"Stride":2,"AtMost":12,"HostMb":59000.0,"DiskMb":170000.0,"PinMs":4000.0,"HoldMs":2000.0,"handle_s":5.0,"Models":[{{"Name":"m0","WeightsMb":34300.0,"LoadS":4.0,"Adapters":0,"AdapterMb":40.0,"WarmS":0.78,"DiskS":1.0}}],"WeightsMb":83000.0,"AdapterSlots":8,"LoadsPerS":1.5}}}},{{"Name":"app","HealthPath":"/health","MaxConns":96,"Protocol":"h1","Tls":false}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
-        route("bulk", "/bulk/", "streaming", 10_000, 4_000, "lm"),
-        route("issue", "/issue/", "unsafe", 1_000, 150, "app"),
+        r#"{{"Version":1,"Routes":[{},{}],"Services":[{{"Name":"lm","HealthPath":"/health","MaxConns":360,"Protocol":"h1","Tls":false,"Engine":{{"Slots":{ENGINE_SLOTS},"KvCapacity":149031,"KvTokenBytes":131072,"LinkMbps":130000.0,"Moves":true,"Backups":true,"Stride":5,"AtMost":12,"HostMb":59000.0,"DiskMb":170000.0,"PinMs":4000.0,"HoldMs":2000.0,"handle_s":5.0,"Models":[{{"Name":"m0","WeightsMb":65100.0,"LoadS":3.0,"Adapters":0,"AdapterMb":40.0,"WarmS":0.78,"DiskS":1.0}}],"WeightsMb":230000.0,"AdapterSlots":8,"LoadsPerS":2.0}}}},{{"Name":"app","HealthPath":"/health","MaxConns":100,"Protocol":"h1","Tls":false}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
+        route("batch", "/batch/", "streaming", 20_000, 2_500, "lm"),
+        route("claim", "/claim/", "unsafe", 3_000, 300, "app"),
     )
 }
 
-/// A caller who asks for a summary and reads all of it.
+/// A caller who asks for a description and reads all of it.
 async fn stream_caller(node: Arc<Node>, number: usize, counts: Arc<Counts>) {
     let end = async {
         let Ok(stream) = TcpStream::connect(node.addrs.front).await else { return "no connection".to_owned() };
         let mut reader = Reader::new(stream);
         let text = format!(
-            "POST /bulk/{number} HTTP/1.1\r\nHost: passport.example\r\nRequest-Id: bulk-{number}\r\nModel: m0\r\n\
-             Token-Counts: 300,90\r\nPrompt-Prefix: 5c1e07a2:200,{number:08x}:100\r\nDeadline-Ms: 10000\r\n\
+            "POST /batch/{number} HTTP/1.1\r\nHost: market.example\r\nRequest-Id: batch-{number}\r\nModel: m0\r\n\
+             Token-Counts: 826,290\r\nPrompt-Prefix: 5c1e07a2:198,{number:08x}:628\r\nDeadline-Ms: 20000\r\n\
              Content-Length: 0\r\n\r\n"
         );
         if !reader.write(text.as_bytes()).await {
@@ -165,7 +169,7 @@
             None => "cut in the answer".to_owned(),
         }
     };
-    let end = timeout(Duration::from_secs(12), end).await.unwrap_or_else(|_| "no answer in 12 s".to_owned());
+    let end = timeout(Duration::from_secs(21), end).await.unwrap_or_else(|_| "no answer in 21 s".to_owned());
     *counts.stream_ends.lock().unwrap().entry(end).or_default() += 1;
 }
 
@@ -180,9 +184,9 @@
         let mut reader = Reader::new(stream);
         loop {
             request += 1;
-            let id = format!("issue-{number}-{request}");
+            let id = format!("claim-{number}-{request}");
             let text = format!(
-                "POST /issue/{number} HTTP/1.1\r\nHost: passport.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 1000\r\n\
+                "POST /claim/{number} HTTP/1.1\r\nHost: market.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 3000\r\n\
                  Content-Length: 4\r\n\r\ndata"
             );
             if !reader.write(text.as_bytes()).await {
@@ -247,7 +251,7 @@
         row(format!("a-{number}"), "app", APP_SLOTS, "", listener.local_addr().unwrap());
         tokio::spawn(app_server(listener, format!("a-{number}"), Arc::clone(&counts)));
     }
-    let addrs = [NodeAddrs::free(), NodeAddrs::free()];
+    let addrs = [NodeAddrs::free()];
     let seeds: Vec<_> = addrs.iter().map(|addrs| addrs.control).collect();
     let bounds = Bounds { memory_mb: MEMORY_MB, max_fds: MAX_FDS, check_fences: false, retry_slack: 52 };
     let nodes: Vec<Arc<Node>> = (1..)
@@ -259,11 +263,11 @@
         .collect();
     nodes.iter().for_each(|node| node.start());
     if !all_ready(&nodes, Duration::from_secs(20)).await {
-        record.say("the nodes didn't become ready");
+        record.say("the node didn't become ready");
         rig.end();
         return 2;
     }
-    record.say("both nodes are ready");
+    record.say("the node is ready; the other machines of the deployment are lost");
     // The platform: kills a process that exceeds its machine's memory, and starts it again.
     let (watched, seen, watch_record) = (Arc::clone(&nodes[0]), Arc::clone(&counts), record.clone());
     tokio::spawn(async move {
@@ -289,31 +293,44 @@
         tokio::spawn(kept_caller(Arc::clone(&nodes[0]), number, Arc::clone(&counts), record.clone()));
     }
     sleep(Duration::from_secs(5)).await;
-    record.say(format!("{} sales answered in calm", counts.app_answered.load(Ordering::Relaxed)));
+    record.say(format!("{} claims answered in calm", counts.app_answered.load(Ordering::Relaxed)));
     if counts.app_answered.load(Ordering::Relaxed) < 20 {
         record.say("the calm system doesn't serve");
         rig.end();
         return 2;
     }
-    for number in 0..STREAMS {
-        tokio::spawn(stream_caller(Arc::clone(&nodes[0]), number, Arc::clone(&counts)));
-        if number % 10 == 9 {
-            sleep(Duration::from_millis(20)).await;
+    // The sheet's traffic, with its burst at the end; all of it goes to the node that is left.
+    let mut number = 0;
+    let pace = |seconds: f64, times: f64| ((seconds * STREAMS_PER_S * times) as usize, 1.0 / (STREAMS_PER_S * times));
+    for (count, pause_s) in [pace(4.0, 1.0), pace(BURST_TIME.as_secs_f64(), BURST)] {
+        let began = std::time::Instant::now();
+        for position in 0..count {
+            tokio::spawn(stream_caller(Arc::clone(&nodes[0]), number, Arc::clone(&counts)));
+            number += 1;
+            let due = Duration::from_secs_f64(pause_s * position as f64);
+            sleep(due.saturating_sub(began.elapsed())).await;
         }
     }
     record.say(format!(
-        "{STREAMS} summaries were asked for, {} are under way at engines",
-        counts.streams_begun.load(Ordering::Relaxed)
+        "{number} descriptions were asked for, {} have begun at engines, {:?} have ended",
+        counts.streams_begun.load(Ordering::Relaxed),
+        counts.stream_ends.lock().unwrap()
     ));
-    sleep(Duration::from_millis(500)).await;
     if has_trouble() {
         trouble.store(true, Ordering::Relaxed);
         record.say(format!("the {ENGINES} engines of lm are in trouble"));
     }
+    let (node, seen) = (Arc::clone(&nodes[0]), Arc::clone(&counts));
+    tokio::spawn(async move {
+        for number in number.. {
+            tokio::spawn(stream_caller(Arc::clone(&node), number, Arc::clone(&seen)));
+            sleep(Duration::from_secs_f64(1.0 / STREAMS_PER_S)).await;
+        }
+    });
     for _ in 0..14 {
         sleep(Duration::from_secs(1)).await;
         record.say(format!(
-            "{} takes {} kB, streams begun at engines {}, sales answered {}, lost {}",
+            "{} takes {} kB, streams begun at engines {}, claims answered {}, lost {}",
             nodes[0].name,
             nodes[0].resident_kb(),
             counts.streams_begun.load(Ordering::Relaxed),
@@ -322,9 +339,9 @@
         ));
     }
     let (killed, lost) = (counts.killed.load(Ordering::Relaxed), counts.lost_passed_on.load(Ordering::Relaxed));
-    record.say(format!("peak {} kB; ends of summaries: {:?}", counts.peak_kb.load(Ordering::Relaxed), counts.stream_ends.lock().unwrap()));
+    record.say(format!("peak {} kB; ends of descriptions: {:?}", counts.peak_kb.load(Ordering::Relaxed), counts.stream_ends.lock().unwrap()));
     record.say(format!(
-        "process ended {killed} times; {lost} sales on kept connections were passed on to sound servers and got no answer ({} more were not passed on)",
+        "process ended {killed} times; {lost} claims on kept connections were passed on to sound servers and got no answer ({} more were not passed on)",
         counts.lost_unsent.load(Ordering::Relaxed)
     ));
     nodes.iter().for_each(|node| node.kill());
