--- a/review/stand-ins-3/src/bin/endless.rs
+++ b/review/stand-ins-3/src/bin/endless.rs
@@ -69,11 +69,17 @@
                         reader.write(&answer("200 OK", &[("Instance-Id", &id)], report)).await
                     }
                     "/hold-take" => {
-                        reader.write(&answer("503 Service Unavailable", &[("Instance-Id", &id)], "")).await
+                        reader
+                            .write(&answer("503 Service Unavailable", &[("Instance-Id", &id)], ""))
+                            .await
+                    }
+                    "/order" => {
+                        reader.write(&answer("409 Conflict", &[("Instance-Id", &id)], "")).await
                     }
-                    "/order" => reader.write(&answer("409 Conflict", &[("Instance-Id", &id)], "")).await,
                     _ if head.get("expect-instance").is_some_and(|expected| expected != id) => {
-                        reader.write(&answer("421 Misdirected Request", &[("Instance-Id", &id)], "")).await
+                        reader
+                            .write(&answer("421 Misdirected Request", &[("Instance-Id", &id)], ""))
+                            .await
                     }
                     _ => {
                         counts.streams_begun.fetch_add(1, Ordering::Relaxed);
@@ -81,8 +87,9 @@
                             "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Stamp: stamp\r\nInstance-Id: {id}\r\n\
                              Content-Type: text/event-stream\r\n"
                         );
-                        let mut ok =
-                            reader.write(format!("{begin}Transfer-Encoding: chunked\r\n\r\n").as_bytes()).await;
+                        let mut ok = reader
+                            .write(format!("{begin}Transfer-Encoding: chunked\r\n\r\n").as_bytes())
+                            .await;
                         for number in 1..=EVENTS {
                             if trouble.load(Ordering::Relaxed) {
                                 // Bytes that are no answer, without end, until the caller closes.
@@ -92,7 +99,10 @@
                                 }
                                 return;
                             }
-                            ok = ok && reader.write(&chunk(&format!("id: {number}\ndata: token\n\n"))).await;
+                            ok = ok
+                                && reader
+                                    .write(&chunk(&format!("id: {number}\ndata: token\n\n")))
+                                    .await;
                             sleep(EVENT_PAUSE).await;
                         }
                         ok && reader.write(b"0\r\n\r\n").await
@@ -118,7 +128,9 @@
                 }
                 let request = head.get("request-id").unwrap_or("").to_owned();
                 if head.get("expect-instance").is_some_and(|expected| expected != id) {
-                    reader.write(&answer("421 Misdirected Request", &[("Instance-Id", &id)], "")).await;
+                    reader
+                        .write(&answer("421 Misdirected Request", &[("Instance-Id", &id)], ""))
+                        .await;
                     continue;
                 }
                 if request.is_empty() {
@@ -127,7 +139,8 @@
                 }
                 counts.app_runs.lock().unwrap().insert(request.clone());
                 sleep(APP_WORK).await;
-                let headers = [("Request-Id", &*request), ("Response-Stamp", "stamp"), ("Instance-Id", &id)];
+                let headers =
+                    [("Request-Id", &*request), ("Response-Stamp", "stamp"), ("Instance-Id", &id)];
                 if !reader.write(&answer("200 OK", &headers, &"b".repeat(800))).await {
                     return;
                 }
@@ -137,8 +150,17 @@
 }
 
 fn configuration() -> String {
-    let route = |name: &str, prefix: &str, kind: &str, timeout_ms: u32, slo_ms: u32, service: &str| {
-        let stream = if kind == "streaming" { r#","Sticky":true,"Resumable":false,"GapTargetMs":300"# } else { "" };
+    let route = |name: &str,
+                 prefix: &str,
+                 kind: &str,
+                 timeout_ms: u32,
+                 slo_ms: u32,
+                 service: &str| {
+        let stream = if kind == "streaming" {
+            r#","Sticky":true,"Resumable":false,"GapTargetMs":300"#
+        } else {
+            ""
+        };
         format!(
             r#"{{"Name":"{name}","Host":"market.example","Prefix":"{prefix}","Kind":"{kind}","TimeoutMs":{timeout_ms},"SloMs":{slo_ms},"Priority":1,"Service":"{service}","Attempts":1{stream}}}"#
         )
@@ -153,7 +175,9 @@
 /// A caller who asks for a description and reads all of it.
 async fn stream_caller(node: Arc<Node>, number: usize, counts: Arc<Counts>) {
     let end = async {
-        let Ok(stream) = TcpStream::connect(node.addrs.front).await else { return "no connection".to_owned() };
+        let Ok(stream) = TcpStream::connect(node.addrs.front).await else {
+            return "no connection".to_owned();
+        };
         let mut reader = Reader::new(stream);
         let text = format!(
             "POST /batch/{number} HTTP/1.1\r\nHost: market.example\r\nRequest-Id: batch-{number}\r\nModel: m0\r\n\
@@ -169,7 +193,9 @@
             None => "cut in the answer".to_owned(),
         }
     };
-    let end = timeout(Duration::from_secs(21), end).await.unwrap_or_else(|_| "no answer in 21 s".to_owned());
+    let end = timeout(Duration::from_secs(21), end)
+        .await
+        .unwrap_or_else(|_| "no answer in 21 s".to_owned());
     *counts.stream_ends.lock().unwrap().entry(end).or_default() += 1;
 }
 
@@ -210,7 +236,10 @@
                     let lost = if passed_on { &counts.lost_passed_on } else { &counts.lost_unsent };
                     lost.fetch_add(1, Ordering::Relaxed);
                     let run = if passed_on { "a sound server ran it" } else { "not passed on" };
-                    record.line(format!("{id}: sent to {}, {run}, connection closed without an answer", node.name));
+                    record.line(format!(
+                        "{id}: sent to {}, {run}, connection closed without an answer",
+                        node.name
+                    ));
                     break;
                 }
                 Err(_) => {
@@ -244,7 +273,12 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let models = r#","Stage":"both","Models":[{"Name":"m0","Version":1,"Adapters":[]}]"#;
         row(format!("e-{number}"), "lm", ENGINE_SLOTS, models, listener.local_addr().unwrap());
-        tokio::spawn(engine(listener, format!("e-{number}"), Arc::clone(&trouble), Arc::clone(&counts)));
+        tokio::spawn(engine(
+            listener,
+            format!("e-{number}"),
+            Arc::clone(&trouble),
+            Arc::clone(&counts),
+        ));
     }
     for number in 0..APP_SERVERS {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -253,12 +287,21 @@
     }
     let addrs = [NodeAddrs::free()];
     let seeds: Vec<_> = addrs.iter().map(|addrs| addrs.control).collect();
-    let bounds = Bounds { memory_mb: MEMORY_MB, max_fds: MAX_FDS, check_fences: false, retry_slack: 52 };
+    let bounds =
+        Bounds { memory_mb: MEMORY_MB, max_fds: MAX_FDS, check_fences: false, retry_slack: 52 };
     let nodes: Vec<Arc<Node>> = (1..)
         .zip(addrs)
         .map(|(number, addrs)| {
             let name = format!("front-zone-a-{number}");
-            Arc::new(Node::new(&rig.folder, &name, "zone-a", addrs, rig.store.addr(), &seeds, bounds))
+            Arc::new(Node::new(
+                &rig.folder,
+                &name,
+                "zone-a",
+                addrs,
+                rig.store.addr(),
+                &seeds,
+                bounds,
+            ))
         })
         .collect();
     nodes.iter().for_each(|node| node.start());
@@ -269,14 +312,19 @@
     }
     record.say("the node is ready; the other machines of the deployment are lost");
     // The platform: kills a process that exceeds its machine's memory, and starts it again.
-    let (watched, seen, watch_record) = (Arc::clone(&nodes[0]), Arc::clone(&counts), record.clone());
+    let (watched, seen, watch_record) =
+        (Arc::clone(&nodes[0]), Arc::clone(&counts), record.clone());
     tokio::spawn(async move {
         loop {
             sleep(Duration::from_millis(50)).await;
             let kb = watched.resident_kb();
             seen.peak_kb.fetch_max(kb, Ordering::Relaxed);
             if kb > MEMORY_MB * 1024 {
-                watch_record.say(format!("{} takes {kb} kB of {} kB: killed by the platform", watched.name, MEMORY_MB * 1024));
+                watch_record.say(format!(
+                    "{} takes {kb} kB of {} kB: killed by the platform",
+                    watched.name,
+                    MEMORY_MB * 1024
+                ));
                 watched.kill();
                 seen.killed.fetch_add(1, Ordering::Relaxed);
                 sleep(Duration::from_millis(500)).await;
@@ -290,7 +338,12 @@
         }
     });
     for number in 0..KEPT_CALLERS {
-        tokio::spawn(kept_caller(Arc::clone(&nodes[0]), number, Arc::clone(&counts), record.clone()));
+        tokio::spawn(kept_caller(
+            Arc::clone(&nodes[0]),
+            number,
+            Arc::clone(&counts),
+            record.clone(),
+        ));
     }
     sleep(Duration::from_secs(5)).await;
     record.say(format!("{} claims answered in calm", counts.app_answered.load(Ordering::Relaxed)));
@@ -301,7 +354,9 @@
     }
     // The sheet's traffic, with its burst at the end; all of it goes to the node that is left.
     let mut number = 0;
-    let pace = |seconds: f64, times: f64| ((seconds * STREAMS_PER_S * times) as usize, 1.0 / (STREAMS_PER_S * times));
+    let pace = |seconds: f64, times: f64| {
+        ((seconds * STREAMS_PER_S * times) as usize, 1.0 / (STREAMS_PER_S * times))
+    };
     for (count, pause_s) in [pace(4.0, 1.0), pace(BURST_TIME.as_secs_f64(), BURST)] {
         let began = std::time::Instant::now();
         for position in 0..count {
@@ -338,8 +393,13 @@
             counts.lost_passed_on.load(Ordering::Relaxed),
         ));
     }
-    let (killed, lost) = (counts.killed.load(Ordering::Relaxed), counts.lost_passed_on.load(Ordering::Relaxed));
-    record.say(format!("peak {} kB; ends of descriptions: {:?}", counts.peak_kb.load(Ordering::Relaxed), counts.stream_ends.lock().unwrap()));
+    let (killed, lost) =
+        (counts.killed.load(Ordering::Relaxed), counts.lost_passed_on.load(Ordering::Relaxed));
+    record.say(format!(
+        "peak {} kB; ends of descriptions: {:?}",
+        counts.peak_kb.load(Ordering::Relaxed),
+        counts.stream_ends.lock().unwrap()
+    ));
     record.say(format!(
         "process ended {killed} times; {lost} claims on kept connections were passed on to sound servers and got no answer ({} more were not passed on)",
         counts.lost_unsent.load(Ordering::Relaxed)
--- a/review/stand-ins-3/src/lib.rs
+++ b/review/stand-ins-3/src/lib.rs
@@ -365,7 +365,9 @@
     while began.elapsed() < within {
         let mut ready = 0;
         for node in nodes {
-            ready += usize::from(get(node.addrs.ready, "/ready").await.is_some_and(|(status, _)| status == 200));
+            ready += usize::from(
+                get(node.addrs.ready, "/ready").await.is_some_and(|(status, _)| status == 200),
+            );
         }
         if ready == nodes.len() {
             return true;
