--- a/review/stand-ins-3/src/lib.rs
+++ b/review/stand-ins-3/src/lib.rs
@@ -1,8 +1,11 @@
 //! Common parts of the cases' stand-ins: the nodes as the platform starts them, the platform's store, and raw
 //! HTTP/1.1 for clients and servers.
 
+mod store;
+
+pub use store::Store;
+
 use {
-    glade_standins::site::SiteStore,
     std::{
         collections::BTreeMap,
         fmt::Write as _,
@@ -209,14 +212,14 @@
 /// A folder of this run, removed by [`Rig::end`].
 pub struct Rig {
     pub folder: PathBuf,
-    pub store: SiteStore,
+    pub store: Store,
 }
 
 impl Rig {
     pub async fn new() -> Self {
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
-        Self { folder, store: SiteStore::spawn().await }
+        Self { folder, store: Store::spawn().await }
     }
 
     pub fn end(&self) {
