--- a/review/stand-ins-3/src/bin/endless.rs
+++ b/review/stand-ins-3/src/bin/endless.rs
@@ -90,7 +90,9 @@
                         let mut ok = reader
                             .write(format!("{begin}Transfer-Encoding: chunked\r\n\r\n").as_bytes())
                             .await;
-                        for number in 1..=EVENTS {
+                        for number in
+                            1..=(if head.path().starts_with("/check") { 5 } else { EVENTS })
+                        {
                             if trouble.load(Ordering::Relaxed) {
                                 // Bytes that are no answer, without end, until the caller closes.
                                 let bytes = chunk(&"x".repeat(ENDLESS_BYTES));
@@ -156,17 +158,21 @@
                  timeout_ms: u32,
                  slo_ms: u32,
                  service: &str| {
+        let resumable = name != "batch";
+        let attempts = if kind == "streaming" && resumable { 2 } else { 1 };
         let stream = if kind == "streaming" {
-            r#","Sticky":true,"Resumable":false,"GapTargetMs":300"#
+            &*format!(r#","Sticky":true,"Resumable":{resumable},"GapTargetMs":300"#)
         } else {
             ""
         };
         format!(
-            r#"{{"Name":"{name}","Host":"market.example","Prefix":"{prefix}","Kind":"{kind}","TimeoutMs":{timeout_ms},"SloMs":{slo_ms},"Priority":1,"Service":"{service}","Attempts":1{stream}}}"#
+            r#"{{"Name":"{name}","Host":"market.example","Prefix":"{prefix}","Kind":"{kind}","TimeoutMs":{timeout_ms},"SloMs":{slo_ms},"Priority":1,"Service":"{service}","Attempts":{attempts}{stream}}}"#
         )
     };
     format!(
-        r#"{{"Version":1,"Routes":[{},{}],"Services":[{{"Name":"lm","HealthPath":"/health","MaxConns":360,"Protocol":"h1","Tls":false,"Engine":{{"Slots":{ENGINE_SLOTS},"KvCapacity":149031,"KvTokenBytes":131072,"LinkMbps":130000.0,"Moves":true,"Backups":true,"Stride":5,"AtMost":12,"HostMb":59000.0,"DiskMb":170000.0,"PinMs":4000.0,"HoldMs":2000.0,"handle_s":5.0,"Models":[{{"Name":"m0","WeightsMb":65100.0,"LoadS":3.0,"Adapters":0,"AdapterMb":40.0,"WarmS":0.78,"DiskS":1.0}}],"WeightsMb":230000.0,"AdapterSlots":8,"LoadsPerS":2.0}}}},{{"Name":"app","HealthPath":"/health","MaxConns":100,"Protocol":"h1","Tls":false}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
+        r#"{{"Version":1,"Routes":[{},{},{},{}],"Services":[{{"Name":"lm","HealthPath":"/health","MaxConns":360,"Protocol":"h1","Tls":false,"Engine":{{"Slots":{ENGINE_SLOTS},"KvCapacity":149031,"KvTokenBytes":131072,"LinkMbps":130000.0,"Moves":true,"Backups":true,"Stride":5,"AtMost":12,"HostMb":59000.0,"DiskMb":170000.0,"PinMs":4000.0,"HoldMs":2000.0,"handle_s":5.0,"Models":[{{"Name":"m0","WeightsMb":65100.0,"LoadS":3.0,"Adapters":0,"AdapterMb":40.0,"WarmS":0.78,"DiskS":1.0}}],"WeightsMb":230000.0,"AdapterSlots":8,"LoadsPerS":2.0}}}},{{"Name":"app","HealthPath":"/health","MaxConns":100,"Protocol":"h1","Tls":false}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
+        route("chat", "/chat/", "streaming", 15_000, 400, "lm"),
+        route("check", "/check/", "streaming", 3_000, 600, "lm"),
         route("batch", "/batch/", "streaming", 20_000, 2_500, "lm"),
         route("claim", "/claim/", "unsafe", 3_000, 300, "app"),
     )
@@ -179,9 +185,15 @@
             return "no connection".to_owned();
         };
         let mut reader = Reader::new(stream);
+        // 74.1, 13.5 and 10.3 of 97.9 a second.
+        let (kind, deadline_ms) = match number * 389 % 979 {
+            0..741 => ("chat", 15000),
+            741..876 => ("check", 3000),
+            _ => ("batch", 20000),
+        };
         let text = format!(
-            "POST /batch/{number} HTTP/1.1\r\nHost: market.example\r\nRequest-Id: batch-{number}\r\nModel: m0\r\n\
-             Token-Counts: 826,290\r\nPrompt-Prefix: 5c1e07a2:198,{number:08x}:628\r\nDeadline-Ms: 20000\r\n\
+            "POST /{kind}/{number} HTTP/1.1\r\nHost: market.example\r\nRequest-Id: batch-{number}\r\nModel: m0\r\n\
+             Token-Counts: 826,290\r\nPrompt-Prefix: 5c1e07a2:198,{number:08x}:628\r\nDeadline-Ms: {deadline_ms}\r\n\
              Content-Length: 0\r\n\r\n"
         );
         if !reader.write(text.as_bytes()).await {
